--- /dev/null
+++ b/components/agent/src/lib.rs
@@ -0,0 +1,17 @@
+//! The agent: sole owner of one VM's slots and resources.
+
+mod answer;
+mod attempts;
+mod backend_call;
+mod config;
+mod control;
+mod heartbeat;
+mod local;
+mod messages;
+mod metrics;
+mod rpc;
+mod run;
+mod service_times;
+mod traffic;
+
+pub use run::run;
--- /dev/null
+++ b/components/agent/src/local.rs
@@ -0,0 +1,54 @@
+//! HTTP interface for backend servers on this VM, health checks and metrics.
+
+use crate::control::Control;
+use crate::messages::{Announce, AskReady};
+use crate::metrics::Metrics;
+use actix::Addr;
+use actix_web::web::{Data, Json, ServiceConfig};
+use actix_web::{HttpResponse, web};
+use fence::Announcement;
+
+/// Slots that one backend server may announce.
+const MAX_SLOTS: u32 = 10_000;
+
+/// What the handlers need.
+#[derive(Clone)]
+pub(crate) struct Local {
+    pub control: Addr<Control>,
+    pub metrics: Metrics,
+}
+
+pub(crate) fn routes(config: &mut ServiceConfig) {
+    config
+        .route("/v1/announce", web::post().to(announce))
+        .route("/healthz", web::get().to(healthz))
+        .route("/readyz", web::get().to(readyz))
+        .route("/metrics", web::get().to(metrics));
+}
+
+async fn announce(local: Data<Local>, announcement: Json<Announcement>) -> HttpResponse {
+    if announcement.slots == 0 || announcement.slots > MAX_SLOTS {
+        let text = format!("slots: is 1 to {MAX_SLOTS}, not {}", announcement.slots);
+        return HttpResponse::BadRequest().body(text);
+    }
+    local.control.do_send(Announce(announcement.into_inner()));
+    HttpResponse::NoContent().finish()
+}
+
+async fn healthz() -> HttpResponse {
+    HttpResponse::Ok().body("ok\n")
+}
+
+async fn readyz(local: Data<Local>) -> HttpResponse {
+    if local.control.send(AskReady).await.unwrap_or(false) {
+        return HttpResponse::Ok().body("ready\n");
+    }
+    HttpResponse::ServiceUnavailable()
+        .body("not ready: draining, or the worker runtime was not read yet\n")
+}
+
+async fn metrics(local: Data<Local>) -> HttpResponse {
+    HttpResponse::Ok()
+        .content_type("text/plain; version=0.0.4")
+        .body(local.metrics.render())
+}
--- /dev/null
+++ b/components/agent/src/rpc.rs
@@ -0,0 +1,61 @@
+//! Control calls that the agent answers.
+
+use crate::control::Control;
+use crate::messages::{
+    Adopt, ConfirmEnds, Fence, MakeClaim, ReleaseClaim, StartOrders, StopOrders,
+};
+use actix::Addr;
+use platform::AttemptRef;
+use tarpc::context::Context;
+use wire::{
+    AdoptShard, AgentControl, Claim, ClaimAnswer, FenceAnswer, FenceRequest, StartOrder,
+    StartResult, StopOrder,
+};
+
+/// Answers control calls by asking the control thread.
+#[derive(Clone)]
+pub(crate) struct Rpc(pub Addr<Control>);
+
+impl AgentControl for Rpc {
+    async fn fence(self, _: Context, request: FenceRequest) -> FenceAnswer {
+        self.0
+            .send(Fence(request))
+            .await
+            .unwrap_or(FenceAnswer::OtherIncarnation)
+    }
+
+    async fn claim(self, _: Context, claim: Claim) -> ClaimAnswer {
+        self.0
+            .send(MakeClaim(claim))
+            .await
+            .unwrap_or(ClaimAnswer::Refused)
+    }
+
+    async fn release_claim(self, _: Context, claim: Claim) {
+        self.0.do_send(ReleaseClaim(claim));
+    }
+
+    async fn start_attempts(
+        self,
+        _: Context,
+        owner: AdoptShard,
+        orders: Vec<StartOrder>,
+    ) -> Vec<StartResult> {
+        self.0
+            .send(StartOrders { owner, orders })
+            .await
+            .unwrap_or_default()
+    }
+
+    async fn stop_attempts(self, _: Context, owner: AdoptShard, orders: Vec<StopOrder>) {
+        self.0.do_send(StopOrders { owner, orders });
+    }
+
+    async fn adopt_shards(self, _: Context, owners: Vec<AdoptShard>) -> Vec<bool> {
+        self.0.send(Adopt(owners)).await.unwrap_or_default()
+    }
+
+    async fn confirm_ends(self, _: Context, ends: Vec<AttemptRef>) {
+        self.0.do_send(ConfirmEnds(ends));
+    }
+}
--- /dev/null
+++ b/components/agent/src/run.rs
@@ -0,0 +1,131 @@
+//! Runs an agent from start to a graceful end.
+
+use crate::control::Control;
+use crate::heartbeat;
+use crate::local::{self, Local};
+use crate::messages::{AskInFlight, Drain, StopAdmitting};
+use crate::metrics::Metrics;
+use crate::rpc::Rpc;
+use crate::traffic::{self, REPLAY_PATH, Traffic};
+use actix::{Actor, Addr};
+use actix_web::web::{self, Data};
+use actix_web::{App, HttpServer};
+use arc_swap::ArcSwap;
+use awc::{Client, Connector};
+use model::Config;
+use rand::RngExt;
+use settings::AgentSettings;
+use std::future::Future;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+use telemetry::{Event, log_event};
+use utils::Clock;
+use wire::serve_agent;
+
+/// Time for connecting to a backend server.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// Time after which an idle connection to a backend server is not used again.
+const BACKEND_KEEP_ALIVE: Duration = Duration::from_secs(2);
+/// Time after which an idle connection from an entry is closed.
+const ENTRY_KEEP_ALIVE: Duration = Duration::from_secs(75);
+/// Time between two looks at what is left while draining.
+const DRAIN_LOOK: Duration = Duration::from_millis(50);
+
+/// Runs an agent until `stop` resolves and all work in flight is done.
+///
+/// # Errors
+/// An address can't be bound.
+pub async fn run(settings: AgentSettings, stop: impl Future<Output = ()>) -> std::io::Result<()> {
+    let clock = Clock::start();
+    let incarnation: u64 = rand::rng().random();
+    let config = Arc::new(ArcSwap::from_pointee(Config::default()));
+    let metrics = Metrics::default();
+    let state = Control::new(
+        settings.clone(),
+        clock,
+        incarnation,
+        config.clone(),
+        metrics.clone(),
+    );
+    let soon = state.beat_soon.clone();
+    let control = state.start();
+    serve_agent(settings.control_listen, Rpc(control.clone())).await?;
+    let shared = (control.clone(), config);
+    let traffic_server = HttpServer::new(move || {
+        let traffic = Traffic {
+            control: shared.0.clone(),
+            config: shared.1.clone(),
+            client: client(),
+            clock,
+            incarnation,
+        };
+        App::new()
+            .app_data(Data::new(traffic))
+            .route(REPLAY_PATH, web::get().to(traffic::replay))
+            .default_service(web::to(traffic::serve))
+    })
+    .workers(settings.threads)
+    .keep_alive(ENTRY_KEEP_ALIVE)
+    .client_request_timeout(Duration::from_secs(10))
+    .disable_signals()
+    .shutdown_timeout(1)
+    .bind(settings.listen)?
+    .run();
+    let local_state = Local {
+        control: control.clone(),
+        metrics,
+    };
+    let local_server = HttpServer::new(move || {
+        App::new()
+            .app_data(Data::new(local_state.clone()))
+            .configure(local::routes)
+    })
+    .workers(1)
+    .disable_signals()
+    .shutdown_timeout(1)
+    .bind(settings.local_listen)?
+    .run();
+    let (traffic_handle, local_handle) = (traffic_server.handle(), local_server.handle());
+    actix_web::rt::spawn(traffic_server);
+    actix_web::rt::spawn(local_server);
+    let every = Duration::from_millis(settings.heartbeat_ms);
+    actix_web::rt::spawn(heartbeat::run(control.clone(), every, soon));
+    log_event!(info, Event::Started, role = "agent", id = %settings.id, listen = %settings.listen);
+    stop.await;
+    drain(&settings, &control).await;
+    traffic_handle.stop(true).await;
+    local_handle.stop(true).await;
+    log_event!(info, Event::DrainEnded, id = %settings.id);
+    Ok(())
+}
+
+fn client() -> Client {
+    let connector = Connector::new()
+        .timeout(CONNECT_TIMEOUT)
+        .conn_keep_alive(BACKEND_KEEP_ALIVE)
+        .limit(0);
+    Client::builder()
+        .connector(connector)
+        .disable_timeout()
+        .disable_redirects()
+        .finish()
+}
+
+/// Tells entries, lets them notice, and waits for what is in flight.
+async fn drain(settings: &AgentSettings, control: &Addr<Control>) {
+    control.do_send(Drain);
+    actix_web::rt::time::sleep(Duration::from_millis(settings.drain.notice_ms)).await;
+    control.do_send(StopAdmitting);
+    let started = Instant::now();
+    loop {
+        let left = control.send(AskInFlight).await.unwrap_or(0);
+        let is_over = settings
+            .drain
+            .limit_ms
+            .is_some_and(|limit_ms| started.elapsed() >= Duration::from_millis(limit_ms));
+        if left == 0 || is_over {
+            return;
+        }
+        actix_web::rt::time::sleep(DRAIN_LOOK).await;
+    }
+}
--- /dev/null
+++ b/components/bench/src/main.rs
@@ -0,0 +1,2 @@
+//! placeholder
+fn main() {}
--- /dev/null
+++ b/components/entry/src/config_watch.rs
@@ -0,0 +1,36 @@
+//! Follows the newest accepted ticket.
+
+use crate::control::Control;
+use crate::messages::{NewConfig, StoreHealth};
+use crate::snapshot::Snapshot;
+use actix::Addr;
+use arc_swap::ArcSwap;
+use platform::HttpTable;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Reads the ticket head for ever, once each `every`.
+pub(crate) async fn run(
+    control: Addr<Control>,
+    snapshot: Arc<ArcSwap<Snapshot>>,
+    table: Rc<HttpTable>,
+    every: Duration,
+) {
+    loop {
+        let (mut config, loaded) = {
+            let now = snapshot.load();
+            (now.config.clone(), now.loaded)
+        };
+        let result = tickets::catch_up(&*table, &mut config).await;
+        control.do_send(StoreHealth { up: result.is_ok() });
+        match result {
+            Ok(changed) if changed || !loaded => control.do_send(NewConfig(config)),
+            _ => {}
+        }
+        if !control.connected() {
+            return;
+        }
+        actix_rt::time::sleep(every).await;
+    }
+}
--- /dev/null
+++ b/components/entry/src/jobs.rs
@@ -0,0 +1,139 @@
+//! Jobs of own shards, as other parts of the entry ask for them.
+
+use crate::control::Control;
+use crate::messages::{AskFits, AskJob, AskOwner, JobAccepted, JobChanged};
+use actix::{AsyncContext, Handler, Message, MessageResult};
+use batch::{cancel_key, job_key};
+use model::{Job, JobStatus};
+use platform::{Row, ScanRange, StoreError, TableStore};
+use std::net::SocketAddr;
+use std::time::Duration;
+use wire::EntryLink;
+
+/// Time for a hint to another entry.
+const HINT_TIMEOUT: Duration = Duration::from_millis(500);
+/// Rows in one page of a scan.
+const PAGE_ROWS: usize = 1_000;
+
+/// Rows of a job, as read from the table.
+#[derive(Message)]
+#[rtype(result = "()")]
+struct JobRead {
+    shard: u16,
+    rows: Result<Vec<Row>, StoreError>,
+}
+
+impl Control {
+    /// Reads the jobs and cancellations of an own shard, in case a hint was lost.
+    pub(crate) fn poll_jobs(&self, shard: u16, context: &mut actix::Context<Self>) {
+        let (table, control) = (self.driver.table.clone(), context.address());
+        actix_rt::spawn(async move {
+            for prefix in [job_key(shard, ""), cancel_key(shard, "")] {
+                let range = ScanRange {
+                    prefix,
+                    after: None,
+                    limit: PAGE_ROWS,
+                };
+                let rows = table.scan(&range).await;
+                control.do_send(JobRead { shard, rows });
+            }
+        });
+    }
+}
+
+impl Handler<JobRead> for Control {
+    type Result = ();
+
+    fn handle(&mut self, read: JobRead, context: &mut Self::Context) {
+        let Some(shard) = self.driver.shards.get_mut(&read.shard) else {
+            return;
+        };
+        for row in read.rows.unwrap_or_default() {
+            if row.key.starts_with("job/") {
+                shard.load_job(&row);
+            } else {
+                shard.load_cancel(&row);
+            }
+        }
+        self.round(context);
+    }
+}
+
+impl Handler<JobChanged> for Control {
+    type Result = ();
+
+    fn handle(&mut self, JobChanged(job): JobChanged, context: &mut Self::Context) {
+        let shard = job.shard(self.settings.batch.shards);
+        if self.driver.shards.contains_key(&shard) {
+            let (table, control) = (self.driver.table.clone(), context.address());
+            actix_rt::spawn(async move {
+                let keys = [
+                    job_key(shard, job.as_str()),
+                    cancel_key(shard, job.as_str()),
+                ];
+                let rows = table.read(&keys).await;
+                control.do_send(JobRead { shard, rows });
+            });
+            return;
+        }
+        let Some(owner) = self.driver.watch.owner(shard).map(|row| row.control) else {
+            return;
+        };
+        if owner == self.settings.control_listen {
+            return;
+        }
+        actix_rt::spawn(async move {
+            let link = EntryLink::new(owner);
+            let call = link.call(HINT_TIMEOUT, |client, context| async move {
+                client.job_changed(context, job).await
+            });
+            drop(call.await);
+        });
+    }
+}
+
+impl Handler<JobAccepted> for Control {
+    type Result = ();
+
+    fn handle(&mut self, JobAccepted(job): JobAccepted, context: &mut Self::Context) {
+        let shard = job.id.shard(self.settings.batch.shards);
+        match self.driver.shards.get_mut(&shard) {
+            Some(shard) => {
+                shard.add_job(Job::clone(&job));
+                self.round(context);
+            }
+            None => context.notify(JobChanged(job.id)),
+        }
+    }
+}
+
+impl Handler<AskJob> for Control {
+    type Result = MessageResult<AskJob>;
+
+    fn handle(&mut self, AskJob(job): AskJob, _: &mut Self::Context) -> Self::Result {
+        let shard = self
+            .driver
+            .shards
+            .get(&job.shard(self.settings.batch.shards));
+        let status: Option<JobStatus> = shard.and_then(|shard| shard.status(&job));
+        MessageResult(status)
+    }
+}
+
+impl Handler<AskOwner> for Control {
+    type Result = MessageResult<AskOwner>;
+
+    fn handle(&mut self, AskOwner(job): AskOwner, _: &mut Self::Context) -> Self::Result {
+        let shard = job.shard(self.settings.batch.shards);
+        let owner: Option<SocketAddr> = self.driver.watch.owner(shard).map(|row| row.control);
+        MessageResult(owner.filter(|owner| *owner != self.settings.control_listen))
+    }
+}
+
+impl Handler<AskFits> for Control {
+    type Result = bool;
+
+    fn handle(&mut self, AskFits(need): AskFits, _: &mut Self::Context) -> bool {
+        self.driver.workers.can_ever_fit(&need)
+    }
+}
--- /dev/null
+++ b/components/entry/src/messages.rs
@@ -0,0 +1,206 @@
+//! Messages to the entry's control thread.
+
+use crate::status::ClusterStatus;
+use actix::Message;
+use errors::Failure;
+use model::{AgentId, Config, Job, JobId, JobStatus, RequestId, ServiceName};
+use routing::{Dispatch, Pending, Route, TargetOutcome};
+use tokio::sync::oneshot;
+use wire::{
+    AttemptEnd, BackendLoad, FenceAnswer, Heartbeat, HeartbeatAck, PeerState, RequestState,
+};
+
+/// Asks for an agent to send a request to.
+#[derive(Message)]
+#[rtype(result = "()")]
+pub(crate) struct Submit {
+    pub pending: Pending,
+    /// Whether the request was sent before and provably did not run.
+    pub retry: Option<RetryKind>,
+    pub reply: oneshot::Sender<Result<Dispatch, Failure>>,
+}
+
+/// Why a request is sent again.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum RetryKind {
+    /// The agent had no slot; costs nothing.
+    NoSlot,
+    /// Something failed; costs a token of the retry budget.
+    Failure,
+}
+
+/// Gives up a request that may still wait.
+#[derive(Message)]
+#[rtype(result = "()")]
+pub(crate) struct Abandon {
+    pub service: ServiceName,
+    pub id: RequestId,
+}
+
+/// Ends a dispatched request.
+#[derive(Message)]
+#[rtype(result = "()")]
+pub(crate) struct Ended {
+    pub id: RequestId,
+    pub service: ServiceName,
+    pub agent: AgentId,
+    pub outcome: TargetOutcome,
+    pub load: Option<BackendLoad>,
+    /// Route and run time of a whole answer.
+    pub ran: Option<(Route, u64)>,
+    /// Whether the request may have run without a whole answer.
+    pub uncertain: bool,
+}
+
+/// Asks an agent, on another connection, what became of a request.
+#[derive(Message)]
+#[rtype(result = "FenceOutcome")]
+pub(crate) struct AskFence {
+    pub agent: AgentId,
+    pub control: std::net::SocketAddr,
+    pub request: wire::FenceRequest,
+}
+
+/// What asking an agent about a request gave.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum FenceOutcome {
+    /// The agent's answer.
+    Known(FenceAnswer),
+    /// The agent did not answer, but still counts as alive.
+    NoAnswer,
+    /// The agent is gone.
+    Gone,
+}
+
+/// Claims an idempotency key for a request.
+#[derive(Message)]
+#[rtype(result = "Result<(), ClaimRefusal>")]
+pub(crate) struct ClaimKey {
+    pub service: ServiceName,
+    pub key: String,
+    pub request: RequestId,
+}
+
+/// Why a key was not claimed.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) enum ClaimRefusal {
+    /// An earlier request holds it; its whole answer may be fetched from an agent.
+    Held {
+        holder: RequestId,
+        /// Where to ask for the answer.
+        state: Option<HolderState>,
+    },
+    /// The agents that hold claims can't be asked.
+    Unavailable,
+}
+
+/// Where the answer to an earlier request with the same key may be.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct HolderState {
+    pub active: bool,
+    pub agent: AgentId,
+    pub incarnation: u64,
+    pub traffic: std::net::SocketAddr,
+    pub control: std::net::SocketAddr,
+}
+
+/// Gives a key back, for a request that provably did not run.
+#[derive(Message)]
+#[rtype(result = "()")]
+pub(crate) struct ReleaseKey {
+    pub service: ServiceName,
+    pub key: String,
+    pub request: RequestId,
+}
+
+/// Marks the end of a keyed request's work in this entry.
+#[derive(Message)]
+#[rtype(result = "()")]
+pub(crate) struct KeyedEnded(pub RequestId);
+
+/// A heartbeat of an agent.
+#[derive(Message)]
+#[rtype(result = "HeartbeatAck")]
+pub(crate) struct Beat(pub Heartbeat);
+
+/// What another entry tells; answered with what this one would tell.
+#[derive(Message)]
+#[rtype(result = "PeerState")]
+pub(crate) struct HearPeer(pub Option<PeerState>);
+
+/// Asks for the configuration if it is newer.
+#[derive(Message)]
+#[rtype(result = "Option<Config>")]
+pub(crate) struct AskConfig {
+    pub after: u64,
+}
+
+/// A configuration from the table or a peer.
+#[derive(Message)]
+#[rtype(result = "()")]
+pub(crate) struct NewConfig(pub Config);
+
+/// Whether the table answered.
+#[derive(Message)]
+#[rtype(result = "()")]
+pub(crate) struct StoreHealth {
+    pub up: bool,
+}
+
+/// Ends of attempts, from an agent.
+#[derive(Message)]
+#[rtype(result = "()")]
+pub(crate) struct Ends {
+    pub agent: AgentId,
+    pub ends: Vec<AttemptEnd>,
+}
+
+/// A job's rows changed.
+#[derive(Message)]
+#[rtype(result = "()")]
+pub(crate) struct JobChanged(pub JobId);
+
+/// A job was accepted here.
+#[derive(Message)]
+#[rtype(result = "()")]
+pub(crate) struct JobAccepted(pub Job);
+
+/// Asks for the state of a job of an own shard.
+#[derive(Message)]
+#[rtype(result = "Option<JobStatus>")]
+pub(crate) struct AskJob(pub JobId);
+
+/// Asks for the control address of the owner of a job's shard, if it is another entry.
+#[derive(Message)]
+#[rtype(result = "Option<std::net::SocketAddr>")]
+pub(crate) struct AskOwner(pub JobId);
+
+/// Asks whether a task of this size can ever run.
+#[derive(Message)]
+#[rtype(result = "bool")]
+pub(crate) struct AskFits(pub model::Resources);
+
+/// Asks what became of a request that this entry acted for.
+#[derive(Message)]
+#[rtype(result = "Option<RequestState>")]
+pub(crate) struct AskRequest(pub RequestId);
+
+/// Asks for the state of the whole cluster as this entry sees it.
+#[derive(Message)]
+#[rtype(result = "ClusterStatus")]
+pub(crate) struct AskStatus;
+
+/// Begins a graceful shutdown.
+#[derive(Message)]
+#[rtype(result = "()")]
+pub(crate) struct Drain;
+
+/// Refuses new requests and releases shards.
+#[derive(Message)]
+#[rtype(result = "()")]
+pub(crate) struct Close;
+
+/// Asks how much is left before the entry may go: requests and shards.
+#[derive(Message)]
+#[rtype(result = "usize")]
+pub(crate) struct AskLeft;
--- /dev/null
+++ b/components/entry/src/rpc.rs
@@ -0,0 +1,62 @@
+//! Control calls that the entry answers.
+
+use crate::control::Control;
+use crate::messages::{AskConfig, AskJob, AskRequest, Beat, Ends, HearPeer, JobChanged};
+use actix::Addr;
+use model::{AgentId, Config, EntryId, JobId, JobStatus, RequestId};
+use tarpc::context::Context;
+use wire::{AttemptEnd, EntryControl, Heartbeat, HeartbeatAck, PeerState, RequestState};
+
+/// Answers control calls by asking the control thread.
+#[derive(Clone)]
+pub(crate) struct Rpc {
+    pub control: Addr<Control>,
+    pub entry: EntryId,
+}
+
+impl EntryControl for Rpc {
+    async fn heartbeat(self, _: Context, beat: Heartbeat) -> HeartbeatAck {
+        let stopping = HeartbeatAck {
+            entry: self.entry,
+            config: 0,
+            entries: Vec::new(),
+        };
+        self.control.send(Beat(beat)).await.unwrap_or(stopping)
+    }
+
+    async fn exchange(self, _: Context, peer: PeerState) -> PeerState {
+        let stopping = PeerState {
+            entry: self.entry,
+            draining: true,
+            ..peer.clone()
+        };
+        self.control
+            .send(HearPeer(Some(peer)))
+            .await
+            .unwrap_or(stopping)
+    }
+
+    async fn config_after(self, _: Context, number: u64) -> Option<Config> {
+        self.control
+            .send(AskConfig { after: number })
+            .await
+            .ok()
+            .flatten()
+    }
+
+    async fn report_ends(self, _: Context, agent: AgentId, ends: Vec<AttemptEnd>) {
+        self.control.do_send(Ends { agent, ends });
+    }
+
+    async fn job_changed(self, _: Context, job: JobId) {
+        self.control.do_send(JobChanged(job));
+    }
+
+    async fn job_status(self, _: Context, job: JobId) -> Option<JobStatus> {
+        self.control.send(AskJob(job)).await.ok().flatten()
+    }
+
+    async fn request_state(self, _: Context, id: RequestId) -> Option<RequestState> {
+        self.control.send(AskRequest(id)).await.ok().flatten()
+    }
+}
--- /dev/null
+++ b/components/entry/src/run.rs
@@ -0,0 +1,141 @@
+//! Runs an entry from start to a graceful end.
+
+use crate::admin::{self, Admin};
+use crate::control::Control;
+use crate::messages::{AskLeft, Close, Drain};
+use crate::metrics::Metrics;
+use crate::rpc::Rpc;
+use crate::snapshot::Snapshot;
+use crate::traffic::{self, Traffic};
+use crate::{config_watch, peers};
+use actix::{Actor, Addr};
+use actix_web::web::{self, Data};
+use actix_web::{App, HttpServer};
+use arc_swap::ArcSwap;
+use platform::HttpTable;
+use settings::EntrySettings;
+use std::future::Future;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+use telemetry::{Event, log_event};
+use utils::Clock;
+use wire::serve_entry;
+
+/// Time for the head of a caller's request.
+const HEAD_TIMEOUT: Duration = Duration::from_secs(5);
+/// Time after which an idle connection of a caller is closed.
+const CALLER_KEEP_ALIVE: Duration = Duration::from_secs(75);
+/// Time between two looks at what is left while draining.
+const DRAIN_LOOK: Duration = Duration::from_millis(50);
+/// Longest time for a graceful stop of the servers, once nothing is left, in seconds.
+const STOP_LIMIT_S: u64 = 2;
+
+/// Runs an entry until `stop` resolves and all work in flight is done.
+///
+/// # Errors
+/// An address can't be bound.
+pub async fn run(settings: EntrySettings, stop: impl Future<Output = ()>) -> std::io::Result<()> {
+    let clock = Clock::start();
+    let snapshot = Arc::new(ArcSwap::from_pointee(Snapshot::default()));
+    let metrics = Metrics::default();
+    let control = Control::new(settings.clone(), clock, snapshot.clone(), metrics.clone()).start();
+    let rpc = Rpc {
+        control: control.clone(),
+        entry: settings.id.clone(),
+    };
+    serve_entry(settings.control_listen, rpc).await?;
+    let platform = settings.platform.clone();
+    let table = Rc::new(HttpTable::new(&platform.url, platform.timeout_ms));
+    let every = Duration::from_millis(settings.batch.head_poll_ms);
+    actix_web::rt::spawn(config_watch::run(
+        control.clone(),
+        snapshot.clone(),
+        table,
+        every,
+    ));
+    for peer in &settings.peers {
+        actix_web::rt::spawn(peers::run(control.clone(), snapshot.clone(), *peer));
+    }
+    let servers = start_servers(&settings, clock, &control, &snapshot, &metrics)?;
+    log_event!(info, Event::Started, role = "entry", id = %settings.id, listen = %settings.listen);
+    stop.await;
+    drain(&settings, &control).await;
+    for server in servers {
+        server.stop(true).await;
+    }
+    log_event!(info, Event::DrainEnded, id = %settings.id);
+    Ok(())
+}
+
+fn start_servers(
+    settings: &EntrySettings,
+    clock: Clock,
+    control: &Addr<Control>,
+    snapshot: &Arc<ArcSwap<Snapshot>>,
+    metrics: &Metrics,
+) -> std::io::Result<Vec<actix_web::dev::ServerHandle>> {
+    let probe = Duration::from_millis(settings.routing.probe_ms);
+    let shared = (control.clone(), snapshot.clone(), metrics.clone());
+    let traffic_server = HttpServer::new(move || {
+        let (control, snapshot, metrics) = shared.clone();
+        let traffic = Traffic::new(control, snapshot, metrics, clock, probe);
+        App::new()
+            .app_data(Data::new(traffic))
+            .default_service(web::to(traffic::serve))
+    })
+    .workers(settings.threads)
+    .max_connections(settings.max_connections)
+    .keep_alive(CALLER_KEEP_ALIVE)
+    .client_request_timeout(HEAD_TIMEOUT)
+    .disable_signals()
+    .shutdown_timeout(STOP_LIMIT_S)
+    .bind(settings.listen)?
+    .run();
+    let shared = (control.clone(), snapshot.clone(), metrics.clone());
+    let (token, shards) = (settings.admin_token.clone(), settings.batch.shards);
+    let platform = settings.platform.clone();
+    let admin_server = HttpServer::new(move || {
+        let (control, snapshot, metrics) = shared.clone();
+        let table = HttpTable::new(&platform.url, platform.timeout_ms);
+        let admin = Admin {
+            control,
+            snapshot,
+            metrics,
+            token: token.clone(),
+            table,
+            shards,
+        };
+        App::new()
+            .app_data(Data::new(admin))
+            .configure(admin::routes)
+    })
+    .workers(1)
+    .disable_signals()
+    .shutdown_timeout(STOP_LIMIT_S)
+    .bind(settings.admin_listen)?
+    .run();
+    let handles = vec![traffic_server.handle(), admin_server.handle()];
+    actix_web::rt::spawn(traffic_server);
+    actix_web::rt::spawn(admin_server);
+    Ok(handles)
+}
+
+/// Turns readiness off, lets balancers notice, and waits for what is in flight.
+async fn drain(settings: &EntrySettings, control: &Addr<Control>) {
+    control.do_send(Drain);
+    actix_web::rt::time::sleep(Duration::from_millis(settings.drain.notice_ms)).await;
+    control.do_send(Close);
+    let started = Instant::now();
+    loop {
+        let left = control.send(AskLeft).await.unwrap_or(0);
+        let is_over = settings
+            .drain
+            .limit_ms
+            .is_some_and(|limit_ms| started.elapsed() >= Duration::from_millis(limit_ms));
+        if left == 0 || is_over {
+            return;
+        }
+        actix_web::rt::time::sleep(DRAIN_LOOK).await;
+    }
+}
--- /dev/null
+++ b/components/errors/src/failure.rs
@@ -0,0 +1,75 @@
+//! A failure with its verdict.
+
+use crate::{Code, Verdict};
+use serde::{Deserialize, Serialize};
+
+/// A failed operation: whether it may have run, why, and when to try again.
+///
+/// ```
+/// use errors::{Code, Failure, Verdict};
+/// let failure = Failure::not_run(Code::NoCapacity, "no free slot").retry_after(200);
+/// assert_eq!(failure.verdict, Verdict::NotRun);
+/// assert_eq!(failure.to_string(), "no-capacity (not-run): no free slot");
+/// ```
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize, thiserror::Error)]
+#[error("{code} ({verdict}): {message}")]
+pub struct Failure {
+    /// Whether the operation may have run.
+    pub verdict: Verdict,
+    /// Stable reason.
+    pub code: Code,
+    /// Text for a person.
+    pub message: String,
+    /// Earliest useful time for another try, in milliseconds.
+    pub retry_after_ms: Option<u64>,
+}
+
+impl Failure {
+    /// A failure with the given verdict.
+    ///
+    /// ```
+    /// use errors::{Code, Failure, Verdict};
+    /// let failure = Failure::new(Verdict::Ran, Code::BadAnswer, "short body");
+    /// assert_eq!(failure.code, Code::BadAnswer);
+    /// ```
+    pub fn new(verdict: Verdict, code: Code, message: impl Into<String>) -> Self {
+        Self {
+            verdict,
+            code,
+            message: message.into(),
+            retry_after_ms: None,
+        }
+    }
+
+    /// A failure of an operation that provably did not run.
+    ///
+    /// ```
+    /// use errors::{Code, Failure};
+    /// assert!(Failure::not_run(Code::Draining, "leaving").verdict.is_safe_to_retry());
+    /// ```
+    pub fn not_run(code: Code, message: impl Into<String>) -> Self {
+        Self::new(Verdict::NotRun, code, message)
+    }
+
+    /// A failure of an operation that may have run.
+    ///
+    /// ```
+    /// use errors::{Code, Failure};
+    /// assert!(!Failure::may_have_run(Code::ConnectionLost, "reset").verdict.is_safe_to_retry());
+    /// ```
+    pub fn may_have_run(code: Code, message: impl Into<String>) -> Self {
+        Self::new(Verdict::MayHaveRun, code, message)
+    }
+
+    /// Adds the earliest useful time for another try, in milliseconds.
+    ///
+    /// ```
+    /// use errors::{Code, Failure};
+    /// let failure = Failure::not_run(Code::NoCapacity, "full").retry_after(50);
+    /// assert_eq!(failure.retry_after_ms, Some(50));
+    /// ```
+    pub fn retry_after(mut self, delay_ms: u64) -> Self {
+        self.retry_after_ms = Some(delay_ms);
+        self
+    }
+}
--- /dev/null
+++ b/components/fence/src/backends.rs
@@ -0,0 +1,163 @@
+//! The backend servers of one agent.
+
+use crate::{Announcement, Backend};
+use model::{RequestId, ServiceName};
+use std::net::SocketAddr;
+use utils::Map;
+use wire::{BackendLoad, ServiceLoad};
+
+/// Limits of a service's requests on an agent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ServiceLimits {
+    /// Run time from which a request counts as long.
+    pub long_threshold_ms: u64,
+    /// Share of slots that long requests may hold.
+    pub long_share_percent: u32,
+}
+
+impl Default for ServiceLimits {
+    fn default() -> Self {
+        Self {
+            long_threshold_ms: 500,
+            long_share_percent: 50,
+        }
+    }
+}
+
+/// The backend servers of one agent, by service.
+#[derive(Debug, Default)]
+pub struct Backends {
+    /// Servers of each service.
+    by_service: Map<ServiceName, Vec<Backend>>,
+    /// Limits of services that have a configuration.
+    limits: Map<ServiceName, ServiceLimits>,
+}
+
+impl Backends {
+    /// Sets the limits of a service.
+    pub fn set_limits(&mut self, service: &ServiceName, limits: ServiceLimits) {
+        self.limits.insert(service.clone(), limits);
+    }
+
+    fn limits_of(&self, service: &ServiceName) -> ServiceLimits {
+        self.limits.get(service).copied().unwrap_or_default()
+    }
+
+    /// Takes an announcement; answers whether the server was unknown.
+    pub fn announce(&mut self, announcement: &Announcement, expires_ms: u64) -> bool {
+        let servers = self
+            .by_service
+            .entry(announcement.service.clone())
+            .or_default();
+        let known = servers
+            .iter_mut()
+            .find(|server| server.address == announcement.address);
+        match known {
+            Some(server) => {
+                server.slots = announcement.slots;
+                server.leaving = announcement.leaving;
+                server.expires_ms = expires_ms;
+                false
+            }
+            None => {
+                servers.push(Backend::new(announcement, expires_ms));
+                true
+            }
+        }
+    }
+
+    /// Forgets servers that are gone and idle; returns their addresses.
+    pub fn forget_gone(&mut self, now_ms: u64) -> Vec<SocketAddr> {
+        let mut gone = Vec::new();
+        for servers in self.by_service.values_mut() {
+            let idle_and_gone =
+                |server: &Backend| server.expires_ms <= now_ms && server.running() == 0;
+            gone.extend(
+                servers
+                    .iter()
+                    .filter(|server| idle_and_gone(server))
+                    .map(|s| s.address),
+            );
+            servers.retain(|server| !idle_and_gone(server));
+        }
+        gone
+    }
+
+    /// Number of servers of a service that take new work.
+    pub fn open_count(&self, now_ms: u64, service: &ServiceName) -> u32 {
+        let servers = self.by_service.get(service).into_iter().flatten();
+        servers.filter(|server| server.is_open(now_ms)).count() as u32
+    }
+
+    /// Gives a slot on the server with the most free ones, if any has one.
+    pub fn take_slot(
+        &mut self,
+        now_ms: u64,
+        service: &ServiceName,
+        id: RequestId,
+        long: bool,
+    ) -> Option<SocketAddr> {
+        let limits = self.limits_of(service);
+        let servers = self.by_service.get_mut(service)?;
+        for server in servers.iter_mut() {
+            server.recount(now_ms, limits.long_threshold_ms);
+        }
+        let free = |server: &Backend| server.free(now_ms, long, limits.long_share_percent);
+        let best = servers
+            .iter_mut()
+            .filter(|server| free(server) > 0)
+            .max_by_key(|s| free(s))?;
+        best.start(now_ms, id, long);
+        Some(best.address)
+    }
+
+    /// Gives a slot back.
+    pub fn return_slot(&mut self, service: &ServiceName, address: SocketAddr, id: RequestId) {
+        let servers = self.by_service.get_mut(service).into_iter().flatten();
+        for server in servers.filter(|server| server.address == address) {
+            server.end(id);
+        }
+    }
+
+    /// Slots that requests of a service may take now.
+    pub fn load(&mut self, now_ms: u64, service: &ServiceName) -> BackendLoad {
+        let limits = self.limits_of(service);
+        let mut load = BackendLoad::default();
+        for server in self.by_service.get_mut(service).into_iter().flatten() {
+            server.recount(now_ms, limits.long_threshold_ms);
+            load.free += server.free(now_ms, false, limits.long_share_percent);
+            load.free_long += server.free(now_ms, true, limits.long_share_percent);
+        }
+        load
+    }
+
+    /// Load of every service with a server that takes new work.
+    pub fn loads(&mut self, now_ms: u64) -> Vec<ServiceLoad> {
+        let mut services: Vec<ServiceName> = self.by_service.keys().cloned().collect();
+        services.sort();
+        services.retain(|service| self.open_count(now_ms, service) > 0);
+        let mut loads = Vec::with_capacity(services.len());
+        for service in services {
+            let servers = self.by_service[&service]
+                .iter()
+                .filter(|server| server.is_open(now_ms));
+            let slots = servers.map(|server| server.slots).sum();
+            let load = self.load(now_ms, &service);
+            loads.push(ServiceLoad {
+                service,
+                slots,
+                load,
+            });
+        }
+        loads
+    }
+
+    /// Requests that run on all servers together.
+    pub fn running(&self) -> u32 {
+        self.by_service
+            .values()
+            .flatten()
+            .map(Backend::running)
+            .sum()
+    }
+}
--- /dev/null
+++ b/components/ledger/src/book.rs
@@ -0,0 +1,303 @@
+//! The ledger.
+
+use crate::{Held, HeldState, OrderDecision};
+use model::{Attempt, Resources, ServiceName, TaskId};
+use platform::{AttemptRef, AttemptReport, AttemptStatus};
+use std::collections::{BTreeMap, VecDeque};
+use utils::Map;
+use wire::{AttemptEnd, EndKind, StartOrder};
+
+/// Most tasks whose newest attempt is remembered after its end.
+const MAX_FENCES: usize = 20_000;
+
+/// What the VM has, what is taken, and which attempts hold it.
+#[derive(Debug)]
+pub struct Ledger {
+    /// What the VM has.
+    capacity: Resources,
+    /// What services on the VM take.
+    reserved: BTreeMap<ServiceName, Resources>,
+    /// Attempts that hold part of the VM.
+    held: Map<AttemptRef, Held>,
+    /// Newest attempt seen of each task; older ones are refused.
+    newest: Map<TaskId, Attempt>,
+    /// Tasks in `newest`, oldest first.
+    newest_order: VecDeque<TaskId>,
+    /// Ends that their owner has not confirmed.
+    ends: Map<AttemptRef, AttemptEnd>,
+    /// Whether the runtime's attempts were read since the start; nothing is admitted before.
+    synced: bool,
+}
+
+impl Ledger {
+    /// The ledger of a VM about which nothing is known but its size.
+    ///
+    /// ```
+    /// use model::Resources;
+    /// let ledger = ledger::Ledger::new(Resources::new(1_000, 1_024, 0));
+    /// assert!(!ledger.is_synced());
+    /// assert_eq!(ledger.free(), Resources::default());
+    /// ```
+    pub fn new(capacity: Resources) -> Self {
+        Self {
+            capacity,
+            reserved: BTreeMap::new(),
+            held: Map::default(),
+            newest: Map::default(),
+            newest_order: VecDeque::new(),
+            ends: Map::default(),
+            synced: false,
+        }
+    }
+
+    /// Whether the runtime's attempts were read since the start.
+    pub fn is_synced(&self) -> bool {
+        self.synced
+    }
+
+    /// Sets what the services on the VM take.
+    pub fn set_reserved(&mut self, reserved: BTreeMap<ServiceName, Resources>) {
+        self.reserved = reserved;
+    }
+
+    /// What is not taken; nothing until the runtime's attempts were read.
+    pub fn free(&self) -> Resources {
+        if !self.synced {
+            return Resources::default();
+        }
+        self.capacity.minus(&self.committed())
+    }
+
+    /// What services and attempts take together.
+    pub fn committed(&self) -> Resources {
+        let services = self
+            .reserved
+            .values()
+            .fold(Resources::default(), |sum, need| sum.plus(need));
+        self.held
+            .values()
+            .fold(services, |sum, held| sum.plus(&held.committed()))
+    }
+
+    /// Attempts that hold part of the VM.
+    pub fn held(&self) -> impl Iterator<Item = (&AttemptRef, &Held)> {
+        self.held.iter()
+    }
+
+    /// One attempt that holds part of the VM.
+    pub fn get(&self, attempt: &AttemptRef) -> Option<&Held> {
+        self.held.get(attempt)
+    }
+
+    /// Attempts whose leases are to be renewed.
+    pub fn leases(&self) -> Vec<AttemptRef> {
+        let is_up = |held: &Held| !matches!(held.state, HeldState::WaitingForRoom);
+        self.held
+            .iter()
+            .filter(|(_, held)| is_up(held))
+            .map(|(attempt, _)| attempt.clone())
+            .collect()
+    }
+
+    /// Decides about a start order and takes the attempt in unless it is refused.
+    pub fn order(&mut self, now_ms: u64, order: &StartOrder) -> OrderDecision {
+        let attempt = &order.attempt;
+        if self.held.contains_key(attempt) || self.ends.contains_key(attempt) {
+            return OrderDecision::Known;
+        }
+        let newest = self.newest.get(&attempt.task).copied().unwrap_or(0);
+        let sibling_runs = self.held.keys().any(|held| held.task == attempt.task);
+        if !self.synced || newest > attempt.attempt || sibling_runs {
+            return OrderDecision::Refuse;
+        }
+        let decision = self.room_for(order);
+        let state = match &decision {
+            OrderDecision::Start => HeldState::Starting,
+            OrderDecision::Preempt(victims) => {
+                self.stop_all(victims);
+                HeldState::WaitingForRoom
+            }
+            OrderDecision::Known | OrderDecision::Refuse => return decision,
+        };
+        self.note_newest(attempt);
+        let held = Held {
+            order: Some(order.clone()),
+            need: order.need,
+            peak: Resources::default(),
+            state,
+            since_ms: now_ms,
+            throttle_percent: 100,
+        };
+        self.held.insert(attempt.clone(), held);
+        decision
+    }
+
+    fn room_for(&self, order: &StartOrder) -> OrderDecision {
+        if order.need.fits_in(&self.free()) {
+            return OrderDecision::Start;
+        }
+        if !order.urgent {
+            return OrderDecision::Refuse;
+        }
+        let mut victims: Vec<(&AttemptRef, &Held)> = self
+            .held
+            .iter()
+            .filter(|(_, held)| held.is_preemptible())
+            .collect();
+        victims.sort_by(|left, right| {
+            right
+                .1
+                .since_ms
+                .cmp(&left.1.since_ms)
+                .then_with(|| left.0.task.cmp(&right.0.task))
+        });
+        let mut room = self.free();
+        let mut chosen = Vec::new();
+        for (attempt, held) in victims {
+            if order.need.fits_in(&room) {
+                break;
+            }
+            room = room.plus(&held.committed());
+            chosen.push(attempt.clone());
+        }
+        // The sum of what victims give back can exceed the VM when a measured peak did.
+        if order.need.fits_in(&room) && order.need.fits_in(&self.capacity) {
+            OrderDecision::Preempt(chosen)
+        } else {
+            OrderDecision::Refuse
+        }
+    }
+
+    fn stop_all(&mut self, victims: &[AttemptRef]) {
+        for victim in victims {
+            self.stopping(victim, true);
+        }
+    }
+
+    fn note_newest(&mut self, attempt: &AttemptRef) {
+        if self
+            .newest
+            .insert(attempt.task.clone(), attempt.attempt)
+            .is_none()
+        {
+            self.newest_order.push_back(attempt.task.clone());
+        }
+        while self.newest_order.len() > MAX_FENCES {
+            if let Some(oldest) = self.newest_order.pop_front() {
+                self.newest.remove(&oldest);
+            }
+        }
+    }
+
+    /// Marks an attempt as being stopped; answers whether the runtime is to be asked.
+    pub fn stopping(&mut self, attempt: &AttemptRef, checkpoint: bool) -> bool {
+        let Some(held) = self.held.get_mut(attempt) else {
+            return false;
+        };
+        let already = matches!(held.state, HeldState::Stopping { .. });
+        held.state = HeldState::Stopping { checkpoint };
+        !already
+    }
+
+    /// Marks an attempt as running.
+    pub fn started(&mut self, attempt: &AttemptRef) {
+        if let Some(held) = self.held.get_mut(attempt)
+            && held.state == HeldState::Starting
+        {
+            held.state = HeldState::Running;
+        }
+    }
+
+    /// Attempts that waited for room and now have it; they become `Starting`.
+    pub fn take_startable(&mut self) -> Vec<StartOrder> {
+        let fits = self.committed().fits_in(&self.capacity);
+        let mut startable = Vec::new();
+        for held in self.held.values_mut() {
+            if fits && held.state == HeldState::WaitingForRoom {
+                held.state = HeldState::Starting;
+                startable.extend(held.order.clone());
+            }
+        }
+        startable
+    }
+
+    /// Sets the throttle of an attempt.
+    pub fn throttled(&mut self, attempt: &AttemptRef, percent: u32) {
+        if let Some(held) = self.held.get_mut(attempt) {
+            held.throttle_percent = percent;
+        }
+    }
+
+    /// Ends an attempt with proof; it is reported until confirmed.
+    pub fn ended(&mut self, now_ms: u64, attempt: &AttemptRef, kind: EndKind) {
+        let held = self.held.remove(attempt);
+        let since_ms = held.as_ref().map_or(now_ms, |held| held.since_ms);
+        let peak = held.map_or(Resources::default(), |held| held.peak);
+        self.note_newest(attempt);
+        let end = AttemptEnd {
+            attempt: attempt.clone(),
+            kind,
+            peak,
+            run_ms: now_ms.saturating_sub(since_ms),
+        };
+        self.ends.insert(attempt.clone(), end);
+    }
+
+    /// Ends that their owner has not confirmed.
+    pub fn unconfirmed(&self) -> impl Iterator<Item = &AttemptEnd> {
+        self.ends.values()
+    }
+
+    /// Whether an attempt's end waits to be confirmed.
+    pub fn has_end(&self, attempt: &AttemptRef) -> bool {
+        self.ends.contains_key(attempt)
+    }
+
+    /// Forgets ends that are durable.
+    pub fn confirm(&mut self, ends: &[AttemptRef]) {
+        for end in ends {
+            self.ends.remove(end);
+        }
+    }
+
+    /// Takes the runtime's own account of all attempts on the worker.
+    pub fn on_reports(&mut self, now_ms: u64, reports: &[AttemptReport]) {
+        self.synced = true;
+        for report in reports {
+            let known = self.held.get_mut(&report.attempt);
+            match (known, report.status) {
+                (Some(held), AttemptStatus::Running) => held.peak = held.peak.max(&report.peak),
+                (Some(_), status) => self.ended(now_ms, &report.attempt, end_kind(status)),
+                (None, AttemptStatus::Running) => self.take_in(now_ms, report),
+                (None, _) => {}
+            }
+        }
+    }
+
+    /// Takes in an attempt that ran before this agent did.
+    fn take_in(&mut self, now_ms: u64, report: &AttemptReport) {
+        if self.ends.contains_key(&report.attempt) {
+            return;
+        }
+        self.note_newest(&report.attempt);
+        let held = Held {
+            order: None,
+            need: report.need,
+            peak: report.peak,
+            state: HeldState::Running,
+            since_ms: now_ms,
+            throttle_percent: 100,
+        };
+        self.held.insert(report.attempt.clone(), held);
+    }
+}
+
+/// How an attempt ended, by its final status in the runtime.
+pub fn end_kind(status: AttemptStatus) -> EndKind {
+    match status {
+        AttemptStatus::Succeeded => EndKind::Succeeded,
+        AttemptStatus::Failed => EndKind::Failed,
+        AttemptStatus::Checkpointed => EndKind::Checkpointed,
+        AttemptStatus::Running | AttemptStatus::Stopped | AttemptStatus::Lapsed => EndKind::Stopped,
+    }
+}
--- /dev/null
+++ b/components/ledger/src/controller.rs
@@ -0,0 +1,201 @@
+//! Control of batch work beside latency-critical services.
+
+use model::KindName;
+use platform::AttemptRef;
+use utils::{Ewma, Map};
+
+/// Samples that a learnt slowdown remembers.
+const SPAN: f64 = 8.0;
+/// Steps of the throttle, in percent of an attempt's processors.
+const STEPS_PERCENT: [u32; 4] = [100, 50, 25, 10];
+
+/// Limits of the control of batch work.
+#[derive(Debug, Clone, Copy)]
+pub struct ControllerLimits {
+    /// Slowdown of a service above which batch work is held back.
+    pub high: f64,
+    /// Slowdown below which it is let go again.
+    pub low: f64,
+    /// Time after an action before its effect can be measured.
+    pub settle_ms: u64,
+    /// Actions in a row without effect after which an attempt is evicted.
+    pub patience: u32,
+}
+
+impl Default for ControllerLimits {
+    fn default() -> Self {
+        Self {
+            high: 1.2,
+            low: 1.05,
+            settle_ms: 500,
+            patience: 4,
+        }
+    }
+}
+
+/// A late measurement of a service.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Measurement {
+    /// When it was taken.
+    pub taken_ms: u64,
+    /// Run time as a multiple of the service's run time alone.
+    pub slowdown: f64,
+}
+
+/// What to do to batch work.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Action {
+    /// Change the throttle of an attempt.
+    Throttle {
+        /// The attempt.
+        attempt: AttemptRef,
+        /// Share of its processors that it may use.
+        percent: u32,
+    },
+    /// Checkpoint the attempt and stop it.
+    Evict(AttemptRef),
+}
+
+/// An attempt as the controller sees it.
+#[derive(Debug, Clone)]
+struct Subject {
+    /// Kind of work.
+    kind: KindName,
+    /// Position in [`STEPS_PERCENT`].
+    step: usize,
+}
+
+/// Holds batch work back while a service is slow.
+///
+/// A measurement taken before the last action has settled is no reason for another action.
+#[derive(Debug)]
+pub struct Controller {
+    /// Limits.
+    limits: ControllerLimits,
+    /// Batch attempts on the VM.
+    subjects: Map<AttemptRef, Subject>,
+    /// Learnt slowdown of services while a kind runs at full speed.
+    blame: Map<KindName, Ewma>,
+    /// When the last action was taken.
+    last_action_ms: Option<u64>,
+    /// Actions since the slowdown was last below the upper limit.
+    vain: u32,
+}
+
+impl Controller {
+    /// A controller that has seen nothing yet.
+    pub fn new(limits: ControllerLimits) -> Self {
+        Self {
+            limits,
+            subjects: Map::default(),
+            blame: Map::default(),
+            last_action_ms: None,
+            vain: 0,
+        }
+    }
+
+    /// Takes the batch attempts that run now.
+    pub fn observe<'a>(&mut self, running: impl Iterator<Item = (&'a AttemptRef, &'a KindName)>) {
+        let mut present = Map::default();
+        for (attempt, kind) in running {
+            let step = self.subjects.get(attempt).map_or(0, |subject| subject.step);
+            present.insert(
+                attempt.clone(),
+                Subject {
+                    kind: kind.clone(),
+                    step,
+                },
+            );
+        }
+        self.subjects = present;
+    }
+
+    /// Learnt slowdown that a kind of work causes, if any was measured.
+    pub fn slowdown_by(&self, kind: &KindName) -> Option<f64> {
+        self.blame.get(kind).and_then(Ewma::get)
+    }
+
+    /// Decides on one action by one measurement.
+    pub fn decide(&mut self, now_ms: u64, measurement: Measurement) -> Option<Action> {
+        let settled_ms = self
+            .last_action_ms
+            .map_or(0, |last_ms| last_ms + self.limits.settle_ms);
+        if measurement.taken_ms < settled_ms {
+            return None;
+        }
+        self.learn(measurement.slowdown);
+        let action = if measurement.slowdown > self.limits.high {
+            self.hold_back()
+        } else if measurement.slowdown < self.limits.low {
+            self.vain = 0;
+            self.let_go()
+        } else {
+            None
+        };
+        if action.is_some() {
+            self.last_action_ms = Some(now_ms);
+        }
+        action
+    }
+
+    fn learn(&mut self, slowdown: f64) {
+        for subject in self.subjects.values().filter(|subject| subject.step == 0) {
+            let blame = self
+                .blame
+                .entry(subject.kind.clone())
+                .or_insert(Ewma::new(SPAN));
+            blame.add(slowdown);
+        }
+    }
+
+    fn blame_of(&self, subject: &Subject) -> f64 {
+        self.slowdown_by(&subject.kind).unwrap_or(1.0)
+    }
+
+    /// Throttles the attempt most to blame; evicts it when throttling was in vain.
+    fn hold_back(&mut self) -> Option<Action> {
+        let patience_over = self.vain >= self.limits.patience;
+        let can_act = |subject: &Subject| patience_over || subject.step + 1 < STEPS_PERCENT.len();
+        let order = |left: &(&AttemptRef, &Subject), right: &(&AttemptRef, &Subject)| {
+            let by_step = right.1.step.cmp(&left.1.step);
+            let by_blame = self.blame_of(left.1).total_cmp(&self.blame_of(right.1));
+            by_blame
+                .then(by_step)
+                .then_with(|| left.0.task.cmp(&right.0.task))
+        };
+        let candidates = self.subjects.iter().filter(|(_, subject)| can_act(subject));
+        let worst = candidates
+            .max_by(order)
+            .map(|(attempt, _)| attempt.clone())?;
+        self.vain += 1;
+        if patience_over {
+            self.subjects.remove(&worst);
+            self.vain = 0;
+            return Some(Action::Evict(worst));
+        }
+        self.step_to(&worst, |step| step + 1)
+    }
+
+    /// Loosens the throttle of the attempt least to blame.
+    fn let_go(&mut self) -> Option<Action> {
+        let throttled = self.subjects.iter().filter(|(_, subject)| subject.step > 0);
+        let order = |left: &(&AttemptRef, &Subject), right: &(&AttemptRef, &Subject)| {
+            let by_blame = self.blame_of(left.1).total_cmp(&self.blame_of(right.1));
+            by_blame.then_with(|| left.0.task.cmp(&right.0.task))
+        };
+        let best = throttled
+            .min_by(order)
+            .map(|(attempt, _)| attempt.clone())?;
+        self.step_to(&best, |step| step - 1)
+    }
+
+    fn step_to(&mut self, attempt: &AttemptRef, change: impl Fn(usize) -> usize) -> Option<Action> {
+        let subject = self.subjects.get_mut(attempt)?;
+        subject.step = change(subject.step);
+        let percent = STEPS_PERCENT[subject.step];
+        Some(Action::Throttle {
+            attempt: attempt.clone(),
+            percent,
+        })
+    }
+}
--- /dev/null
+++ b/components/ledger/src/order.rs
@@ -0,0 +1,16 @@
+//! Decisions about start orders.
+
+use platform::AttemptRef;
+
+/// Decision about a start order.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum OrderDecision {
+    /// Start it now.
+    Start,
+    /// It is held already, or its end waits to be confirmed.
+    Known,
+    /// Start it once these have been checkpointed and stopped.
+    Preempt(Vec<AttemptRef>),
+    /// It does not fit, or a newer attempt was seen.
+    Refuse,
+}
--- /dev/null
+++ b/components/ledger/src/owners.rs
@@ -0,0 +1,42 @@
+//! Owners of shards, as an agent knows them.
+
+use model::JobId;
+use std::net::SocketAddr;
+use utils::Map;
+use wire::AdoptShard;
+
+/// Owners of shards, as an agent knows them; an older epoch never replaces a newer one.
+#[derive(Debug, Default)]
+pub struct Owners {
+    /// Newest owner of each shard.
+    by_shard: Map<u16, AdoptShard>,
+    /// Number of shards in all, once known.
+    shards: Option<u16>,
+}
+
+impl Owners {
+    /// Takes an owner; answers whether it is the newest known.
+    ///
+    /// ```
+    /// let mut owners = ledger::Owners::default();
+    /// let address = "127.0.0.1:1".parse().unwrap();
+    /// let newer = wire::AdoptShard { shard: 1, shards: 16, epoch: 2, owner: address };
+    /// assert!(owners.adopt(newer));
+    /// assert!(!owners.adopt(wire::AdoptShard { epoch: 1, ..newer }));
+    /// ```
+    pub fn adopt(&mut self, owner: AdoptShard) -> bool {
+        self.shards = Some(owner.shards);
+        let known = self.by_shard.get(&owner.shard);
+        if known.is_some_and(|known| known.epoch > owner.epoch) {
+            return false;
+        }
+        self.by_shard.insert(owner.shard, owner);
+        true
+    }
+
+    /// Control address of the owner of a job's shard, if known.
+    pub fn owner_of(&self, job: &JobId) -> Option<SocketAddr> {
+        let shard = job.shard(self.shards?);
+        self.by_shard.get(&shard).map(|owner| owner.owner)
+    }
+}
--- /dev/null
+++ b/components/model/src/lib.rs
@@ -0,0 +1,21 @@
+//! Typed state that the processes share: names, resources, configuration, jobs and tasks.
+
+mod config;
+mod job;
+mod names;
+mod resources;
+mod service;
+mod task;
+mod team;
+mod ticket;
+
+pub use config::Config;
+pub use job::{Job, JobPhase, JobSpec, JobStatus};
+pub use names::{
+    AgentId, DomainName, EntryId, JobId, KindName, RequestId, ServiceName, TaskId, TeamName,
+};
+pub use resources::Resources;
+pub use service::ServiceSpec;
+pub use task::{Attempt, EndReason, TaskRecord, TaskState};
+pub use team::TeamSpec;
+pub use ticket::{Ticket, TicketError};
--- /dev/null
+++ b/components/platform/src/lib.rs
@@ -0,0 +1,16 @@
+//! The platform's services: table, object store and worker runtime, reached only through traits.
+
+mod error;
+mod http;
+mod objects;
+mod runtime;
+mod table;
+
+pub use error::StoreError;
+pub use http::{HttpObjects, HttpRuntime, HttpTable};
+pub use objects::ObjectStore;
+pub use runtime::{
+    AttemptRef, AttemptReport, AttemptStatus, LeaseList, RuntimeRefusal, StartAttempt, StopMode,
+    ThrottleAttempt, WorkerRuntime,
+};
+pub use table::{Condition, KeyList, Row, ScanRange, TableStore, Transaction, Write};
--- /dev/null
+++ b/components/settings/src/agent.rs
@@ -0,0 +1,97 @@
+//! Settings of an agent.
+
+use crate::{DrainSettings, PlatformSettings};
+use garde::Validate;
+use model::{AgentId, DomainName, Resources};
+use serde::{Deserialize, Serialize};
+use std::net::SocketAddr;
+
+/// Settings of an agent process.
+#[derive(Debug, Clone, Serialize, Deserialize, Validate)]
+#[serde(deny_unknown_fields)]
+pub struct AgentSettings {
+    /// Name of this VM, the same that the platform's worker runtime uses.
+    #[garde(skip)]
+    pub id: AgentId,
+    /// Failure domain of this VM.
+    #[garde(skip)]
+    pub domain: DomainName,
+    /// Address for requests from entries.
+    #[garde(skip)]
+    pub listen: SocketAddr,
+    /// Address for backend servers on this VM, metrics and health checks.
+    #[garde(skip)]
+    pub local_listen: SocketAddr,
+    /// Address for control calls from entries.
+    #[garde(skip)]
+    pub control_listen: SocketAddr,
+    /// Control addresses of entries to start from; more are learnt from these.
+    #[garde(length(min = 1))]
+    pub entries: Vec<SocketAddr>,
+    /// What the VM has.
+    #[garde(skip)]
+    pub capacity: Resources,
+    /// Threads for traffic.
+    #[serde(default = "default_threads")]
+    #[garde(range(min = 1, max = 64))]
+    pub threads: usize,
+    /// Time between heartbeats to entries, in milliseconds.
+    #[serde(default = "default_heartbeat_ms")]
+    #[garde(range(min = 100, max = 5_000))]
+    pub heartbeat_ms: u64,
+    /// Time without a renewed announcement after which a backend server has left, in milliseconds.
+    #[serde(default = "default_announce_ttl_ms")]
+    #[garde(range(min = 500, max = 3_000))]
+    pub announce_ttl_ms: u64,
+    /// Requests that may wait for a slot, per backend server.
+    #[serde(default = "default_queue_per_backend")]
+    #[garde(range(max = 1_000))]
+    pub queue_per_backend: u32,
+    /// Lease of a batch task in the worker runtime, in milliseconds.
+    #[serde(default = "default_task_lease_ms")]
+    #[garde(range(min = 1_000, max = 600_000))]
+    pub task_lease_ms: u64,
+    /// Time for which request records, claims and answers are kept, in milliseconds.
+    #[serde(default = "default_record_ttl_ms")]
+    #[garde(range(min = 1_000, max = 3_600_000))]
+    pub record_ttl_ms: u64,
+    /// Memory for kept answers, in bytes.
+    #[serde(default = "default_answer_cache_bytes")]
+    #[garde(range(max = 1_073_741_824))]
+    pub answer_cache_bytes: u64,
+    /// The platform's services.
+    #[garde(dive)]
+    pub platform: PlatformSettings,
+    /// Shutting down.
+    #[serde(default)]
+    #[garde(dive)]
+    pub drain: DrainSettings,
+}
+
+fn default_threads() -> usize {
+    1
+}
+
+fn default_heartbeat_ms() -> u64 {
+    1_000
+}
+
+fn default_announce_ttl_ms() -> u64 {
+    2_500
+}
+
+fn default_queue_per_backend() -> u32 {
+    1
+}
+
+fn default_task_lease_ms() -> u64 {
+    10_000
+}
+
+fn default_record_ttl_ms() -> u64 {
+    600_000
+}
+
+fn default_answer_cache_bytes() -> u64 {
+    8 << 20
+}
--- /dev/null
+++ b/components/settings/src/lib.rs
@@ -0,0 +1,20 @@
+//! Settings files: JSON with comments, checked whole before anything starts.
+
+mod agent;
+mod batch;
+mod drain;
+mod entry;
+mod fault;
+mod load;
+mod locate;
+mod platform;
+mod routing;
+
+pub use agent::AgentSettings;
+pub use batch::BatchSettings;
+pub use drain::DrainSettings;
+pub use entry::EntrySettings;
+pub use fault::{Fault, Faults};
+pub use load::{Settings, load, parse};
+pub use platform::PlatformSettings;
+pub use routing::{RoutingPolicy, RoutingSettings};
--- /dev/null
+++ b/components/settings/src/load.rs
@@ -0,0 +1,187 @@
+//! Reads and checks a settings file.
+
+use crate::locate::line_of;
+use crate::{AgentSettings, EntrySettings, Fault, Faults};
+use garde::Validate;
+use jsonc_parser::{CollectOptions, ParseOptions, ast, parse_to_ast, parse_to_serde_value};
+use serde::de::DeserializeOwned;
+use serde_json::Value;
+use std::path::Path;
+
+/// Most faults that one report names.
+const MAX_FAULTS: usize = 50;
+
+/// The settings of one process, by role.
+#[derive(Debug, Clone)]
+pub enum Settings {
+    /// An entry process.
+    Entry(Box<EntrySettings>),
+    /// An agent process.
+    Agent(Box<AgentSettings>),
+}
+
+/// Reads and checks a settings file.
+///
+/// # Errors
+/// Every fault found, with file, line and field.
+pub fn load(path: &Path) -> Result<Settings, Faults> {
+    let file = path.display().to_string();
+    match std::fs::read_to_string(path) {
+        Ok(text) => parse(&file, &text),
+        Err(error) => Err(single(
+            &file,
+            1,
+            "(file)",
+            &format!("can't be read: {error}"),
+        )),
+    }
+}
+
+/// Checks settings that were read already; `file` only names them in faults.
+///
+/// # Errors
+/// Every fault found, with file, line and field.
+///
+/// ```
+/// let faults = settings::parse("x.json", "{\n  \"role\": \"cook\"\n}").unwrap_err();
+/// assert_eq!(faults.to_string(), "x.json:2: role: is \"entry\" or \"agent\", not \"cook\"");
+/// ```
+pub fn parse(file: &str, text: &str) -> Result<Settings, Faults> {
+    let parsed = parse_to_ast(text, &CollectOptions::default(), &ParseOptions::default()).map_err(
+        |error| {
+            single(
+                file,
+                error.line_display(),
+                "(syntax)",
+                &error.kind().to_string(),
+            )
+        },
+    )?;
+    let root = parsed.value;
+    let mut value: Value =
+        parse_to_serde_value(text, &ParseOptions::default()).map_err(|error| {
+            single(
+                file,
+                error.line_display(),
+                "(syntax)",
+                &error.kind().to_string(),
+            )
+        })?;
+    let role = value
+        .as_object_mut()
+        .and_then(|object| object.remove("role"));
+    let document = Document {
+        file,
+        text,
+        root: root.as_ref(),
+    };
+    match role.as_ref().and_then(Value::as_str) {
+        Some("entry") => document
+            .read(value)
+            .map(|entry| Settings::Entry(Box::new(entry))),
+        Some("agent") => document
+            .read(value)
+            .map(|agent| Settings::Agent(Box::new(agent))),
+        _ => {
+            let given = role.map_or("nothing".to_owned(), |role| role.to_string());
+            let message = format!("is \"entry\" or \"agent\", not {given}");
+            Err(single(
+                file,
+                line_of(text, root.as_ref(), "role"),
+                "role",
+                &message,
+            ))
+        }
+    }
+}
+
+fn single(file: &str, line: usize, field: &str, message: &str) -> Faults {
+    let fault = Fault {
+        line,
+        field: field.to_owned(),
+        message: message.to_owned(),
+    };
+    Faults {
+        file: file.to_owned(),
+        faults: vec![fault],
+    }
+}
+
+/// A parsed file, kept to find the lines of faults.
+struct Document<'a> {
+    /// Name of the file.
+    file: &'a str,
+    /// Its text.
+    text: &'a str,
+    /// Its syntax tree.
+    root: Option<&'a ast::Value<'a>>,
+}
+
+impl Document<'_> {
+    fn read<T: DeserializeOwned + Validate<Context = ()>>(
+        &self,
+        value: Value,
+    ) -> Result<T, Faults> {
+        let mut faults = Vec::new();
+        let settings: Option<T> = self.decode(value, &mut faults);
+        if let Some(Err(report)) = settings.as_ref().map(Validate::validate) {
+            let found = report.iter();
+            faults
+                .extend(found.map(|(path, error)| self.fault(&path.to_string(), error.message())));
+        }
+        faults.sort_by_key(|fault| fault.line);
+        match settings {
+            Some(settings) if faults.is_empty() => Ok(settings),
+            _ => Err(Faults {
+                file: self.file.to_owned(),
+                faults,
+            }),
+        }
+    }
+
+    /// Decodes `value`; drops each faulty field and tries again, so that all faults are found.
+    fn decode<T: DeserializeOwned>(&self, mut value: Value, faults: &mut Vec<Fault>) -> Option<T> {
+        while faults.len() < MAX_FAULTS {
+            let error = match serde_path_to_error::deserialize(&value) {
+                Ok(decoded) => return Some(decoded),
+                Err(error) => error,
+            };
+            let path = error.path().to_string();
+            let message = error.inner().to_string();
+            let repeats = message.starts_with("missing field")
+                && faults
+                    .iter()
+                    .any(|fault| message.contains(&format!("`{}`", last(&fault.field))));
+            if repeats {
+                return None;
+            }
+            faults.push(self.fault(&path, &message));
+            if !remove(&mut value, &path) {
+                return None;
+            }
+        }
+        None
+    }
+
+    fn fault(&self, path: &str, message: &str) -> Fault {
+        Fault {
+            line: line_of(self.text, self.root, path),
+            field: path.to_owned(),
+            message: message.to_owned(),
+        }
+    }
+}
+
+fn last(path: &str) -> &str {
+    path.rsplit('.').next().unwrap_or(path)
+}
+
+fn remove(value: &mut Value, path: &str) -> bool {
+    let (parent, name) = path.rsplit_once('.').unwrap_or(("", path));
+    let parent = parent.split('.').filter(|part| !part.is_empty());
+    let target = parent
+        .into_iter()
+        .try_fold(value, |value, part| value.get_mut(part));
+    let object = target.and_then(Value::as_object_mut);
+    object.is_some_and(|object| object.remove(name).is_some())
+}
--- /dev/null
+++ b/components/standin/src/lib.rs
@@ -0,0 +1,15 @@
+//! Small stand-ins for what the system meets: the platform's services and backend servers.
+
+mod backend;
+mod backend_record;
+mod faults;
+mod platform;
+mod relay;
+mod script;
+
+pub use backend::{BackendOptions, StandInBackend, serve_backend};
+pub use backend_record::{BackendRecord, Execution};
+pub use faults::Faults;
+pub use platform::{PlatformState, RunRecord, StandInPlatform, serve_platform};
+pub use relay::{Relay, RelayMode};
+pub use script::TaskScript;
--- /dev/null
+++ b/components/standin/src/relay.rs
@@ -0,0 +1,121 @@
+//! A TCP relay that can cut connections or let them go silent.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU8, Ordering};
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::net::{TcpListener, TcpStream};
+
+/// Bytes moved at once.
+const CHUNK_BYTES: usize = 16 << 10;
+/// Time between two looks at the mode.
+const LOOK_EVERY: Duration = Duration::from_millis(20);
+
+/// What the relay does with connections.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[repr(u8)]
+pub enum RelayMode {
+    /// Passes everything on.
+    Pass = 0,
+    /// Connections that are open now go silent for good; new ones work.
+    SilenceOpen = 1,
+    /// Cuts connections that are open now; new ones work.
+    CutOpen = 2,
+    /// Passes nothing on and accepts nothing.
+    Block = 3,
+}
+
+/// A TCP relay to one address.
+pub struct Relay {
+    /// Where it listens.
+    pub address: SocketAddr,
+    shared: Arc<Shared>,
+}
+
+struct Shared {
+    mode: AtomicU8,
+    generation: AtomicU8,
+    target: SocketAddr,
+}
+
+impl Relay {
+    /// Starts a relay to `target` on this thread's runtime.
+    ///
+    /// # Errors
+    /// The address can't be bound.
+    pub async fn start(listen: SocketAddr, target: SocketAddr) -> std::io::Result<Self> {
+        let listener = TcpListener::bind(listen).await?;
+        let address = listener.local_addr()?;
+        let shared = Arc::new(Shared {
+            mode: AtomicU8::new(0),
+            generation: AtomicU8::new(0),
+            target,
+        });
+        actix_rt::spawn(accept(listener, shared.clone()));
+        Ok(Self { address, shared })
+    }
+
+    /// Changes what the relay does; `SilenceOpen` and `CutOpen` concern open connections only.
+    pub fn set_mode(&self, mode: RelayMode) {
+        self.shared.generation.fetch_add(1, Ordering::SeqCst);
+        self.shared.mode.store(mode as u8, Ordering::SeqCst);
+    }
+}
+
+async fn accept(listener: TcpListener, shared: Arc<Shared>) {
+    loop {
+        let Ok((caller, _)) = listener.accept().await else {
+            continue;
+        };
+        if shared.mode.load(Ordering::SeqCst) == RelayMode::Block as u8 {
+            continue;
+        }
+        let Ok(target) = TcpStream::connect(shared.target).await else {
+            continue;
+        };
+        let generation = shared.generation.load(Ordering::SeqCst);
+        let (caller_read, caller_write) = caller.into_split();
+        let (target_read, target_write) = target.into_split();
+        actix_rt::spawn(pump(caller_read, target_write, shared.clone(), generation));
+        actix_rt::spawn(pump(target_read, caller_write, shared.clone(), generation));
+    }
+}
+
+async fn pump(
+    mut from: OwnedReadHalf,
+    mut to: OwnedWriteHalf,
+    shared: Arc<Shared>,
+    generation: u8,
+) {
+    let mut buffer = vec![0; CHUNK_BYTES];
+    loop {
+        let is_old = shared.generation.load(Ordering::SeqCst) != generation;
+        let mode = shared.mode.load(Ordering::SeqCst);
+        if is_old && mode == RelayMode::CutOpen as u8 {
+            return;
+        }
+        let is_silent =
+            mode == RelayMode::Block as u8 || (is_old && mode == RelayMode::SilenceOpen as u8);
+        if is_silent {
+            tokio::time::sleep(LOOK_EVERY).await;
+            continue;
+        }
+        let read = tokio::time::timeout(LOOK_EVERY, from.read(&mut buffer)).await;
+        match read {
+            Err(_) => {}
+            Ok(Ok(0) | Err(_)) => return,
+            Ok(Ok(count)) => {
+                let is_old = shared.generation.load(Ordering::SeqCst) != generation;
+                let mode = shared.mode.load(Ordering::SeqCst);
+                if is_old && mode != RelayMode::Pass as u8 {
+                    continue;
+                }
+                if to.write_all(&buffer[..count]).await.is_err() {
+                    return;
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/components/telemetry/src/trace.rs
@@ -0,0 +1,32 @@
+//! Carries trace context between processes (W3C Trace Context).
+
+use opentelemetry::propagation::TextMapPropagator;
+use opentelemetry_sdk::propagation::TraceContextPropagator;
+use std::collections::HashMap;
+use tracing::Span;
+use tracing_opentelemetry::OpenTelemetrySpanExt;
+
+/// Name of the header.
+const TRACEPARENT: &str = "traceparent";
+
+/// Makes the span a child of the one that the `traceparent` header names.
+///
+/// ```
+/// telemetry::adopt_parent(&telemetry::tracing::Span::none(), "nonsense");
+/// ```
+pub fn adopt_parent(span: &Span, header: &str) {
+    let carrier = HashMap::from([(TRACEPARENT.to_owned(), header.to_owned())]);
+    let context = TraceContextPropagator::new().extract(&carrier);
+    drop(span.set_parent(context));
+}
+
+/// The `traceparent` header for a call made within the span, if it is being traced.
+///
+/// ```
+/// assert!(telemetry::traceparent(&telemetry::tracing::Span::none()).is_none());
+/// ```
+pub fn traceparent(span: &Span) -> Option<String> {
+    let mut carrier = HashMap::new();
+    TraceContextPropagator::new().inject_context(&span.context(), &mut carrier);
+    carrier.remove(TRACEPARENT)
+}
--- /dev/null
+++ b/components/tickets/src/load.rs
@@ -0,0 +1,123 @@
+//! Reading the configuration.
+
+use crate::rows::{HEAD, Head, SERVICES, TEAMS, decode, ticket_key};
+use model::{Config, ServiceSpec, TeamSpec, Ticket};
+use platform::{Row, ScanRange, StoreError, TableStore};
+use serde::de::DeserializeOwned;
+
+/// Rows in one page of a scan.
+const PAGE_ROWS: usize = 500;
+/// Tickets that are caught up one by one; beyond it the configuration is read whole.
+const MAX_STEPS: u64 = 20;
+/// Tries to read the whole configuration between two changes.
+const MAX_TRIES: usize = 10;
+
+/// The head, with the version of its row.
+pub(crate) struct HeadRow {
+    /// The head.
+    pub head: Head,
+    /// Version of the row; absent before the first ticket.
+    pub version: Option<u64>,
+}
+
+pub(crate) async fn read_head(table: &dyn TableStore) -> Result<HeadRow, StoreError> {
+    let rows = table.read(&[HEAD.to_owned()]).await?;
+    match rows.first() {
+        None => Ok(HeadRow {
+            head: Head::default(),
+            version: None,
+        }),
+        Some(row) => Ok(HeadRow {
+            head: decode(row)?,
+            version: Some(row.version),
+        }),
+    }
+}
+
+/// Reads an accepted ticket.
+///
+/// # Errors
+/// The table can't be read.
+pub async fn read_ticket(
+    table: &dyn TableStore,
+    number: u64,
+) -> Result<Option<Ticket>, StoreError> {
+    let rows = table.read(&[ticket_key(number)]).await?;
+    rows.first().map(decode).transpose()
+}
+
+/// Reads the whole configuration as of one ticket.
+///
+/// # Errors
+/// The table can't be read, or changes faster than it can be read.
+pub async fn load(table: &dyn TableStore) -> Result<Config, StoreError> {
+    for _ in 0..MAX_TRIES {
+        let before = read_head(table).await?.head;
+        let services: Vec<ServiceSpec> = scan_all(table, SERVICES).await?;
+        let teams: Vec<TeamSpec> = scan_all(table, TEAMS).await?;
+        let after = read_head(table).await?.head;
+        if before == after {
+            return Ok(Config {
+                number: after.number,
+                services: services
+                    .into_iter()
+                    .map(|spec| (spec.name.clone(), spec))
+                    .collect(),
+                teams: teams
+                    .into_iter()
+                    .map(|spec| (spec.name.clone(), spec))
+                    .collect(),
+            });
+        }
+    }
+    Err(StoreError::Unavailable(
+        "the configuration changes too fast to be read".to_owned(),
+    ))
+}
+
+async fn scan_all<T: DeserializeOwned>(
+    table: &dyn TableStore,
+    prefix: &str,
+) -> Result<Vec<T>, StoreError> {
+    let mut all = Vec::new();
+    let mut after = None;
+    loop {
+        let range = ScanRange {
+            prefix: prefix.to_owned(),
+            after,
+            limit: PAGE_ROWS,
+        };
+        let rows: Vec<Row> = table.scan(&range).await?;
+        for row in &rows {
+            all.push(decode(row)?);
+        }
+        if rows.len() < PAGE_ROWS {
+            return Ok(all);
+        }
+        after = rows.last().map(|row| row.key.clone());
+    }
+}
+
+/// Brings a configuration up to the newest accepted ticket; answers whether it changed.
+///
+/// # Errors
+/// The table can't be read; the configuration is then as it was or newer, never older.
+pub async fn catch_up(table: &dyn TableStore, config: &mut Config) -> Result<bool, StoreError> {
+    let head = read_head(table).await?.head.number;
+    if head <= config.number {
+        return Ok(false);
+    }
+    if head - config.number > MAX_STEPS {
+        return Ok(config.advance_to(&load(table).await?));
+    }
+    let keys: Vec<String> = (config.number + 1..=head).map(ticket_key).collect();
+    let rows = table.read(&keys).await?;
+    let mut changed = false;
+    for row in &rows {
+        changed |= config.apply(&decode(row)?);
+    }
+    if config.number < head {
+        changed |= config.advance_to(&load(table).await?);
+    }
+    Ok(changed)
+}
--- /dev/null
+++ b/components/utils/src/lib.rs
@@ -0,0 +1,15 @@
+//! Small helpers that several crates share.
+
+mod backoff;
+mod clock;
+mod collections;
+mod ewma;
+mod hop_headers;
+mod rendezvous;
+
+pub use backoff::Backoff;
+pub use clock::{Clock, wall_ms};
+pub use collections::{Map, Set};
+pub use ewma::Ewma;
+pub use hop_headers::is_hop_header;
+pub use rendezvous::{hash64, rank};
--- /dev/null
+++ b/components/wire/src/heartbeat.rs
@@ -0,0 +1,78 @@
+//! Heartbeats of agents.
+
+use model::{AgentId, DomainName, EntryId, Resources, ServiceName};
+use serde::{Deserialize, Serialize};
+use std::net::SocketAddr;
+
+/// State of an agent as it tells entries.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Heartbeat {
+    /// The agent.
+    pub agent: AgentId,
+    /// Drawn anew at each start of the agent.
+    pub incarnation: u64,
+    /// Grows with each heartbeat.
+    pub sequence: u64,
+    /// Failure domain.
+    pub domain: DomainName,
+    /// Address for requests.
+    pub traffic: SocketAddr,
+    /// Address for control calls.
+    pub control: SocketAddr,
+    /// Whether the agent takes no new work.
+    pub draining: bool,
+    /// Services on the VM.
+    pub services: Vec<ServiceLoad>,
+    /// What the VM has.
+    pub capacity: Resources,
+    /// What is not taken by services and tasks.
+    pub free: Resources,
+    /// Number of the configuration in force here.
+    pub config: u64,
+}
+
+/// Load of one service on an agent.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ServiceLoad {
+    /// The service.
+    pub service: ServiceName,
+    /// Slots of its live backend servers.
+    pub slots: u32,
+    /// Load of them together.
+    pub load: BackendLoad,
+}
+
+/// Free slots of a service on an agent.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct BackendLoad {
+    /// Requests that would be taken now.
+    pub free: u32,
+    /// Long requests that would be taken now.
+    pub free_long: u32,
+}
+
+/// Answer to a heartbeat.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HeartbeatAck {
+    /// The entry.
+    pub entry: EntryId,
+    /// Newest configuration number that the entry has in force.
+    pub config: u64,
+    /// Control addresses of the entries that this one knows to be alive.
+    pub entries: Vec<SocketAddr>,
+}
+
+/// What entries tell each other.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PeerState {
+    /// The entry.
+    pub entry: EntryId,
+    /// Its control address.
+    pub control: SocketAddr,
+    /// Its failure domain.
+    pub domain: DomainName,
+    /// Number of the configuration in force there.
+    pub config: u64,
+    /// Whether it is shutting down.
+    pub draining: bool,
+}
--- /dev/null
+++ b/components/wire/src/lib.rs
@@ -0,0 +1,19 @@
+//! Control protocol between entries and agents: typed messages over `tarpc`.
+
+mod agent_control;
+mod attempts;
+mod claim;
+mod entry_control;
+mod fence;
+mod headers;
+mod heartbeat;
+mod link;
+
+pub use agent_control::{AgentControl, AgentControlClient};
+pub use attempts::{AdoptShard, AttemptEnd, EndKind, StartOrder, StartResult, StopOrder};
+pub use claim::{Claim, ClaimAnswer, RequestState};
+pub use entry_control::{EntryControl, EntryControlClient};
+pub use fence::{FenceAnswer, FenceRequest};
+pub use headers::{Headers, IDEMPOTENCY_KEY, REQUEST_ID, SERVICE, TEAM, VERDICT};
+pub use heartbeat::{BackendLoad, Heartbeat, HeartbeatAck, PeerState, ServiceLoad};
+pub use link::{AgentLink, EntryLink, LinkError, serve_agent, serve_entry};
--- /dev/null
+++ b/src/cmd/agent.rs
@@ -0,0 +1,22 @@
+//! Runs an agent.
+
+use super::process::{log_format, read_settings, run, stop_signal};
+use clap::ArgMatches;
+use errors::ExitStatus;
+use settings::Settings;
+
+/// Runs an agent until SIGTERM.
+pub fn agent(args: &ArgMatches) -> ExitStatus {
+    match read_settings(args) {
+        Ok(Settings::Agent(settings)) => {
+            // Entries decide which requests are traced; an agent follows them.
+            telemetry::init(log_format(args), 0.0);
+            run(async move { agent::run(*settings, stop_signal()).await })
+        }
+        Ok(Settings::Entry(_)) => {
+            eprintln!("the file has the settings of an entry; run 'parsleythread entry' with it");
+            ExitStatus::BadSettings
+        }
+        Err(status) => status,
+    }
+}
--- /dev/null
+++ b/src/cmd/completions.rs
@@ -0,0 +1,19 @@
+//! Prints completion scripts.
+
+use clap::ArgMatches;
+use clap_complete::{Shell, generate};
+use errors::ExitStatus;
+
+/// Prints a completion script for a shell.
+pub fn completions(args: &ArgMatches) -> ExitStatus {
+    let Some(shell) = args.get_one::<Shell>("shell").copied() else {
+        return ExitStatus::BadSettings;
+    };
+    generate(
+        shell,
+        &mut crate::cli::command(),
+        "parsleythread",
+        &mut std::io::stdout(),
+    );
+    ExitStatus::Success
+}
--- /dev/null
+++ b/src/cmd/entry.rs
@@ -0,0 +1,21 @@
+//! Runs an entry.
+
+use super::process::{log_format, read_settings, run, stop_signal};
+use clap::ArgMatches;
+use errors::ExitStatus;
+use settings::Settings;
+
+/// Runs an entry until SIGTERM.
+pub fn entry(args: &ArgMatches) -> ExitStatus {
+    match read_settings(args) {
+        Ok(Settings::Entry(settings)) => {
+            telemetry::init(log_format(args), settings.trace_ratio);
+            run(async move { entry::run(*settings, stop_signal()).await })
+        }
+        Ok(Settings::Agent(_)) => {
+            eprintln!("the file has the settings of an agent; run 'parsleythread agent' with it");
+            ExitStatus::BadSettings
+        }
+        Err(status) => status,
+    }
+}
