Requests: four faults found by process tests, mended

Cause: the HTTP client reports a connection that ends after the request was written as Connect(Disconnected); we took every Connect error for "never sent". Ruled out: the fence (never asked) and the retry rule (it was given "not run"). Change: client::is_never_sent names the causes that precede the write. The same mistake stood at the agent and in the platform client. 2. A stream that was cut looked like a clean end. Cause: the HTTP client takes the end of a connection for the end of a body in chunks. Change: clients use a connector whose streams turn an end into an error, so a body that is delimited by its connection only is refused as cut. 3. With one agent left, a retry waited for another one until its deadline. Cause: agents that failed a request are avoided without exception. Change: they are used when nobody else is left, and a request that fits nowhere no longer holds up those behind it. 4. A retry to the same agent was refused as a duplicate of itself. Cause: one number for all tries. Change: each try has a number of its own, and a claimed key remembers which try was sent.

--- a/components/agent/src/backend_call.rs
+++ b/components/agent/src/backend_call.rs
@@ -9,6 +9,7 @@
 use awc::http::{Method, Uri};
 use awc::{Client, ClientRequest, ClientResponse};
 use bytes::{Bytes, BytesMut};
+use client::is_never_sent;
 use errors::{Code, Failure};
 use fence::{Grant, KeptAnswer, Outcome};
 use futures::{Stream, StreamExt};
@@ -255,14 +256,10 @@
 
 /// A connection that was never made proves that no byte was written.
 fn classify(error: &SendRequestError) -> Failure {
-    match error {
-        SendRequestError::Connect(_) | SendRequestError::Url(_) => {
-            Failure::not_run(Code::ConnectionLost, "can't connect to the backend server")
-        }
-        error => {
-            Failure::may_have_run(Code::ConnectionLost, format!("the backend server: {error}"))
-        }
+    if is_never_sent(error) {
+        return Failure::not_run(Code::ConnectionLost, "can't connect to the backend server");
     }
+    Failure::may_have_run(Code::ConnectionLost, format!("the backend server: {error}"))
 }
 
 fn is_own_header(name: &str) -> bool {
--- a/components/agent/src/control.rs
+++ b/components/agent/src/control.rs
@@ -300,7 +300,7 @@
             incarnation: self.incarnation,
             sequence: self.sequence,
             domain: self.settings.domain.clone(),
-            traffic: self.settings.listen,
+            traffic: self.settings.advertise.unwrap_or(self.settings.listen),
             control: self.settings.control_listen,
             draining: self.draining,
             services: self.requests.backends.loads(self.clock.now_ms()),
--- a/components/agent/src/run.rs
+++ b/components/agent/src/run.rs
@@ -11,7 +11,8 @@
 use actix_web::web::{self, Data};
 use actix_web::{App, HttpServer};
 use arc_swap::ArcSwap;
-use awc::{Client, Connector};
+use awc::Client;
+use client::ClientLimits;
 use model::Config;
 use rand::RngExt;
 use settings::AgentSettings;
@@ -100,15 +101,11 @@
 }
 
 fn client() -> Client {
-    let connector = Connector::new()
-        .timeout(CONNECT_TIMEOUT)
-        .conn_keep_alive(BACKEND_KEEP_ALIVE)
-        .limit(0);
-    Client::builder()
-        .connector(connector)
-        .disable_timeout()
-        .disable_redirects()
-        .finish()
+    client::build(ClientLimits {
+        connect: CONNECT_TIMEOUT,
+        keep_alive: BACKEND_KEEP_ALIVE,
+        call: None,
+    })
 }
 
 /// Tells entries, lets them notice, and waits for what is in flight.
--- a/components/entry/src/claims.rs
+++ b/components/entry/src/claims.rs
@@ -131,6 +131,7 @@
             .and_then(|agent| self.members.get(agent));
         MessageResult(member.map(|member| HolderState {
             active: state.active,
+            sent_as: state.sent_as,
             agent: member.beat.agent.clone(),
             incarnation: state.incarnation,
             traffic: member.beat.traffic,
--- a/components/entry/src/control.rs
+++ b/components/entry/src/control.rs
@@ -34,6 +34,13 @@
 /// Keyed requests whose state is remembered.
 const MAX_KEYED: usize = 50_000;
 
+/// A waiting try.
+struct Waiting {
+    /// The request that it is a try of.
+    origin: RequestId,
+    reply: oneshot::Sender<Result<Dispatch, Failure>>,
+}
+
 /// The entry's mutable state.
 pub(crate) struct Control {
     pub(crate) settings: EntrySettings,
@@ -50,7 +57,7 @@
     /// Keyed requests that this entry acted for, with the agent that each was sent to.
     pub(crate) keyed: Map<RequestId, RequestState>,
     /// Waiting requests.
-    waiting: Map<RequestId, oneshot::Sender<Result<Dispatch, Failure>>>,
+    waiting: Map<RequestId, Waiting>,
     in_flight: usize,
     queue_timer: bool,
     /// When the table or a peer last answered.
@@ -139,13 +146,14 @@
             Decision::Send(dispatch) => (dispatch.id, Ok(dispatch)),
             Decision::Refuse(id, failure) => (id, Err(failure)),
         };
-        let Some(reply) = self.waiting.remove(&id) else {
+        let Some(Waiting { origin, reply }) = self.waiting.remove(&id) else {
             return;
         };
         let sent = outcome.as_ref().ok().cloned();
         if let Some(dispatch) = &sent {
             self.in_flight += 1;
-            if let Some(state) = self.keyed.get_mut(&id) {
+            if let Some(state) = self.keyed.get_mut(&origin) {
+                state.sent_as = id;
                 state.agent = Some(dispatch.agent.clone());
                 state.incarnation = dispatch.incarnation;
             }
@@ -283,7 +291,7 @@
         let pending = &mut message.pending;
         pending.class = self.dispatcher.run_times.class(pending.route);
         pending.expected_ms = self.dispatcher.run_times.expected_ms(pending.route);
-        let id = pending.id;
+        let (id, origin) = (pending.id, pending.origin);
         let taken = match message.retry {
             None => self.dispatcher.submit(now_ms, message.pending),
             Some(kind) => {
@@ -294,7 +302,13 @@
         };
         match taken {
             Ok(()) => {
-                self.waiting.insert(id, message.reply);
+                self.waiting.insert(
+                    id,
+                    Waiting {
+                        origin,
+                        reply: message.reply,
+                    },
+                );
                 self.pump(context);
             }
             Err(failure) => drop(message.reply.send(Err(failure))),
@@ -495,6 +509,7 @@
         }
         let state = RequestState {
             agent: None,
+            sent_as: id,
             incarnation: 0,
             active: true,
         };
--- a/components/entry/src/hop.rs
+++ b/components/entry/src/hop.rs
@@ -6,11 +6,12 @@
 use crate::resolve::{self, Resolution};
 use crate::traffic::Traffic;
 use actix_web::dev::Payload;
-use awc::error::{PayloadError, SendRequestError};
+use awc::error::PayloadError;
 use awc::http::Method;
 use awc::http::header::{CONTENT_LENGTH, HeaderMap};
 use awc::{Client, ClientRequest, ClientResponse};
 use bytes::{Bytes, BytesMut};
+use client::is_never_sent;
 use errors::{Code, Failure, Verdict};
 use futures::stream::LocalBoxStream;
 use futures::{Stream, StreamExt};
@@ -91,7 +92,7 @@
             let pause = self.traffic.probe.min(left);
             match tokio::time::timeout(pause, &mut sending).await {
                 Ok(Ok(head)) => return self.take_answer(head, dispatch).await,
-                Ok(Err(error)) if never_sent(&error) => {
+                Ok(Err(error)) if is_never_sent(&error) => {
                     let failure =
                         Failure::not_run(Code::ConnectionLost, "can't connect to the agent");
                     return HopEnd::Lost(failure);
@@ -279,14 +280,6 @@
     }
 }
 
-/// A connection that was never made proves that nothing was sent.
-fn never_sent(error: &SendRequestError) -> bool {
-    matches!(
-        error,
-        SendRequestError::Connect(_) | SendRequestError::Url(_)
-    )
-}
-
 async fn read_whole(head: &mut Head, expected: u64, idle: Duration) -> Option<Bytes> {
     let mut body = BytesMut::new();
     loop {
--- a/components/entry/src/messages.rs
+++ b/components/entry/src/messages.rs
@@ -98,6 +98,8 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) struct HolderState {
     pub active: bool,
+    /// Try that was sent to the agent.
+    pub sent_as: RequestId,
     pub agent: AgentId,
     pub incarnation: u64,
     pub traffic: std::net::SocketAddr,
--- a/components/entry/src/traffic.rs
+++ b/components/entry/src/traffic.rs
@@ -16,7 +16,8 @@
 use actix_web::web::{Data, Payload};
 use actix_web::{HttpRequest, HttpResponse};
 use arc_swap::ArcSwap;
-use awc::{Client, Connector};
+use awc::Client;
+use client::ClientLimits;
 use errors::{Code, Failure, Verdict};
 use model::{AgentId, RequestId, ServiceSpec};
 use routing::{Class, Dispatch, Pending, Route, TargetOutcome};
@@ -81,15 +82,11 @@
 
 /// A client without connections.
 pub(crate) fn new_client() -> Client {
-    let connector = Connector::new()
-        .timeout(CONNECT_TIMEOUT)
-        .conn_keep_alive(AGENT_KEEP_ALIVE)
-        .limit(0);
-    Client::builder()
-        .connector(connector)
-        .disable_timeout()
-        .disable_redirects()
-        .finish()
+    client::build(ClientLimits {
+        connect: CONNECT_TIMEOUT,
+        keep_alive: AGENT_KEEP_ALIVE,
+        call: None,
+    })
 }
 
 /// Serves one request of a caller.
@@ -227,7 +224,7 @@
         };
         let state = state.ok_or_else(unknown)?;
         let dispatch = Dispatch {
-            id: holder,
+            id: state.sent_as,
             agent: state.agent,
             traffic: state.traffic,
             control: state.control,
@@ -235,7 +232,7 @@
             class: Class::Short,
         };
         let deadline = Instant::now() + Duration::from_millis(self.wishes.deadline_ms);
-        let found = resolve::follow(self.traffic, &dispatch, holder, deadline).await;
+        let found = resolve::follow(self.traffic, &dispatch, state.sent_as, deadline).await;
         let Resolution::Answer(mut head) = found else {
             return Err(unknown());
         };
@@ -252,7 +249,7 @@
     async fn run(&self) -> Result<HttpResponse, Failure> {
         let started = Instant::now();
         let deadline = started + Duration::from_millis(self.wishes.deadline_ms);
-        let hop = Hop {
+        let mut hop = Hop {
             traffic: self.traffic,
             id: self.id,
             service: &self.destination.service,
@@ -269,7 +266,7 @@
         loop {
             let dispatch = self.ask_agent(pending.clone(), retry).await?;
             let mut flight =
-                Flight::new(self.traffic, &self.destination.service, &dispatch, self.id);
+                Flight::new(self.traffic, &self.destination.service, &dispatch, hop.id);
             let sent = Instant::now();
             let end = hop.send(&dispatch).await;
             let (failure, kind) = match self.settle(end, &mut flight, sent, started) {
@@ -284,6 +281,9 @@
             if kind == RetryKind::Failure {
                 pending.avoid.push(dispatch.agent.clone());
             }
+            // Agents keep what they know of each try, so that a late one is told from its successor.
+            hop.id = RequestId::new();
+            pending.id = hop.id;
             pending.tries += 1;
             retry = Some((kind, failure));
         }
@@ -293,6 +293,7 @@
         let now_ms = self.traffic.clock.now_ms();
         Pending {
             id: self.id,
+            origin: self.id,
             service: self.destination.service.clone(),
             team: self.wishes.team.clone(),
             weight: self.weight,
@@ -317,6 +318,7 @@
             retry.map_or((None, None), |(kind, failure)| (Some(kind), Some(failure)));
         let mut guard = AbandonGuard {
             exchange: self,
+            id: pending.id,
             armed: true,
         };
         self.traffic.control.do_send(Submit {
@@ -390,7 +392,7 @@
                 let stream = AnswerStream::new(
                     self.traffic.clone(),
                     flight.dispatch.clone(),
-                    self.id,
+                    flight.id,
                     self.destination.service.clone(),
                     self.wishes.route,
                     sent,
@@ -444,6 +446,8 @@
 /// Gives up a waiting request when its caller goes away.
 struct AbandonGuard<'a> {
     exchange: &'a Exchange<'a>,
+    /// The try that waits.
+    id: RequestId,
     armed: bool,
 }
 
@@ -453,7 +457,7 @@
             let service = self.exchange.destination.service.clone();
             self.exchange.traffic.control.do_send(Abandon {
                 service,
-                id: self.exchange.id,
+                id: self.id,
             });
         }
     }
--- a/components/platform/src/http.rs
+++ b/components/platform/src/http.rs
@@ -9,6 +9,7 @@
 use awc::error::SendRequestError;
 use awc::http::StatusCode;
 use awc::{Client, ClientResponse};
+use client::{ClientLimits, is_never_sent};
 use model::AgentId;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
@@ -17,6 +18,9 @@
 /// Largest answer of the platform, in bytes.
 const MAX_ANSWER_BYTES: usize = 64 << 20;
 
+/// Time after which an idle connection is not used again.
+const KEEP_ALIVE: Duration = Duration::from_secs(4);
+
 /// Connection to the platform that the three clients share.
 #[derive(Clone)]
 struct Caller {
@@ -28,9 +32,14 @@
 
 impl Caller {
     fn new(url: &str, timeout_ms: u64) -> Self {
-        let timeout = Duration::from_millis(timeout_ms);
+        let call = Duration::from_millis(timeout_ms);
+        let limits = ClientLimits {
+            connect: call,
+            keep_alive: KEEP_ALIVE,
+            call: Some(call),
+        };
         Self {
-            client: Client::builder().timeout(timeout).finish(),
+            client: client::build(limits),
             url: url.to_owned(),
         }
     }
@@ -55,12 +64,10 @@
 
 /// A connection that was never made proves that the call had no effect.
 fn classify(error: &SendRequestError) -> StoreError {
-    match error {
-        SendRequestError::Connect(_) | SendRequestError::Url(_) => {
-            StoreError::Unavailable(error.to_string())
-        }
-        _ => StoreError::Unknown(error.to_string()),
+    if is_never_sent(error) {
+        return StoreError::Unavailable(error.to_string());
     }
+    StoreError::Unknown(error.to_string())
 }
 
 async fn check_status<S>(answer: &mut ClientResponse<S>) -> Result<(), StoreError>
--- a/components/routing/src/choose.rs
+++ b/components/routing/src/choose.rs
@@ -72,11 +72,13 @@
         targets: &'t Targets,
         pending: &'t Pending,
     ) -> impl Iterator<Item = (usize, &'t Target)> {
-        let all = targets.list().iter().enumerate();
+        let is_avoided = |target: &Target| pending.avoid.contains(&target.agent);
+        // With nobody else left, an agent that failed the request before is better than none.
+        let ignore_avoided = targets.list().iter().all(is_avoided);
         let open = move |(_, target): &(usize, &Target)| {
-            self.is_open(target) && !pending.avoid.contains(&target.agent)
+            self.is_open(target) && (ignore_avoided || !is_avoided(target))
         };
-        all.filter(open)
+        targets.list().iter().enumerate().filter(open)
     }
 
     fn most_free(
--- a/components/routing/src/dispatcher.rs
+++ b/components/routing/src/dispatcher.rs
@@ -2,8 +2,8 @@
 
 use crate::choose::Chooser;
 use crate::{
-    Class, Decision, Dispatch, DrainRate, Pending, Policy, RetryBudget, RunTimes, TargetOutcome,
-    Targets, Tuning, WaitQueue,
+    Class, Decision, Dispatch, DrainRate, Pending, Policy, RetryBudget, RunTimes, Target,
+    TargetOutcome, Targets, Tuning, WaitQueue,
 };
 use errors::{Code, Failure};
 use model::{AgentId, DomainName, RequestId, ServiceName};
@@ -271,31 +271,42 @@
     decisions: &mut Vec<Decision>,
 ) {
     let binds_late = chooser.tuning.policy == Policy::LateBinding;
+    let mut held = Vec::new();
     loop {
         let fits = |class| !binds_late || chooser.any_free(&state.targets, class);
         let next = state
             .queue
             .next_class(chooser.now_ms, fits(Class::Short), fits(Class::Long));
         let Some(pending) = next.and_then(|class| state.queue.pop(class)) else {
-            return;
+            break;
         };
         let Some(index) = chooser.choose(&state.targets, &pending, state.turn, rng) else {
-            state.queue.push(pending);
-            return;
+            // It fits nowhere that it may go; those behind it may.
+            held.push(pending);
+            continue;
         };
         state.turn += 1;
         state
             .drain
             .dispatched(chooser.now_ms, !state.queue.is_empty());
-        let target = state.targets.at_mut(index);
-        target.sent(pending.class);
-        decisions.push(Decision::Send(Dispatch {
-            id: pending.id,
-            agent: target.agent.clone(),
-            traffic: target.traffic,
-            control: target.control,
-            incarnation: target.incarnation,
-            class: pending.class,
-        }));
+        decisions.push(Decision::Send(dispatch(
+            state.targets.at_mut(index),
+            &pending,
+        )));
+    }
+    for pending in held.into_iter().rev() {
+        state.queue.push(pending);
+    }
+}
+
+fn dispatch(target: &mut Target, pending: &Pending) -> Dispatch {
+    target.sent(pending.class);
+    Dispatch {
+        id: pending.id,
+        agent: target.agent.clone(),
+        traffic: target.traffic,
+        control: target.control,
+        incarnation: target.incarnation,
+        class: pending.class,
     }
 }
--- a/components/routing/src/pending.rs
+++ b/components/routing/src/pending.rs
@@ -6,8 +6,10 @@
 /// A request that waits to be sent.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Pending {
-    /// The request.
+    /// This try of the request; each has a number of its own.
     pub id: RequestId,
+    /// The request.
+    pub origin: RequestId,
     /// Service that it is for.
     pub service: ServiceName,
     /// Team that sent it.
--- a/components/settings/src/agent.rs
+++ b/components/settings/src/agent.rs
@@ -19,6 +19,10 @@
     /// Address for requests from entries.
     #[garde(skip)]
     pub listen: SocketAddr,
+    /// Address that entries are told for requests, if it is not `listen`.
+    #[serde(default)]
+    #[garde(skip)]
+    pub advertise: Option<SocketAddr>,
     /// Address for backend servers on this VM, metrics and health checks.
     #[garde(skip)]
     pub local_listen: SocketAddr,
--- a/components/wire/src/claim.rs
+++ b/components/wire/src/claim.rs
@@ -32,6 +32,8 @@
 pub struct RequestState {
     /// Agent that it was sent to last, if any.
     pub agent: Option<AgentId>,
+    /// Try that was sent there.
+    pub sent_as: RequestId,
     /// Incarnation of that agent.
     pub incarnation: u64,
     /// Whether the entry still works on it.
--- /dev/null
+++ b/tests/path.rs
@@ -0,0 +1,131 @@
+//! The whole path, each process started separately.
+
+mod common;
+
+use common::{Fleet, Plan, Told, first_ticket, job, pause, wait_until};
+use futures::StreamExt;
+use serde_json::json;
+
+#[actix_rt::test]
+async fn a_request_a_ticket_and_a_job_go_the_whole_way() {
+    let mut fleet = Fleet::start(&Plan::default()).await;
+
+    let told = fleet.call(0, "GET", "/free?size=100", "get").await;
+    assert!(
+        matches!(&told, Told::Whole { status: 200, body } if body.len() == 100),
+        "{told:?}"
+    );
+    let told = fleet.call(1, "POST", "/book?size=10000000", "large").await;
+    assert!(matches!(&told, Told::Whole { status: 200, body } if body.len() == 10_000_000));
+
+    let large = vec![b'x'; 10 << 20];
+    let address = format!("http://{}/s/rooms/upload", fleet.entries[0].traffic);
+    let sent = fleet
+        .client
+        .post(address)
+        .insert_header(("x-mark", "upload"))
+        .send_body(large)
+        .await;
+    let answer = sent.unwrap();
+    assert_eq!(answer.headers().get("x-received").unwrap(), "10485760");
+
+    let address = format!(
+        "http://{}/s/rooms/live?pieces=5&work_ms=500",
+        fleet.entries[1].traffic
+    );
+    let answer = fleet
+        .client
+        .get(address)
+        .insert_header(("x-mark", "live"))
+        .send()
+        .await
+        .unwrap();
+    let pieces: Vec<_> = answer.collect().await;
+    assert!(pieces.iter().all(Result::is_ok));
+    let text: Vec<u8> = pieces.into_iter().flatten().flatten().collect();
+    assert_eq!(text, b"piece 0\npiece 1\npiece 2\npiece 3\npiece 4\n");
+
+    let shown = fleet
+        .get(fleet.entries[1].admin, "/v1/tickets/1")
+        .await
+        .unwrap();
+    assert_eq!(shown["author"], first_ticket()["author"]);
+
+    fleet
+        .submit(0, &job("timetabling", "nightly", 6, 300))
+        .await
+        .unwrap();
+    let status = fleet.job_end(1, "timetabling.nightly").await;
+    assert_eq!(status["succeeded"], 6);
+    assert_eq!(fleet.platform.runs().len(), 6);
+    assert!(fleet.platform.breaches().is_empty());
+    wait_until("the job has a summary", async || {
+        fleet.platform.rows("done/").len() == 1
+    })
+    .await;
+    wait_until("ended tasks leave the table", async || {
+        fleet.platform.rows("task/").is_empty()
+    })
+    .await;
+
+    drain_everything(&mut fleet).await;
+}
+
+/// Every process drains at SIGTERM while a request is on its way, and cuts nothing.
+async fn drain_everything(fleet: &mut Fleet) {
+    let address = format!(
+        "http://{}/s/rooms/slow?work_ms=2500&size=50",
+        fleet.entries[0].traffic
+    );
+    let client = fleet.client.clone();
+    let slow = actix_rt::spawn(async move {
+        let mut answer = client
+            .get(address)
+            .insert_header(("x-mark", "slow"))
+            .send()
+            .await
+            .unwrap();
+        answer.body().await.map(|body| body.len())
+    });
+    pause(300).await;
+    for agent in &fleet.agents {
+        agent.process.signal("TERM");
+    }
+    for entry in &fleet.entries {
+        entry.process.signal("TERM");
+    }
+    assert_eq!(slow.await.unwrap().unwrap(), 50);
+    for entry in &mut fleet.entries {
+        assert!(entry.process.ended_well().await);
+    }
+    for agent in &mut fleet.agents {
+        assert!(agent.process.ended_well().await);
+    }
+}
+
+#[actix_rt::test]
+async fn admin_calls_without_the_token_are_refused() {
+    let fleet = Fleet::start_empty(&Plan {
+        agents: 0,
+        entries: 1,
+        ..Plan::default()
+    })
+    .await;
+    let address = format!("http://{}/v1/tickets", fleet.entries[0].admin);
+    let sent = fleet
+        .client
+        .post(address)
+        .send_json(&first_ticket())
+        .await
+        .unwrap();
+    assert_eq!(sent.status(), 401);
+    assert_eq!(
+        sent.headers().get("x-parsleythread-verdict").unwrap(),
+        "not-run"
+    );
+    let missing = fleet
+        .get(fleet.entries[0].admin, "/v1/tickets/1")
+        .await
+        .unwrap_err();
+    assert_eq!((missing.0, &missing.1["code"]), (404, &json!("not-found")));
+}
