Batch work and tickets: process tests; an end lost in an agent's restart

A job stood still after its agent was killed and restarted at once (exams.j1: 3 of 10 tasks placed for ever). Cause: the owner kept "accepted" from the agent's former life; the attempts had ended between the kill and the new agent's first look at the runtime, which reports ended attempts that it does not hold, and these were passed over. Ruled out: the commit (rows said Placed, as they should) and the runtime (it knew the ends). A paused agent's tasks were moved after 2.5 s and not, as meant, after 10 s. Cause: a lost agent had no last-heard time, which counted as "gone for ever". Change: the membership remembers when a lost agent was last heard; an owner that never heard it counts from its takeover.

--- a/components/batch/src/job_state.rs
+++ b/components/batch/src/job_state.rs
@@ -16,6 +16,8 @@
     pub durable: bool,
     /// Whether the agent has taken the attempt in.
     pub accepted: bool,
+    /// Whether the worker's room was reduced for the attempt before the agent took it in.
+    pub on_the_way: bool,
     /// Whether the last attempt ran and was stopped before its end.
     pub interrupted: bool,
     /// When the agent was last ordered to start or stop it.
@@ -75,6 +77,7 @@
             revision: 0,
             durable: true,
             accepted: false,
+            on_the_way: false,
             interrupted: false,
             ordered_ms: None,
             need,
--- a/components/batch/src/shard.rs
+++ b/components/batch/src/shard.rs
@@ -35,6 +35,8 @@
     closing: Vec<(JobId, JobStatus)>,
     /// The commit whose outcome is not known yet.
     in_flight: Option<CommitPlan>,
+    /// When the shard was taken over.
+    taken_ms: u64,
     /// When the last commit took effect.
     committed_ms: u64,
     /// Whether the owner gives the shard up.
@@ -53,6 +55,7 @@
             garbage: Vec::new(),
             closing: Vec::new(),
             in_flight: None,
+            taken_ms: now_ms,
             committed_ms: now_ms,
             releasing: false,
         }
@@ -198,6 +201,7 @@
         view.record.state = TaskState::Placed(agent.clone());
         view.touch();
         view.accepted = false;
+        view.on_the_way = true;
         view.ordered_ms = None;
         view.need = need;
         self.dirty.insert(id.clone());
@@ -245,10 +249,10 @@
         }
         let spec = &state.job.spec;
         usage.remove(&spec.team, &view.need);
-        if view.accepted {
-            workers.ended(agent, &view.need);
-        } else {
+        if std::mem::take(&mut view.on_the_way) {
             workers.arrived(agent, &view.need, false);
+        } else {
+            workers.ended(agent, &view.need);
         }
         match end.kind {
             EndKind::Succeeded => {
@@ -312,7 +316,9 @@
             return;
         }
         usage.remove(&state.job.spec.team, &view.need);
-        workers.arrived(agent, &view.need, false);
+        if std::mem::take(&mut view.on_the_way) {
+            workers.arrived(agent, &view.need, false);
+        }
         if state.cancelled {
             view.record.state = TaskState::Ended(EndReason::Cancelled);
         } else {
@@ -334,7 +340,23 @@
         };
         if view.record.attempt == attempt.attempt && !view.accepted {
             view.accepted = true;
-            workers.arrived(agent, &view.need, true);
+            if std::mem::take(&mut view.on_the_way) {
+                workers.arrived(agent, &view.need, true);
+            }
+        }
+    }
+
+    /// Orders anew what was placed on an agent that was restarted and may have missed its end.
+    pub fn on_agent_restarted(&mut self, agent: &AgentId) {
+        for view in self
+            .jobs
+            .values_mut()
+            .flat_map(|state| state.tasks.values_mut())
+        {
+            if view.record.state == TaskState::Placed(agent.clone()) {
+                view.accepted = false;
+                view.ordered_ms = None;
+            }
         }
     }
 
@@ -346,6 +368,8 @@
         unheard_ms: impl Fn(&AgentId) -> Option<u64>,
     ) -> Vec<Effect> {
         let mut effects = Vec::new();
+        let owned_ms = now_ms.saturating_sub(self.taken_ms);
+        let unheard_ms = |agent: &AgentId| unheard_ms(agent).unwrap_or(owned_ms);
         for state in self.jobs.values_mut() {
             let cancelled = state.cancelled;
             let job = state.job.clone();
@@ -478,7 +502,7 @@
                 },
             ));
         }
-        let present = |_: &AgentId| Some(0);
+        let present = |_: &AgentId| 0;
         effects.extend(due_order(now_ms, &state.job, cancelled, view, &present));
         effects
     }
@@ -525,6 +549,7 @@
             revision: 0,
             durable: false,
             accepted: false,
+            on_the_way: false,
             interrupted: false,
             ordered_ms: None,
             need: Resources::default(),
@@ -539,7 +564,7 @@
     job: &Job,
     cancelled: bool,
     view: &mut TaskView,
-    unheard_ms: &impl Fn(&AgentId) -> Option<u64>,
+    unheard_ms: &impl Fn(&AgentId) -> u64,
 ) -> Option<Effect> {
     let TaskState::Placed(agent) = &view.record.state else {
         return None;
@@ -554,7 +579,7 @@
         task: view.record.id.clone(),
         attempt: view.record.attempt,
     };
-    let is_gone = unheard_ms(agent).is_none_or(|silent_ms| silent_ms >= RECOVER_AFTER_MS);
+    let is_gone = unheard_ms(agent) >= RECOVER_AFTER_MS;
     if is_gone {
         view.ordered_ms = Some(now_ms);
         return Some(Effect::Recover(agent.clone(), attempt));
--- a/components/entry/src/control.rs
+++ b/components/entry/src/control.rs
@@ -191,6 +191,9 @@
             Change::Joined(agent) => {
                 log_event!(info, Event::AgentJoined, agent = %agent);
                 self.adopt_on(agent, context);
+                for shard in self.driver.shards.values_mut() {
+                    shard.on_agent_restarted(agent);
+                }
             }
             Change::Leaving(agent) => {
                 log_event!(info, Event::AgentLeaving, agent = %agent);
--- a/components/entry/src/driver.rs
+++ b/components/entry/src/driver.rs
@@ -257,11 +257,7 @@
         let ids: Vec<u16> = self.driver.shards.keys().copied().collect();
         for id in ids {
             let members = &self.members;
-            let unheard = |agent: &AgentId| {
-                members
-                    .get(agent)
-                    .map(|member| now_ms.saturating_sub(member.heard_ms))
-            };
+            let unheard = |agent: &AgentId| members.unheard_ms(now_ms, agent);
             let Some(shard) = self.driver.shards.get_mut(&id) else {
                 continue;
             };
--- a/components/membership/src/members.rs
+++ b/components/membership/src/members.rs
@@ -5,6 +5,9 @@
 use std::collections::BTreeMap;
 use wire::Heartbeat;
 
+/// How long a lost agent is remembered.
+const LOST_TTL_MS: u64 = 3_600_000;
+
 /// An agent that is alive.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Member {
@@ -21,6 +24,8 @@
     ttl_ms: u64,
     /// Agents by name.
     agents: BTreeMap<AgentId, Member>,
+    /// When each lost agent was last heard.
+    lost: BTreeMap<AgentId, u64>,
 }
 
 impl Members {
@@ -33,6 +38,7 @@
         Self {
             ttl_ms,
             agents: BTreeMap::new(),
+            lost: BTreeMap::new(),
         }
     }
 
@@ -54,6 +60,7 @@
             beat: beat.clone(),
             heard_ms: now_ms,
         };
+        self.lost.remove(&beat.agent);
         self.agents.insert(beat.agent.clone(), member);
         Some(changes)
     }
@@ -62,14 +69,26 @@
     pub fn expire(&mut self, now_ms: u64) -> Vec<Change> {
         let ttl_ms = self.ttl_ms;
         let is_lost = |member: &Member| now_ms.saturating_sub(member.heard_ms) >= ttl_ms;
-        let lost: Vec<AgentId> = self
+        let lost: Vec<(AgentId, u64)> = self
             .agents
             .values()
-            .filter(|m| is_lost(m))
-            .map(|m| m.beat.agent.clone())
+            .filter(|member| is_lost(member))
+            .map(|member| (member.beat.agent.clone(), member.heard_ms))
             .collect();
         self.agents.retain(|_, member| !is_lost(member));
-        lost.into_iter().map(Change::Lost).collect()
+        self.lost
+            .retain(|_, heard_ms| now_ms.saturating_sub(*heard_ms) < LOST_TTL_MS);
+        self.lost.extend(lost.iter().cloned());
+        lost.into_iter()
+            .map(|(agent, _)| Change::Lost(agent))
+            .collect()
+    }
+
+    /// How long an agent has not been heard; unknown if it never was, or not for long.
+    pub fn unheard_ms(&self, now_ms: u64, agent: &AgentId) -> Option<u64> {
+        let live = self.agents.get(agent).map(|member| member.heard_ms);
+        let heard_ms = live.or_else(|| self.lost.get(agent).copied())?;
+        Some(now_ms.saturating_sub(heard_ms))
     }
 
     /// An agent by name.
--- /dev/null
+++ b/tests/work.rs
@@ -0,0 +1,511 @@
+//! What must always hold of batch work and tickets, while processes and the platform fail.
+
+mod common;
+
+use common::{Fleet, Plan, first_ticket, job, pause, wait_until};
+use futures::future::join_all;
+use model::Resources;
+use platform::AttemptStatus;
+use serde_json::{Value, json};
+use standin::{Faults, RunRecord};
+use std::collections::{HashMap, HashSet};
+
+/// Asserts, by the runtime's own record, that every task succeeded exactly once and never ran in
+/// two places, and that no worker was committed beyond what it has.
+fn check_runs(fleet: &Fleet, tasks: usize) {
+    let runs = fleet.platform.runs();
+    let mut succeeded: HashMap<String, usize> = HashMap::new();
+    for run in runs
+        .iter()
+        .filter(|run| run.status == AttemptStatus::Succeeded)
+    {
+        *succeeded.entry(run.attempt.task.to_string()).or_default() += 1;
+    }
+    assert_eq!(succeeded.len(), tasks, "every task succeeds");
+    assert!(
+        succeeded.values().all(|count| *count == 1),
+        "once: {succeeded:?}"
+    );
+    assert_apart(&runs);
+    assert_eq!(fleet.platform.breaches(), Vec::<String>::new());
+}
+
+fn assert_apart(runs: &[RunRecord]) {
+    let mut by_task: HashMap<String, Vec<&RunRecord>> = HashMap::new();
+    for run in runs {
+        by_task
+            .entry(run.attempt.task.to_string())
+            .or_default()
+            .push(run);
+    }
+    for (task, mut runs) in by_task {
+        runs.sort_by_key(|run| run.started_ms);
+        for pair in runs.windows(2) {
+            let ended = pair[0].ended_ms.expect("an older run has ended");
+            assert!(ended <= pair[1].started_ms, "{task} ran in two places");
+        }
+        let attempts: HashSet<u32> = runs.iter().map(|run| run.attempt.attempt).collect();
+        assert_eq!(
+            attempts.len(),
+            runs.len(),
+            "{task} started one attempt twice"
+        );
+    }
+}
+
+#[actix_rt::test]
+async fn tasks_of_a_killed_agent_resume_once_elsewhere() {
+    let mut fleet = Fleet::start(&Plan::default()).await;
+    fleet
+        .submit(0, &job("timetabling", "rebuild", 18, 4_000))
+        .await
+        .unwrap();
+    wait_until("tasks run", async || fleet.platform.runs().len() >= 18).await;
+    fleet.agents[0].process.kill();
+    let status = fleet.job_end(1, "timetabling.rebuild").await;
+    assert_eq!(status["succeeded"], 18, "{status}");
+    check_runs(&fleet, 18);
+}
+
+#[actix_rt::test]
+async fn a_paused_agent_that_wakes_runs_nothing_that_moved() {
+    let fleet = Fleet::start(&Plan::default()).await;
+    fleet
+        .submit(0, &job("timetabling", "rebuild", 12, 6_000))
+        .await
+        .unwrap();
+    wait_until("tasks run", async || fleet.platform.runs().len() >= 12).await;
+    fleet.agents[0].process.signal("STOP");
+    wait_until("its leases lapse", async || {
+        fleet
+            .platform
+            .runs()
+            .iter()
+            .any(|run| run.status == AttemptStatus::Lapsed)
+    })
+    .await;
+    fleet.agents[0].process.signal("CONT");
+    let status = fleet.job_end(1, "timetabling.rebuild").await;
+    assert_eq!(status["succeeded"], 12, "{status}");
+    check_runs(&fleet, 12);
+}
+
+#[actix_rt::test]
+async fn a_killed_or_paused_owner_of_shards_doubles_nothing() {
+    let mut fleet = Fleet::start(&Plan {
+        entries: 3,
+        ..Plan::default()
+    })
+    .await;
+    for team in ["timetabling", "exams"] {
+        fleet
+            .submit(0, &job(team, "rebuild", 30, 1_500))
+            .await
+            .unwrap();
+    }
+    wait_until("tasks run", async || fleet.platform.runs().len() >= 6).await;
+    fleet.entries[0].process.kill();
+    fleet.entries[1].process.signal("STOP");
+    pause(9_000).await;
+    fleet.entries[1].process.signal("CONT");
+    for team in ["timetabling", "exams"] {
+        let status = fleet.job_end(2, &format!("{team}.rebuild")).await;
+        assert_eq!(status["succeeded"], 30, "{status}");
+    }
+    check_runs(&fleet, 60);
+}
+
+#[actix_rt::test]
+async fn entries_and_agents_replaced_together_lose_no_job() {
+    let mut fleet = Fleet::start(&Plan::default()).await;
+    fleet
+        .submit(0, &job("timetabling", "rebuild", 20, 1_500))
+        .await
+        .unwrap();
+    wait_until("tasks run", async || fleet.platform.runs().len() >= 8).await;
+    for index in 0..2 {
+        fleet.entries[index].process.kill();
+        fleet.agents[index].process.kill();
+    }
+    for index in 0..2 {
+        fleet.restart_entry(index);
+        fleet.restart_agent(index);
+    }
+    fleet.wait_ready(fleet.entries[1].admin).await;
+    let status = fleet.job_end(1, "timetabling.rebuild").await;
+    assert_eq!(status["succeeded"], 20, "{status}");
+    check_runs(&fleet, 20);
+}
+
+#[actix_rt::test]
+async fn a_drained_agent_hands_its_tasks_on_from_their_checkpoints() {
+    let mut fleet = Fleet::start(&Plan::default()).await;
+    fleet
+        .submit(0, &job("timetabling", "rebuild", 9, 5_000))
+        .await
+        .unwrap();
+    wait_until("tasks run", async || fleet.platform.runs().len() >= 9).await;
+    pause(1_000).await;
+    fleet.agents[2].process.signal("TERM");
+    assert!(fleet.agents[2].process.ended_well().await);
+    let status = fleet.job_end(0, "timetabling.rebuild").await;
+    assert_eq!(status["succeeded"], 9, "{status}");
+    check_runs(&fleet, 9);
+    let runs = fleet.platform.runs();
+    let evicted: Vec<&RunRecord> = runs
+        .iter()
+        .filter(|run| run.status == AttemptStatus::Checkpointed)
+        .collect();
+    assert!(!evicted.is_empty(), "the drained agent had tasks");
+    for run in evicted {
+        let successors = runs.iter().filter(|next| {
+            next.attempt.task == run.attempt.task && next.attempt.attempt > run.attempt.attempt
+        });
+        let resumed: Vec<&RunRecord> = successors.filter(|next| next.resumed_ms > 0).collect();
+        assert_eq!(resumed.len(), 1, "one resume from the checkpoint");
+    }
+}
+
+#[actix_rt::test]
+async fn work_goes_on_through_an_outage_and_lost_answers() {
+    let fleet = Fleet::start(&Plan::default()).await;
+    fleet.platform.set_faults(Faults {
+        lose_answer_every: 3,
+        ..Faults::default()
+    });
+    fleet
+        .submit(0, &job("timetabling", "lossy", 20, 300))
+        .await
+        .unwrap();
+    fleet
+        .submit(1, &job("exams", "lossy", 20, 300))
+        .await
+        .unwrap();
+    wait_until("some tasks ran", async || fleet.platform.runs().len() >= 10).await;
+    fleet.platform.set_faults(Faults {
+        down: true,
+        ..Faults::default()
+    });
+    let before = fleet.platform.runs().len();
+    let refused = fleet
+        .submit(0, &job("timetabling", "hope", 1, 100))
+        .await
+        .unwrap_err();
+    assert_eq!(refused.0, 503, "{refused:?}");
+    pause(9_000).await;
+    assert!(
+        fleet.platform.runs().len() <= before + 20,
+        "nothing is started on hope"
+    );
+    fleet.platform.set_faults(Faults {
+        delay_ms: 500,
+        ..Faults::default()
+    });
+    for name in ["timetabling.lossy", "exams.lossy"] {
+        let status = fleet.job_end(1, name).await;
+        assert_eq!(status["succeeded"], 20, "{status}");
+    }
+    check_runs(&fleet, 40);
+}
+
+#[actix_rt::test]
+async fn a_job_submitted_twice_is_one_and_another_with_its_key_is_refused() {
+    let fleet = Fleet::start(&Plan::default()).await;
+    let spec = job("timetabling", "once", 5, 200);
+    let both = join_all([fleet.submit(0, &spec), fleet.submit(1, &spec)]).await;
+    assert!(both.iter().all(Result::is_ok), "{both:?}");
+    assert_eq!(fleet.job_end(0, "timetabling.once").await["succeeded"], 5);
+    wait_until("its summary is kept", async || {
+        fleet.platform.rows("done/").len() == 1
+    })
+    .await;
+    fleet
+        .submit(0, &spec)
+        .await
+        .expect("the same again is the same job");
+    let refused = fleet
+        .submit(1, &job("timetabling", "once", 6, 200))
+        .await
+        .unwrap_err();
+    assert_eq!((refused.0, &refused.1["verdict"]), (409, &json!("not-run")));
+    check_runs(&fleet, 5);
+}
+
+#[actix_rt::test]
+async fn a_wave_of_cancellations_leaves_nothing_running() {
+    let fleet = Fleet::start(&Plan::default()).await;
+    let names: Vec<String> = (0..60).map(|number| format!("wave{number}")).collect();
+    let submitted = join_all(
+        names
+            .iter()
+            .map(async |name| fleet.submit(0, &job("exams", name, 20, 60_000)).await),
+    )
+    .await;
+    assert!(submitted.iter().all(Result::is_ok));
+    wait_until("tasks run", async || fleet.platform.runs().len() >= 20).await;
+    for _ in 0..2 {
+        let cancelled = join_all(names.iter().map(async |name| {
+            let path = format!("/v1/jobs/exams.{name}");
+            fleet
+                .admin_call("DELETE", fleet.entries[1].admin, &path, None)
+                .await
+        }))
+        .await;
+        assert!(cancelled.iter().all(Result::is_ok), "{cancelled:?}");
+    }
+    for name in &names {
+        let status = fleet.job_end(0, &format!("exams.{name}")).await;
+        assert_eq!(
+            (&status["failed"], &status["reason"]),
+            (&json!(20), &json!("cancelled"))
+        );
+    }
+    let running = |run: &RunRecord| run.status == AttemptStatus::Running;
+    assert!(
+        !fleet.platform.runs().iter().any(running),
+        "no orphan runs on"
+    );
+    for prefix in ["task/", "cancel/", "job/"] {
+        wait_until("rows are removed", async || {
+            fleet.platform.rows(prefix).is_empty()
+        })
+        .await;
+    }
+    let path = "/v1/jobs/exams.wave0";
+    let again = fleet
+        .admin_call("DELETE", fleet.entries[0].admin, path, None)
+        .await;
+    assert!(again.is_ok(), "cancelling again has the same effect");
+}
+
+#[actix_rt::test]
+async fn wrong_sizes_and_racing_placements_overcommit_no_worker() {
+    let plan = Plan {
+        entries: 3,
+        capacity: Resources::new(4_000, 8_000, 0),
+        ..Plan::default()
+    };
+    let mut fleet = Fleet::start(&plan).await;
+    for (number, team) in ["timetabling", "exams"].iter().cycle().take(8).enumerate() {
+        let mut spec = job(team, &format!("j{number}"), 10, 400);
+        let uses = json!({ "processors_milli": 250, "memory_mb": 1_900 });
+        spec["kind"] = json!(format!("kind{}", number % 3));
+        spec["payload"] = json!(json!({ "run_ms": 400, "uses": uses }).to_string());
+        fleet.submit(number % 3, &spec).await.unwrap();
+    }
+    pause(1_000).await;
+    fleet.agents[0].process.kill();
+    fleet.restart_agent(0);
+    for (number, team) in ["timetabling", "exams"].iter().cycle().take(8).enumerate() {
+        let status = fleet.job_end(1, &format!("{team}.j{number}")).await;
+        assert_eq!(status["succeeded"], 10, "{status}");
+    }
+    check_runs(&fleet, 80);
+}
+
+#[actix_rt::test]
+async fn a_bad_job_fails_with_its_reason_and_a_bad_worker_is_set_aside() {
+    let fleet = Fleet::start(&Plan::default()).await;
+    fleet.platform.set_failing(&fleet.agents[0].id, true);
+    let mut bad = job("timetabling", "bad", 2, 100);
+    bad["payload"] = json!(json!({ "run_ms": 100, "fails": true }).to_string());
+    fleet.submit(0, &bad).await.unwrap();
+    for number in 0..6 {
+        fleet
+            .submit(0, &job("exams", &format!("good{number}"), 10, 500))
+            .await
+            .unwrap();
+    }
+    let status = fleet.job_end(0, "timetabling.bad").await;
+    assert_eq!(
+        (&status["failed"], &status["reason"]),
+        (&json!(2), &json!("failed"))
+    );
+    for number in 0..6 {
+        let status = fleet.job_end(0, &format!("exams.good{number}")).await;
+        assert_eq!(status["succeeded"], 10, "{status}");
+    }
+    let mut quarantined = false;
+    for entry in &fleet.entries {
+        let status = fleet.get(entry.admin, "/v1/status").await.unwrap();
+        let worker = status["agents"]
+            .as_array()
+            .unwrap()
+            .iter()
+            .find(|a| a["agent"] == "worker-0");
+        quarantined |= worker.is_some_and(|worker| worker["quarantined"] == true);
+    }
+    assert!(quarantined, "the worker that fails everything is set aside");
+}
+
+#[actix_rt::test]
+async fn a_job_that_can_never_run_is_refused_with_the_reason() {
+    let fleet = Fleet::start(&Plan::default()).await;
+    let mut spec = job("timetabling", "huge", 1, 100);
+    spec["need"] = json!({ "processors_milli": 9_000, "memory_mb": 100 });
+    let refused = fleet.submit(0, &spec).await.unwrap_err();
+    assert_eq!(
+        (refused.0, &refused.1["code"]),
+        (422, &json!("unplaceable"))
+    );
+    spec["need"] = json!({ "processors_milli": 100, "memory_mb": 100, "accelerators": 1 });
+    assert_eq!(fleet.submit(0, &spec).await.unwrap_err().0, 422);
+}
+
+#[actix_rt::test]
+async fn urgent_work_pushes_other_work_aside_and_that_resumes_once() {
+    let fleet = Fleet::start(&Plan {
+        agents: 2,
+        ..Plan::default()
+    })
+    .await;
+    fleet
+        .submit(0, &job("exams", "filler", 16, 8_000))
+        .await
+        .unwrap();
+    wait_until("the workers are full", async || {
+        fleet.platform.runs().len() >= 16
+    })
+    .await;
+    let mut urgent = job("timetabling", "now", 4, 200);
+    urgent["urgent"] = json!(true);
+    urgent["kind"] = json!("urgent");
+    fleet.submit(1, &urgent).await.unwrap();
+    let status = fleet.job_end(0, "timetabling.now").await;
+    assert_eq!(status["succeeded"], 4, "{status}");
+    let filler = fleet
+        .get(fleet.entries[0].admin, "/v1/jobs/exams.filler")
+        .await
+        .unwrap();
+    assert_eq!(
+        filler["phase"], "active",
+        "urgent work did not wait for the others"
+    );
+    assert_eq!(fleet.job_end(0, "exams.filler").await["succeeded"], 16);
+    check_runs(&fleet, 20);
+}
+
+fn ticket(number: u64, author: &str, quota: u32) -> Value {
+    json!({
+        "number": number, "author": author,
+        "teams": [{ "name": "exams", "quota": { "processors_milli": quota, "memory_mb": 1 } }],
+    })
+}
+
+#[actix_rt::test]
+async fn fifty_racing_operators_get_one_ticket_a_number_and_none_reverts() {
+    let fleet = Fleet::start(&Plan::default()).await;
+    fleet.platform.set_faults(Faults {
+        lose_answer_every: 4,
+        ..Faults::default()
+    });
+    let mut accepted: HashMap<u64, Vec<String>> = HashMap::new();
+    let outcomes = join_all((0..50_u32).map(async |operator| {
+        let author = format!("operator-{operator}");
+        let number = 2 + u64::from(operator % 3);
+        let sent = ticket(number, &author, operator);
+        loop {
+            let admin = fleet.entries[operator as usize % 2].admin;
+            match fleet
+                .admin_call("POST", admin, "/v1/tickets", Some(&sent))
+                .await
+            {
+                Ok(_) => return (number, author, true),
+                Err((409, body)) if body["conflict"]["held_by"].is_null() => pause(100).await,
+                Err((409, body)) => {
+                    assert_eq!(body["verdict"], "not-run");
+                    assert_ne!(body["conflict"]["held_by"], json!(author));
+                    assert!(
+                        !body["conflict"]["differences"]
+                            .as_array()
+                            .unwrap()
+                            .is_empty()
+                    );
+                    return (number, author, false);
+                }
+                Err((503, _)) => pause(50).await,
+                Err(other) => panic!("{other:?}"),
+            }
+        }
+    }))
+    .await;
+    for (number, author, _) in outcomes.into_iter().filter(|(.., won)| *won) {
+        accepted.entry(number).or_default().push(author);
+    }
+    fleet.platform.set_faults(Faults::default());
+    assert_eq!(accepted.len(), 3);
+    for (number, winners) in &accepted {
+        assert_eq!(winners.len(), 1, "one winner for {number}");
+        let shown = fleet
+            .get(fleet.entries[0].admin, &format!("/v1/tickets/{number}"))
+            .await
+            .unwrap();
+        assert_eq!(shown["author"], json!(winners[0]));
+    }
+    fleet.wait_serving(3).await;
+    let status = fleet
+        .get(fleet.entries[1].admin, "/v1/status")
+        .await
+        .unwrap();
+    assert_eq!(status["config"], 4);
+}
+
+#[actix_rt::test]
+async fn a_node_that_starts_in_an_outage_is_never_older_than_its_peers() {
+    let mut fleet = Fleet::start(&Plan::default()).await;
+    fleet.apply(&ticket(2, "bob", 7_000)).await;
+    fleet.wait_serving(3).await;
+    fleet.platform.set_faults(Faults {
+        down: true,
+        ..Faults::default()
+    });
+    let refused = fleet
+        .admin_call(
+            "POST",
+            fleet.entries[0].admin,
+            "/v1/tickets",
+            Some(&ticket(3, "bob", 1)),
+        )
+        .await;
+    assert_eq!(refused.unwrap_err().0, 503);
+    fleet.entries[1].process.kill();
+    fleet.agents[0].process.kill();
+    fleet.restart_entry(1);
+    fleet.restart_agent(0);
+    fleet.wait_ready(fleet.entries[1].admin).await;
+    fleet.wait_serving(3).await;
+    let status = fleet
+        .get(fleet.entries[1].admin, "/v1/status")
+        .await
+        .unwrap();
+    assert_eq!(status["config"], 2);
+    assert!(fleet.call(1, "POST", "/book", "after").await.is_whole());
+}
+
+#[actix_rt::test]
+async fn a_refused_ticket_says_why_and_changes_nothing() {
+    let fleet = Fleet::start(&Plan {
+        agents: 0,
+        ..Plan::default()
+    })
+    .await;
+    let admin = fleet.entries[0].admin;
+    let apply = async |ticket: Value| {
+        fleet
+            .admin_call("POST", admin, "/v1/tickets", Some(&ticket))
+            .await
+    };
+    apply(first_ticket())
+        .await
+        .expect("the same ticket twice is one ticket");
+    let gap = apply(ticket(5, "eve", 1)).await.unwrap_err();
+    assert_eq!((gap.0, &gap.1["conflict"]["head"]), (409, &json!(1)));
+    let mut orphan = first_ticket();
+    orphan["number"] = json!(2);
+    orphan["teams"] = json!([]);
+    orphan["remove_teams"] = json!(["timetabling"]);
+    let refused = apply(orphan).await.unwrap_err();
+    insta::assert_json_snapshot!(refused.1);
+    let status = fleet.get(admin, "/v1/status").await.unwrap();
+    assert_eq!(status["config"], 1);
+}
