--- a/components/agent/src/attempts.rs
+++ b/components/agent/src/attempts.rs
@@ -184,28 +184,32 @@
             .ledger
             .held()
             .filter_map(|(attempt, held)| Some((attempt, held.kind()?)));
-        self.controller.observe(running);
-        let Some(measurement) = self.times.measurement(now_ms, &self.config) else {
-            return;
-        };
-        match self.controller.decide(now_ms, measurement) {
-            None => {}
-            Some(Action::Throttle { attempt, percent }) => {
+        let mut actions = self.controller.observe(now_ms, running);
+        if let Some(measurement) = self.times.measurement(now_ms, &self.config) {
+            actions.extend(self.controller.decide(now_ms, measurement));
+        }
+        for action in actions {
+            self.carry_out(action, control);
+        }
+    }
+
+    fn carry_out(&mut self, action: Action, control: &Addr<Self>) {
+        match action {
+            Action::Throttle { attempt, percent } => {
                 let event = if percent < 100 {
                     Event::BatchThrottled
                 } else {
                     Event::ThrottleLifted
                 };
-                log_event!(info, event, task = %attempt.task, percent, slowdown = measurement.slowdown);
+                log_event!(info, event, task = %attempt.task, percent);
                 self.ledger.throttled(&attempt, percent);
                 self.runtime.clone().throttle(attempt, percent);
             }
-            Some(Action::Evict(attempt)) => {
+            Action::Evict(attempt) => {
                 log_event!(info, Event::TaskEvicted, task = %attempt.task);
                 if self.ledger.stopping(&attempt, true) {
-                    self.runtime
-                        .clone()
-                        .stop(control.clone(), attempt, StopMode::Checkpoint);
+                    let mode = StopMode::Checkpoint;
+                    self.runtime.clone().stop(control.clone(), attempt, mode);
                 }
             }
         }
--- a/components/agent/src/control.rs
+++ b/components/agent/src/control.rs
@@ -3,8 +3,8 @@
 use crate::attempts::RuntimeDriver;
 use crate::messages::{
     Abandon, Adopt, Announce, AskAnswer, AskEntries, AskInFlight, AskLoad, AskReady, AskSlot,
-    ConfirmEnds, Drain, Fence, Finish, GrantReply, HeartbeatAnswered, MakeClaim, NewConfig,
-    NextHeartbeat, Progress, ReleaseClaim, StopAdmitting,
+    ConfirmEnds, Drain, Fence, Finish, GrantReply, HeartbeatAnswered, IsBehind, MakeClaim,
+    NewConfig, NextHeartbeat, Progress, ReleaseClaim, StopAdmitting,
 };
 use crate::metrics::Metrics;
 use crate::service_times::ServiceTimes;
@@ -327,6 +327,14 @@
     }
 }
 
+impl Handler<IsBehind> for Control {
+    type Result = bool;
+
+    fn handle(&mut self, IsBehind(number): IsBehind, _: &mut Self::Context) -> bool {
+        number > self.config.number
+    }
+}
+
 impl Handler<AskEntries> for Control {
     type Result = MessageResult<AskEntries>;
 
--- a/components/agent/src/messages.rs
+++ b/components/agent/src/messages.rs
@@ -150,6 +150,11 @@
     pub ack: HeartbeatAck,
 }
 
+/// Asks whether an entry's configuration is newer than the one in force here.
+#[derive(Message)]
+#[rtype(result = "bool")]
+pub(crate) struct IsBehind(pub u64);
+
 /// Asks where heartbeats go.
 #[derive(Message)]
 #[rtype(result = "Vec<SocketAddr>")]
--- /dev/null
+++ b/components/bench/src/cost.rs
@@ -0,0 +1,291 @@
+//! Cost of control in each process: processor time, memory and bytes.
+
+use crate::bounds::bound;
+use crate::hops::admin;
+use crate::load::{self, Target};
+use crate::results::{Bound, Results};
+use crate::trace::{Phase, trace};
+use cluster::{Cluster, Node, free_ports};
+use model::{AgentId, Resources};
+use serde_json::{Value, json};
+use settings::Settings;
+use standin::{BackendOptions, BackendRecord, PlatformState, Relay, serve_backend, serve_platform};
+use std::net::SocketAddr;
+use std::path::Path;
+use std::process::{Child, Command, Stdio};
+use std::sync::{Arc, mpsc};
+use std::time::Duration;
+
+/// Time for which processes are watched.
+const WATCH: Duration = Duration::from_secs(10);
+/// Clock ticks a second in `/proc`.
+const TICKS_PER_S: f64 = 100.0;
+/// Bytes of memory pages in `/proc`, in megabytes.
+const PAGE_MB: f64 = 4_096.0 / 1_048_576.0;
+/// Load while processes are watched.
+const RATE_PER_S: f64 = 800.0;
+/// Agents at which the entry's cost is measured, for its slope.
+const AGENTS: [usize; 3] = [4, 12, 24];
+
+/// Runs one entry or agent, for the measurement's parent.
+pub fn run_node(path: &Path) -> bool {
+    let settings = settings::load(path);
+    let never = std::future::pending();
+    let ran = match settings {
+        Ok(Settings::Entry(settings)) => {
+            actix_rt::System::new().block_on(entry::run(*settings, never))
+        }
+        Ok(Settings::Agent(settings)) => {
+            actix_rt::System::new().block_on(agent::run(*settings, never))
+        }
+        Err(faults) => Err(std::io::Error::other(faults.to_string())),
+    };
+    ran.is_ok()
+}
+
+/// A process that ends with its owner.
+struct Watched(Child);
+
+impl Drop for Watched {
+    fn drop(&mut self) {
+        drop(self.0.kill());
+        drop(self.0.wait());
+    }
+}
+
+impl Watched {
+    fn start(name: &str, settings: &Value) -> Self {
+        let path = std::env::temp_dir().join(format!("bench-{}-{name}.json", std::process::id()));
+        std::fs::write(&path, settings.to_string()).expect("the settings can be written");
+        let program = std::env::current_exe().expect("the program has a path");
+        let child = Command::new(program)
+            .arg("node")
+            .arg(&path)
+            .stderr(Stdio::null())
+            .spawn();
+        Self(child.expect("the node starts"))
+    }
+
+    /// Processor time so far, in seconds.
+    fn processor_s(&self) -> f64 {
+        let text =
+            std::fs::read_to_string(format!("/proc/{}/stat", self.0.id())).unwrap_or_default();
+        let rest = text.rsplit(')').next().unwrap_or_default();
+        let fields: Vec<f64> = rest
+            .split_whitespace()
+            .map(|f| f.parse().unwrap_or(0.0))
+            .collect();
+        (fields.get(11).unwrap_or(&0.0) + fields.get(12).unwrap_or(&0.0)) / TICKS_PER_S
+    }
+
+    /// Resident memory, in megabytes.
+    fn rss_mb(&self) -> f64 {
+        let text =
+            std::fs::read_to_string(format!("/proc/{}/statm", self.0.id())).unwrap_or_default();
+        let pages: f64 = text
+            .split_whitespace()
+            .nth(1)
+            .and_then(|f| f.parse().ok())
+            .unwrap_or(0.0);
+        pages * PAGE_MB
+    }
+}
+
+/// Stand-ins that run beside the watched processes.
+struct Surroundings {
+    platform: Arc<PlatformState>,
+    platform_address: SocketAddr,
+    control: SocketAddr,
+    /// Passes the control traffic of the first agent, and counts it.
+    relay_bytes: Box<dyn Fn() -> u64>,
+    relay: SocketAddr,
+    _nodes: Vec<Node>,
+}
+
+fn surroundings(control: SocketAddr) -> Surroundings {
+    let ports = free_ports(2).expect("ports are free");
+    let platform_address = ports[0];
+    let (told, ready) = mpsc::channel();
+    let node = Node::start("platform", move |stop| async move {
+        let platform = serve_platform(ports[0]).expect("the stand-in starts");
+        let relay = Relay::start(ports[1], control)
+            .await
+            .expect("the relay starts");
+        let relay = Arc::new(relay);
+        told.send((platform.state.clone(), relay))
+            .expect("the parent waits");
+        drop(stop.await);
+    });
+    let (platform, relay) = ready.recv().expect("the stand-ins start");
+    Surroundings {
+        platform,
+        platform_address,
+        control,
+        relay: relay.address,
+        relay_bytes: Box::new(move || relay.passed_bytes()),
+        _nodes: vec![node.expect("the thread starts")],
+    }
+}
+
+/// Watches one entry and some agents, idle and under load.
+pub fn run(results: &mut Results) {
+    for count in AGENTS {
+        measure(results, count);
+    }
+}
+
+fn measure(results: &mut Results, count: usize) {
+    let ports = free_ports(3).expect("ports are free");
+    let around = surroundings(ports[2]);
+    let url = format!("http://{}", around.platform_address);
+    let entry = Watched::start(
+        "entry",
+        &json!({
+            "role": "entry", "id": "entry-0", "domain": "a", "listen": ports[0],
+            "admin_listen": ports[1], "control_listen": ports[2],
+            "admin_token": Cluster::token(), "threads": 1, "trace_ratio": 0.0,
+            "platform": { "url": url },
+        }),
+    );
+    let (agents, _backends): (Vec<Watched>, Vec<Node>) = (0..count)
+        .map(|index| start_worker(&around, &url, index))
+        .unzip();
+    let ticket = json!({
+        "number": 1, "author": "bench",
+        "teams": [{ "name": "t", "quota": { "processors_milli": 1, "memory_mb": 1 } }],
+        "services": [{ "name": "rooms", "team": "t" }],
+    });
+    let applied = (0..100).find_map(|_| {
+        std::thread::sleep(Duration::from_millis(100));
+        admin(ports[1], "/v1/tickets", Some(&ticket))
+    });
+    applied.expect("the ticket is accepted");
+    std::thread::sleep(Duration::from_secs(5));
+    let bytes = (around.relay_bytes)();
+    watch(
+        results,
+        &format!("idle, {count} agents"),
+        &entry,
+        &agents,
+        || std::thread::sleep(WATCH),
+    );
+    let bytes_per_s = ((around.relay_bytes)() - bytes) as f64 / WATCH.as_secs_f64();
+    let most = Bound::AtMost(bound("control", "bytes_per_s"));
+    results.add(
+        "control",
+        &format!("{count} agents"),
+        "agent to entry, bytes/s",
+        bytes_per_s,
+        Some(most),
+    );
+    let of_entry = bytes_per_s * count as f64;
+    results.add(
+        "control",
+        &format!("{count} agents"),
+        "entry with all agents, bytes/s",
+        of_entry,
+        None,
+    );
+    let arrivals = trace(
+        &[Phase {
+            length_ms: WATCH.as_secs_f64() * 1_000.0,
+            rate_per_s: RATE_PER_S,
+        }],
+        0,
+    );
+    let target = Target {
+        addresses: vec![ports[0]],
+        path: "/s/rooms/free".to_owned(),
+        deadline_ms: None,
+    };
+    let before = entry.processor_s();
+    let sent = arrivals.len() as f64;
+    watch(
+        results,
+        &format!("loaded, {count} agents"),
+        &entry,
+        &agents,
+        || {
+            load::send(&arrivals, &target);
+        },
+    );
+    let per_request_us = (entry.processor_s() - before) / sent * 1e6;
+    results.add(
+        "control",
+        &format!("loaded, {count} agents"),
+        "entry, us a request",
+        per_request_us,
+        None,
+    );
+}
+
+fn start_worker(around: &Surroundings, url: &str, index: usize) -> (Watched, Node) {
+    let ports = free_ports(4).expect("ports are free");
+    let id = AgentId::from(format!("worker-{index}"));
+    let capacity = Resources::new(16_000, 60_000, 0);
+    around
+        .platform
+        .add_worker(&id, capacity, Resources::default());
+    let entry = if index == 0 {
+        around.relay
+    } else {
+        around.control
+    };
+    let agent = Watched::start(
+        &format!("agent-{index}"),
+        &json!({
+            "role": "agent", "id": id, "domain": "a", "listen": ports[0],
+            "local_listen": ports[1], "control_listen": ports[2], "entries": [entry],
+            "capacity": capacity, "platform": { "url": url },
+        }),
+    );
+    let options = BackendOptions {
+        service: "rooms".to_owned(),
+        listen: ports[3],
+        agent: ports[1],
+        slots: 64,
+        work_ms: 5,
+    };
+    let node = Node::start("backend", move |stop| async move {
+        let backend = serve_backend(&options, Arc::new(BackendRecord::default()));
+        drop(stop.await);
+        drop(backend);
+    });
+    (agent, node.expect("the thread starts"))
+}
+
+fn watch(
+    results: &mut Results,
+    subject: &str,
+    entry: &Watched,
+    agents: &[Watched],
+    during: impl FnOnce(),
+) {
+    let agents_s = || agents.iter().map(Watched::processor_s).sum::<f64>();
+    let (entry_before, agents_before) = (entry.processor_s(), agents_s());
+    let started = std::time::Instant::now();
+    during();
+    let watched_s = started.elapsed().as_secs_f64();
+    let entry_share = (entry.processor_s() - entry_before) / watched_s;
+    let agent_share = (agents_s() - agents_before) / watched_s / agents.len() as f64;
+    let is_idle = subject.starts_with("idle");
+    let core = is_idle.then_some(Bound::AtMost(bound("control", "core_share")));
+    let rss = Some(Bound::AtMost(bound("control", "rss_mb")));
+    results.add(
+        "control",
+        subject,
+        "entry, share of a core",
+        entry_share,
+        core,
+    );
+    results.add(
+        "control",
+        subject,
+        "agent, share of a core",
+        agent_share,
+        core,
+    );
+    results.add("control", subject, "entry, MB", entry.rss_mb(), rss);
+    let largest = agents.iter().map(Watched::rss_mb).fold(0.0, f64::max);
+    results.add("control", subject, "agent, MB", largest, rss);
+}
--- /dev/null
+++ b/components/bench/src/hops.rs
@@ -0,0 +1,181 @@
+//! Cost of the two hops against calling the backend server directly.
+
+use crate::bounds::bound;
+use crate::load::{self, Outcome, Target};
+use crate::results::{Bound, Results};
+use crate::stats::percentile_ms;
+use crate::trace::{Arrival, Phase, trace};
+use cluster::{Cluster, ClusterOptions, WorkerOptions};
+use model::Resources;
+use serde_json::{Value, json};
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+/// Load at which hops are compared.
+const RATE_PER_S: f64 = 400.0;
+/// Length of each run.
+const LENGTH_MS: f64 = 8_000.0;
+/// Load that is more than one entry takes.
+const FLOOD_PER_S: f64 = 12_000.0;
+/// Length of the flood.
+const FLOOD_MS: f64 = 4_000.0;
+/// Longest time for a ticket to be in force.
+const TICKET_LIMIT: Duration = Duration::from_secs(20);
+
+/// Makes an admin call and returns its answer.
+pub fn admin(address: SocketAddr, path: &str, body: Option<&Value>) -> Option<Value> {
+    actix_rt::System::new().block_on(async {
+        let limits = client::ClientLimits {
+            connect: Duration::from_secs(2),
+            keep_alive: Duration::from_secs(1),
+            call: Some(Duration::from_secs(20)),
+        };
+        let client = client::build(limits);
+        let url = format!("http://{address}{path}");
+        let token = ("authorization", format!("Bearer {}", Cluster::token()));
+        let sent = match body {
+            Some(body) => client.post(url).insert_header(token).send_json(body).await,
+            None => client.get(url).insert_header(token).send().await,
+        };
+        let mut answer = sent.ok()?;
+        let is_success = answer.status().is_success();
+        let value: Value = answer.json().limit(16 << 20).await.ok()?;
+        is_success.then_some(value)
+    })
+}
+
+/// Creates the service and a team, and waits until so many agents serve everywhere.
+pub fn apply_ticket(cluster: &Cluster, agents: usize) {
+    let teams: Vec<Value> = (0..35)
+        .map(|number| json!({ "name": format!("team{number}"), "quota": { "processors_milli": 1_000_000, "memory_mb": 4_000_000 } }))
+        .collect();
+    let ticket = json!({
+        "number": 1, "author": "bench", "teams": teams,
+        "services": [{ "name": "rooms", "team": "team0", "deadline_ms": 20_000 }],
+    });
+    admin(cluster.addresses[0].admin, "/v1/tickets", Some(&ticket))
+        .expect("the ticket is accepted");
+    let started = Instant::now();
+    while !cluster
+        .addresses
+        .iter()
+        .all(|entry| serves(entry.admin, agents))
+    {
+        assert!(
+            started.elapsed() < TICKET_LIMIT,
+            "the ticket is in force in time"
+        );
+        std::thread::sleep(Duration::from_millis(100));
+    }
+    // New agents get their whole share only after the slow start.
+    std::thread::sleep(Duration::from_millis(2_200));
+}
+
+fn serves(entry: SocketAddr, agents: usize) -> bool {
+    let Some(status) = admin(entry, "/v1/status", None) else {
+        return false;
+    };
+    let all = status["agents"].as_array().cloned().unwrap_or_default();
+    let good = all
+        .iter()
+        .filter(|agent| agent["config"] == 1)
+        .filter(|agent| {
+            agent["services"]
+                .as_array()
+                .is_some_and(|services| !services.is_empty())
+        });
+    status["config"] == 1 && good.count() == agents
+}
+
+/// Runs the comparison.
+pub fn run(results: &mut Results) {
+    let worker = WorkerOptions {
+        capacity: Resources::new(16_000, 60_000, 0),
+        slots: 256,
+        work_ms: 0,
+    };
+    let options = ClusterOptions {
+        entries: 1,
+        workers: vec![worker; 3],
+        ..ClusterOptions::default()
+    };
+    let cluster = Cluster::start(&options).expect("the system starts");
+    apply_ticket(&cluster, 3);
+    let mut arrivals = trace(
+        &[Phase {
+            length_ms: LENGTH_MS,
+            rate_per_s: RATE_PER_S,
+        }],
+        0,
+    );
+    arrivals.iter_mut().for_each(|arrival| arrival.run_ms = 0);
+    let direct = Target {
+        addresses: cluster
+            .backends
+            .iter()
+            .map(|backend| backend.handle.address)
+            .collect(),
+        path: "/free".to_owned(),
+        deadline_ms: None,
+    };
+    let through = Target {
+        addresses: vec![cluster.addresses[0].traffic],
+        path: "/s/rooms/free".to_owned(),
+        deadline_ms: None,
+    };
+    let measure = |target: &Target, arrivals: &[Arrival]| {
+        let samples = load::send(arrivals, target);
+        let latencies = || samples.iter().map(|sample| sample.latency_ms);
+        (
+            percentile_ms(latencies(), 50.0),
+            percentile_ms(latencies(), 99.0),
+        )
+    };
+    measure(&through, &arrivals);
+    let (direct_p50, direct_p99) = measure(&direct, &arrivals);
+    let (through_p50, through_p99) = measure(&through, &arrivals);
+    results.add("hops", "direct", "median, ms", direct_p50, None);
+    results.add("hops", "direct", "p99, ms", direct_p99, None);
+    let most = Bound::AtMost(bound("hops", "median_added_ms"));
+    results.add(
+        "hops",
+        "two hops",
+        "median added, ms",
+        through_p50 - direct_p50,
+        Some(most),
+    );
+    let most = Bound::AtMost(bound("hops", "p99_added_ms"));
+    results.add(
+        "hops",
+        "two hops",
+        "p99 added, ms",
+        through_p99 - direct_p99,
+        Some(most),
+    );
+    flood(results, &through);
+}
+
+fn flood(results: &mut Results, through: &Target) {
+    let mut arrivals = trace(
+        &[Phase {
+            length_ms: FLOOD_MS,
+            rate_per_s: FLOOD_PER_S,
+        }],
+        0,
+    );
+    arrivals.iter_mut().for_each(|arrival| arrival.run_ms = 0);
+    let started = Instant::now();
+    let samples = load::send(&arrivals, through);
+    let took_s = started.elapsed().as_secs_f64();
+    let whole = samples
+        .iter()
+        .filter(|sample| sample.outcome == Outcome::Whole)
+        .count();
+    results.add(
+        "hops",
+        "one entry",
+        "whole answers a second, flooded",
+        whole as f64 / took_s,
+        None,
+    );
+}
--- /dev/null
+++ b/components/bench/src/load.rs
@@ -0,0 +1,123 @@
+//! Open-loop load: each request is sent at its time, whatever became of those before.
+
+use crate::trace::Arrival;
+use awc::Client;
+use client::ClientLimits;
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+/// Threads that send.
+const SENDERS: usize = 2;
+/// Time for one request.
+const LIMIT: Duration = Duration::from_secs(30);
+
+/// What came back for a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Outcome {
+    /// A whole answer.
+    Whole,
+    /// A refusal with proof that it did not run.
+    Refused,
+    /// Anything else.
+    Failed,
+}
+
+/// One request and what became of it.
+#[derive(Debug, Clone, Copy)]
+pub struct Sample {
+    /// The request.
+    pub arrival: Arrival,
+    /// Time from when it was to be sent to its whole answer.
+    pub latency_ms: f64,
+    /// What came back.
+    pub outcome: Outcome,
+}
+
+/// Where and how requests are sent.
+#[derive(Debug, Clone)]
+pub struct Target {
+    /// Addresses, used in turn.
+    pub addresses: Vec<SocketAddr>,
+    /// Path in front of the query.
+    pub path: String,
+    /// Deadline that is asked for; the service's own if absent.
+    pub deadline_ms: Option<u64>,
+}
+
+/// Sends a trace and returns what became of each request, in order of arrival.
+pub fn send(trace: &[Arrival], target: &Target) -> Vec<Sample> {
+    let start = Instant::now() + Duration::from_millis(100);
+    let parts: Vec<_> = (0..SENDERS)
+        .map(|part| {
+            let arrivals: Vec<Arrival> =
+                trace.iter().copied().skip(part).step_by(SENDERS).collect();
+            let target = target.clone();
+            std::thread::spawn(move || {
+                actix_rt::System::new().block_on(send_part(arrivals, target, start))
+            })
+        })
+        .collect();
+    let mut samples: Vec<Sample> = parts
+        .into_iter()
+        .flat_map(|part| part.join().expect("a sender ends"))
+        .collect();
+    samples.sort_by(|left, right| left.arrival.at_ms.total_cmp(&right.arrival.at_ms));
+    samples
+}
+
+async fn send_part(arrivals: Vec<Arrival>, target: Target, start: Instant) -> Vec<Sample> {
+    let limits = ClientLimits {
+        connect: Duration::from_secs(2),
+        keep_alive: Duration::from_secs(20),
+        call: Some(LIMIT),
+    };
+    let client = client::build(limits);
+    let samples = Rc::new(RefCell::new(Vec::with_capacity(arrivals.len())));
+    let target = Rc::new(target);
+    let mut calls = Vec::with_capacity(arrivals.len());
+    for (number, arrival) in arrivals.into_iter().enumerate() {
+        let at = start + Duration::from_secs_f64(arrival.at_ms / 1_000.0);
+        actix_rt::time::sleep_until(at.into()).await;
+        let (client, samples, target) = (client.clone(), samples.clone(), target.clone());
+        calls.push(actix_rt::spawn(async move {
+            let address = target.addresses[number % target.addresses.len()];
+            let outcome = call(&client, address, &target, arrival).await;
+            let latency_ms = at.elapsed().as_secs_f64() * 1_000.0;
+            samples.borrow_mut().push(Sample {
+                arrival,
+                latency_ms,
+                outcome,
+            });
+        }));
+    }
+    for call in calls {
+        drop(call.await);
+    }
+    samples.take()
+}
+
+async fn call(client: &Client, address: SocketAddr, target: &Target, arrival: Arrival) -> Outcome {
+    let url = format!(
+        "http://{address}{}?work_ms={}&size=200",
+        target.path, arrival.run_ms
+    );
+    let mut request = client.get(url);
+    if let Some(deadline_ms) = target.deadline_ms {
+        request = request.insert_header(("x-parsleythread-deadline-ms", deadline_ms));
+    }
+    let Ok(mut answer) = request.send().await else {
+        return Outcome::Failed;
+    };
+    let verdict = answer.headers().get("x-parsleythread-verdict").cloned();
+    let is_success = answer.status().is_success();
+    let Ok(body) = answer.body().await else {
+        return Outcome::Failed;
+    };
+    match verdict {
+        None if is_success && body.len() == 200 => Outcome::Whole,
+        Some(verdict) if verdict == "not-run" => Outcome::Refused,
+        _ => Outcome::Failed,
+    }
+}
--- /dev/null
+++ b/components/bench/src/neighbour.rs
@@ -0,0 +1,200 @@
+//! A noisy neighbour that comes in waves and is measured late, in virtual time.
+
+use crate::bounds::bound;
+use crate::results::{Bound, Results};
+use crate::stats::percentile_ms;
+use crate::trace::SEED;
+use ledger::{Action, Controller, ControllerLimits, Measurement};
+use model::{KindName, TaskId};
+use platform::AttemptRef;
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use std::collections::{BTreeMap, VecDeque};
+
+/// Step of virtual time.
+const STEP_MS: u64 = 100;
+/// Length of a run.
+const LENGTH_MS: u64 = 1_200_000;
+/// Time after which a measurement arrives.
+const LAG_MS: u64 = 5_000;
+/// Length of a wave, and time from the start of one to the next.
+const WAVE_MS: (u64, u64) = (30_000, 60_000);
+/// Noisy tasks in a wave.
+const NOISY: u32 = 2;
+/// Quiet tasks that always run.
+const QUIET: u32 = 8;
+/// Slowdown that a task adds at full speed.
+const NOISY_HARM: f64 = 0.4;
+/// Slowdown that a quiet task adds at full speed.
+const QUIET_HARM: f64 = 0.005;
+/// Run time of the service alone.
+const ALONE_MS: (f64, f64) = (40.0, 60.0);
+/// Throttle of the fixed limit, in percent.
+const FIXED_PERCENT: u32 = 50;
+
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Control {
+    Ours,
+    None,
+    Fixed,
+}
+
+struct Task {
+    kind: KindName,
+    harm: f64,
+    percent: u32,
+}
+
+struct Outcome {
+    p99_ms: f64,
+    work: f64,
+    evictions: u32,
+}
+
+/// Runs the comparison.
+pub fn run(results: &mut Results) {
+    let alone = percentile_ms(alone_samples(), 99.0);
+    results.add("neighbour", "service alone", "p99, ms", alone, None);
+    let none = simulate(Control::None);
+    for (name, control) in [
+        ("ours", Control::Ours),
+        ("no control", Control::None),
+        ("fixed limit", Control::Fixed),
+    ] {
+        let outcome = simulate(control);
+        let is_ours = control == Control::Ours;
+        let most = is_ours.then_some(Bound::AtMost(bound("neighbour", "p99_ratio")));
+        results.add(
+            "neighbour",
+            name,
+            "p99 over alone",
+            outcome.p99_ms / alone,
+            most,
+        );
+        let least = is_ours.then_some(Bound::AtLeast(bound("neighbour", "throughput_share")));
+        results.add(
+            "neighbour",
+            name,
+            "throughput over no control",
+            outcome.work / none.work,
+            least,
+        );
+        results.add(
+            "neighbour",
+            name,
+            "evictions",
+            f64::from(outcome.evictions),
+            None,
+        );
+    }
+}
+
+fn alone_samples() -> impl Iterator<Item = f64> {
+    let mut rng = StdRng::seed_from_u64(SEED);
+    (0..LENGTH_MS / STEP_MS).map(move |_| rng.random_range(ALONE_MS.0..ALONE_MS.1))
+}
+
+fn attempt(job: &str, index: u32) -> AttemptRef {
+    AttemptRef {
+        task: TaskId {
+            job: job.into(),
+            index,
+        },
+        attempt: 1,
+    }
+}
+
+fn simulate(control: Control) -> Outcome {
+    let mut rng = StdRng::seed_from_u64(SEED);
+    let mut controller = Controller::new(ControllerLimits::default());
+    let start_percent = if control == Control::Fixed {
+        FIXED_PERCENT
+    } else {
+        100
+    };
+    let mut tasks: BTreeMap<(String, u32), Task> = BTreeMap::new();
+    for index in 0..QUIET {
+        let task = Task {
+            kind: "quiet".into(),
+            harm: QUIET_HARM,
+            percent: start_percent,
+        };
+        tasks.insert(("t.quiet".to_owned(), index), task);
+    }
+    let mut measured: VecDeque<Measurement> = VecDeque::new();
+    let mut samples = Vec::new();
+    let mut outcome = Outcome {
+        p99_ms: 0.0,
+        work: 0.0,
+        evictions: 0,
+    };
+    for now_ms in (0..LENGTH_MS).step_by(STEP_MS as usize) {
+        let (wave, within_ms) = (now_ms / WAVE_MS.1, now_ms % WAVE_MS.1);
+        let name = format!("t.wave{wave}");
+        if within_ms == 0 {
+            for index in 0..NOISY {
+                let task = Task {
+                    kind: "noisy".into(),
+                    harm: NOISY_HARM,
+                    percent: start_percent,
+                };
+                tasks.insert((name.clone(), index), task);
+            }
+        }
+        if within_ms >= WAVE_MS.0 {
+            tasks.retain(|(job, _), _| *job != name);
+        }
+        let slowdown: f64 = 1.0
+            + tasks
+                .values()
+                .map(|task| task.harm * f64::from(task.percent) / 100.0)
+                .sum::<f64>();
+        samples.push(rng.random_range(ALONE_MS.0..ALONE_MS.1) * slowdown);
+        outcome.work += tasks
+            .values()
+            .map(|task| f64::from(task.percent) / 100.0)
+            .sum::<f64>();
+        measured.push_back(Measurement {
+            taken_ms: now_ms,
+            slowdown,
+        });
+        if control != Control::Ours {
+            continue;
+        }
+        let refs: Vec<(AttemptRef, KindName)> = tasks
+            .iter()
+            .map(|((job, index), task)| (attempt(job, *index), task.kind.clone()))
+            .collect();
+        let mut actions =
+            controller.observe(now_ms, refs.iter().map(|(attempt, kind)| (attempt, kind)));
+        while measured
+            .front()
+            .is_some_and(|oldest| oldest.taken_ms + LAG_MS <= now_ms)
+        {
+            let Some(measurement) = measured.pop_front() else {
+                break;
+            };
+            actions.extend(controller.decide(now_ms, measurement));
+        }
+        for action in actions {
+            apply(action, &mut tasks, &mut outcome);
+        }
+    }
+    outcome.p99_ms = percentile_ms(samples.into_iter(), 99.0);
+    outcome
+}
+
+fn apply(action: Action, tasks: &mut BTreeMap<(String, u32), Task>, outcome: &mut Outcome) {
+    let key = |attempt: &AttemptRef| (attempt.task.job.to_string(), attempt.task.index);
+    match action {
+        Action::Throttle { attempt, percent } => {
+            if let Some(task) = tasks.get_mut(&key(&attempt)) {
+                task.percent = percent;
+            }
+        }
+        Action::Evict(attempt) => {
+            tasks.remove(&key(&attempt));
+            outcome.evictions += 1;
+        }
+    }
+}
--- a/components/entry/src/control.rs
+++ b/components/entry/src/control.rs
@@ -3,8 +3,8 @@
 use crate::agents::AgentLinks;
 use crate::driver::Driver;
 use crate::messages::{
-    Abandon, AskConfig, AskLeft, AskStatus, Beat, Close, Drain, Ended, HearPeer, NewConfig,
-    RetryKind, StoreHealth, Submit,
+    Abandon, AskConfig, AskLeft, AskStatus, Beat, Beating, Close, Drain, Ended, HearPeer,
+    NewConfig, RetryKind, StoreHealth, Submit,
 };
 use crate::metrics::Metrics;
 use crate::snapshot::Snapshot;
@@ -18,12 +18,13 @@
 use rand::rngs::StdRng;
 use routing::{Decision, Dispatch, Dispatcher, Policy, Tuning};
 use settings::{EntrySettings, RoutingPolicy};
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 use telemetry::{Event, log_event};
 use tokio::sync::oneshot;
-use utils::{Clock, Map};
-use wire::{HeartbeatAck, PeerState, RequestState};
+use utils::{Clock, Map, hash64};
+use wire::{Heartbeat, HeartbeatAck, PeerState, PulseAck, RequestState};
 
 /// Time between two looks at the membership.
 const MEMBER_TICK: Duration = Duration::from_millis(250);
@@ -368,27 +369,69 @@
     fn handle(&mut self, Beat(beat): Beat, context: &mut Self::Context) -> Self::Result {
         let now_ms = self.clock.now_ms();
         if let Some(changes) = self.members.on_heartbeat(now_ms, &beat) {
-            self.links.heard(&beat);
-            self.dispatcher.on_heartbeat(now_ms, &beat);
-            self.driver.workers.on_heartbeat(&beat);
-            for change in &changes {
-                self.on_change(change, context);
-            }
-            self.pump(context);
-        }
-        let own = self.settings.control_listen;
-        let mut entries = self.peers.addresses(now_ms);
-        if !self.leaving {
-            entries.push(own);
+            self.take_beat(now_ms, &beat, &changes, context);
         }
+        let entries = self.open_entries(now_ms);
         MessageResult(HeartbeatAck {
             entry: self.settings.id.clone(),
             config: self.config.number,
+            entries_tag: tag(&entries),
             entries,
         })
     }
 }
 
+impl Handler<Beating> for Control {
+    type Result = MessageResult<Beating>;
+
+    fn handle(&mut self, Beating(pulse): Beating, context: &mut Self::Context) -> Self::Result {
+        let now_ms = self.clock.now_ms();
+        let beat = self.members.on_pulse(now_ms, &pulse).cloned();
+        if let Some(beat) = &beat {
+            self.take_beat(now_ms, beat, &[], context);
+        }
+        MessageResult(PulseAck {
+            known: beat.is_some(),
+            config: self.config.number,
+            entries_tag: tag(&self.open_entries(now_ms)),
+        })
+    }
+}
+
+impl Control {
+    fn take_beat(
+        &mut self,
+        now_ms: u64,
+        beat: &Heartbeat,
+        changes: &[Change],
+        context: &mut Context<Self>,
+    ) {
+        self.links.heard(beat);
+        self.dispatcher.on_heartbeat(now_ms, beat);
+        self.driver.workers.on_heartbeat(beat);
+        for change in changes {
+            self.on_change(change, context);
+        }
+        self.pump(context);
+    }
+
+    /// Control addresses of entries that take work, this one included.
+    fn open_entries(&self, now_ms: u64) -> Vec<SocketAddr> {
+        let mut entries = self.peers.addresses(now_ms);
+        if !self.leaving {
+            entries.push(self.settings.control_listen);
+        }
+        entries.sort();
+        entries
+    }
+}
+
+/// A number that changes with a set of addresses.
+fn tag(addresses: &[SocketAddr]) -> u64 {
+    let text: Vec<String> = addresses.iter().map(ToString::to_string).collect();
+    hash64(&text.join(" "))
+}
+
 impl Handler<HearPeer> for Control {
     type Result = MessageResult<HearPeer>;
 
--- a/components/entry/src/messages.rs
+++ b/components/entry/src/messages.rs
@@ -7,7 +7,8 @@
 use routing::{Dispatch, Pending, Route, TargetOutcome};
 use tokio::sync::oneshot;
 use wire::{
-    AttemptEnd, BackendLoad, FenceAnswer, Heartbeat, HeartbeatAck, PeerState, RequestState,
+    AttemptEnd, BackendLoad, FenceAnswer, Heartbeat, HeartbeatAck, PeerState, Pulse, PulseAck,
+    RequestState,
 };
 
 /// Asks for an agent to send a request to.
@@ -125,6 +126,11 @@
 #[rtype(result = "HeartbeatAck")]
 pub(crate) struct Beat(pub Heartbeat);
 
+/// A pulse of an agent.
+#[derive(Message)]
+#[rtype(result = "PulseAck")]
+pub(crate) struct Beating(pub Pulse);
+
 /// What another entry tells; answered with what this one would tell.
 #[derive(Message)]
 #[rtype(result = "PeerState")]
--- a/components/entry/src/traffic.rs
+++ b/components/entry/src/traffic.rs
@@ -263,20 +263,31 @@
         };
         let mut pending = self.pending();
         let mut retry = None;
+        let mut error_answer = None;
         loop {
-            let dispatch = self.ask_agent(pending.clone(), retry).await?;
+            let dispatch = match self.ask_agent(pending.clone(), retry).await {
+                Ok(dispatch) => dispatch,
+                Err(failure) => return error_answer.ok_or(failure),
+            };
             let mut flight =
                 Flight::new(self.traffic, &self.destination.service, &dispatch, hop.id);
             let sent = Instant::now();
             let end = hop.send(&dispatch).await;
             let (failure, kind) = match self.settle(end, &mut flight, sent, started) {
                 Ok(response) => return Ok(response),
-                Err(Unsettled { failure, kind }) => (failure, kind),
+                Err(Unsettled {
+                    failure,
+                    kind,
+                    answer,
+                }) => {
+                    error_answer = answer.or(error_answer);
+                    (failure, kind)
+                }
             };
             let may_retry = failure.verdict.is_safe_to_retry()
                 || (self.wishes.idempotent && failure.verdict != Verdict::NotRun);
             if !may_retry || !self.body.can_be_sent() || Instant::now() >= deadline {
-                return Err(failure);
+                return error_answer.ok_or(failure);
             }
             if kind == RetryKind::Failure {
                 pending.avoid.push(dispatch.agent.clone());
@@ -360,9 +371,11 @@
                     flight.end(TargetOutcome::Failed, load, None, false);
                     let message = format!("the backend server answered {status}");
                     let failure = Failure::new(Verdict::Ran, Code::BadAnswer, message);
+                    let answer = Some(answer::head(status, &headers, self.id).body(body));
                     return Err(Unsettled {
                         failure,
                         kind: RetryKind::Failure,
+                        answer,
                     });
                 }
                 let outcome = if is_error {
@@ -423,7 +436,11 @@
                 } else {
                     RetryKind::Failure
                 };
-                Err(Unsettled { failure, kind })
+                Err(Unsettled {
+                    failure,
+                    kind,
+                    answer: None,
+                })
             }
             HopEnd::Lost(failure) => {
                 let uncertain = failure.verdict == Verdict::MayHaveRun;
@@ -431,6 +448,7 @@
                 Err(Unsettled {
                     failure,
                     kind: RetryKind::Failure,
+                    answer: None,
                 })
             }
         }
@@ -441,6 +459,8 @@
 struct Unsettled {
     failure: Failure,
     kind: RetryKind,
+    /// The backend server's own error answer, for when nothing better comes.
+    answer: Option<HttpResponse>,
 }
 
 /// Gives up a waiting request when its caller goes away.
--- a/components/ledger/src/controller.rs
+++ b/components/ledger/src/controller.rs
@@ -63,6 +63,8 @@
     kind: KindName,
     /// Position in [`STEPS_PERCENT`].
     step: usize,
+    /// When it was first seen.
+    since_ms: u64,
 }
 
 /// Holds batch work back while a service is slow.
@@ -74,8 +76,12 @@
     limits: ControllerLimits,
     /// Batch attempts on the VM.
     subjects: Map<AttemptRef, Subject>,
+    /// Throttle at which the last attempt of a kind was.
+    start_step: Map<KindName, usize>,
     /// Learnt slowdown of services while a kind runs at full speed.
     blame: Map<KindName, Ewma>,
+    /// When the last measurement was taken that was below the upper limit.
+    good_ms: Option<u64>,
     /// When the last action was taken.
     last_action_ms: Option<u64>,
     /// Actions since the slowdown was last below the upper limit.
@@ -88,26 +94,48 @@
         Self {
             limits,
             subjects: Map::default(),
+            start_step: Map::default(),
             blame: Map::default(),
+            good_ms: None,
             last_action_ms: None,
             vain: 0,
         }
     }
 
-    /// Takes the batch attempts that run now.
-    pub fn observe<'a>(&mut self, running: impl Iterator<Item = (&'a AttemptRef, &'a KindName)>) {
+    /// Takes the batch attempts that run now. An attempt of a kind that had to be held back
+    /// before starts as far held back as the last one ended.
+    pub fn observe<'a>(
+        &mut self,
+        now_ms: u64,
+        running: impl Iterator<Item = (&'a AttemptRef, &'a KindName)>,
+    ) -> Vec<Action> {
         let mut present = Map::default();
+        let mut actions = Vec::new();
         for (attempt, kind) in running {
-            let step = self.subjects.get(attempt).map_or(0, |subject| subject.step);
+            let known = self
+                .subjects
+                .get(attempt)
+                .map(|subject| (subject.step, subject.since_ms));
+            let fresh = || (self.start_step.get(kind).copied().unwrap_or(0), now_ms);
+            let (step, since_ms) = known.unwrap_or_else(fresh);
+            if known.is_none() && step > 0 {
+                let percent = STEPS_PERCENT[step];
+                actions.push(Action::Throttle {
+                    attempt: attempt.clone(),
+                    percent,
+                });
+            }
             present.insert(
                 attempt.clone(),
                 Subject {
                     kind: kind.clone(),
                     step,
+                    since_ms,
                 },
             );
         }
         self.subjects = present;
+        actions
     }
 
     /// Learnt slowdown that a kind of work causes, if any was measured.
@@ -115,27 +143,31 @@
         self.blame.get(kind).and_then(Ewma::get)
     }
 
-    /// Decides on one action by one measurement.
-    pub fn decide(&mut self, now_ms: u64, measurement: Measurement) -> Option<Action> {
+    /// Decides by one measurement; what it decides counts as one action.
+    pub fn decide(&mut self, now_ms: u64, measurement: Measurement) -> Vec<Action> {
+        let is_high = measurement.slowdown > self.limits.high;
+        if !is_high {
+            self.good_ms = self.good_ms.max(Some(measurement.taken_ms));
+        }
         let settled_ms = self
             .last_action_ms
             .map_or(0, |last_ms| last_ms + self.limits.settle_ms);
         if measurement.taken_ms < settled_ms {
-            return None;
+            return Vec::new();
         }
         self.learn(measurement.slowdown);
-        let action = if measurement.slowdown > self.limits.high {
+        let actions = if is_high {
             self.hold_back()
         } else if measurement.slowdown < self.limits.low {
             self.vain = 0;
-            self.let_go()
+            self.let_go().into_iter().collect()
         } else {
-            None
+            Vec::new()
         };
-        if action.is_some() {
+        if !actions.is_empty() {
             self.last_action_ms = Some(now_ms);
         }
-        action
+        actions
     }
 
     fn learn(&mut self, slowdown: f64) {
@@ -152,8 +184,34 @@
         self.slowdown_by(&subject.kind).unwrap_or(1.0)
     }
 
-    /// Throttles the attempt most to blame; evicts it when throttling was in vain.
-    fn hold_back(&mut self) -> Option<Action> {
+    /// Holds back whatever came since the service was last well, all of it and as far as it
+    /// goes, because the next evidence is a whole delay away. If nothing came, throttles the
+    /// attempt most to blame, and evicts it when throttling was in vain.
+    fn hold_back(&mut self) -> Vec<Action> {
+        let newcomers = self.newcomers();
+        if newcomers.is_empty() {
+            return self.hold_back_one().into_iter().collect();
+        }
+        self.vain = 0;
+        let last = STEPS_PERCENT.len() - 1;
+        newcomers
+            .iter()
+            .filter_map(|attempt| self.step_to(attempt, |_| last))
+            .collect()
+    }
+
+    fn newcomers(&self) -> Vec<AttemptRef> {
+        let last = STEPS_PERCENT.len() - 1;
+        let came_since = |subject: &Subject| {
+            self.good_ms
+                .is_none_or(|good_ms| subject.since_ms > good_ms)
+        };
+        let is_new = |subject: &Subject| came_since(subject) && subject.step < last;
+        let found = self.subjects.iter().filter(|(_, subject)| is_new(subject));
+        found.map(|(attempt, _)| attempt.clone()).collect()
+    }
+
+    fn hold_back_one(&mut self) -> Option<Action> {
         let patience_over = self.vain >= self.limits.patience;
         let can_act = |subject: &Subject| patience_over || subject.step + 1 < STEPS_PERCENT.len();
         let order = |left: &(&AttemptRef, &Subject), right: &(&AttemptRef, &Subject)| {
@@ -192,6 +250,7 @@
     fn step_to(&mut self, attempt: &AttemptRef, change: impl Fn(usize) -> usize) -> Option<Action> {
         let subject = self.subjects.get_mut(attempt)?;
         subject.step = change(subject.step);
+        self.start_step.insert(subject.kind.clone(), subject.step);
         let percent = STEPS_PERCENT[subject.step];
         Some(Action::Throttle {
             attempt: attempt.clone(),
--- /dev/null
+++ b/components/ledger/tests/ledger.rs
@@ -0,0 +1,169 @@
+//! The ledger and the controller.
+
+use ledger::{Action, Controller, ControllerLimits, HeldState, Ledger, Measurement, OrderDecision};
+use model::{KindName, Resources, TaskId};
+use platform::{AttemptRef, AttemptReport, AttemptStatus};
+use proptest::prelude::*;
+use wire::{EndKind, StartOrder};
+
+const CAPACITY: Resources = Resources::new(4_000, 4_000, 1);
+
+fn attempt(task: u32, number: u32) -> AttemptRef {
+    AttemptRef {
+        task: TaskId {
+            job: "t.j".into(),
+            index: task,
+        },
+        attempt: number,
+    }
+}
+
+fn order(task: u32, number: u32, need: Resources, urgent: bool) -> StartOrder {
+    StartOrder {
+        attempt: attempt(task, number),
+        kind: "k".into(),
+        need,
+        urgent,
+        payload: String::new(),
+        checkpoint: None,
+    }
+}
+
+fn need() -> impl Strategy<Value = Resources> {
+    (1..5_000_u32, 1..5_000_u32, 0..2_u32).prop_map(|(p, m, a)| Resources::new(p, m, a))
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(400))]
+
+    #[test]
+    fn what_runs_always_fits_and_old_attempts_never_start(
+        steps in prop::collection::vec((0..6_u32, 1..5_u32, need(), any::<bool>(), 0..4_u8), 1..80)
+    ) {
+        let mut ledger = Ledger::new(CAPACITY);
+        prop_assert_eq!(ledger.order(0, &order(0, 1, Resources::new(1, 1, 0), false)), OrderDecision::Refuse);
+        ledger.on_reports(0, &[]);
+        let mut newest = [0_u32; 6];
+        for (now_ms, (task, number, need, urgent, what)) in steps.into_iter().enumerate() {
+            let now_ms = now_ms as u64;
+            match what {
+                0 | 1 => {
+                    let before = newest[task as usize];
+                    let decision = ledger.order(now_ms, &order(task, number, need, urgent));
+                    if matches!(decision, OrderDecision::Start | OrderDecision::Preempt(_)) {
+                        prop_assert!(number >= before);
+                        newest[task as usize] = number;
+                    }
+                    if decision == OrderDecision::Start {
+                        ledger.started(&attempt(task, number));
+                    }
+                }
+                2 => {
+                    if ledger.get(&attempt(task, number)).is_some() {
+                        ledger.ended(now_ms, &attempt(task, number), EndKind::Stopped);
+                    }
+                }
+                _ => ledger.confirm(&[attempt(task, number)]),
+            }
+            for started in ledger.take_startable() {
+                ledger.started(&started.attempt);
+            }
+            let up = ledger.held().filter(|(_, held)| held.state != HeldState::WaitingForRoom);
+            let sum = up.fold(Resources::default(), |sum, (_, held)| sum.plus(&held.committed()));
+            prop_assert!(sum.fits_in(&CAPACITY), "{:?}", sum);
+            let mut tasks: Vec<u32> = ledger.held().map(|(attempt, _)| attempt.task.index).collect();
+            let all = tasks.len();
+            tasks.sort_unstable();
+            tasks.dedup();
+            prop_assert_eq!(all, tasks.len(), "one attempt of a task at a time");
+        }
+    }
+}
+
+#[test]
+fn a_restarted_agent_takes_in_what_runs_before_it_admits_anything() {
+    let mut ledger = Ledger::new(CAPACITY);
+    let running = AttemptReport {
+        attempt: attempt(1, 3),
+        status: AttemptStatus::Running,
+        need: Resources::new(3_000, 100, 0),
+        peak: Resources::default(),
+    };
+    ledger.on_reports(0, &[running]);
+    let large = Resources::new(2_000, 100, 0);
+    assert_eq!(
+        ledger.order(1, &order(2, 1, large, false)),
+        OrderDecision::Refuse
+    );
+    assert_eq!(
+        ledger.order(1, &order(1, 2, Resources::new(1, 1, 0), false)),
+        OrderDecision::Refuse
+    );
+    assert_eq!(
+        ledger.order(1, &order(3, 1, Resources::new(1_000, 1, 0), false)),
+        OrderDecision::Start
+    );
+}
+
+fn kinds(names: &[(u32, &str)]) -> Vec<(AttemptRef, KindName)> {
+    names
+        .iter()
+        .map(|(task, kind)| (attempt(*task, 1), KindName::from(*kind)))
+        .collect()
+}
+
+fn observe(
+    controller: &mut Controller,
+    now_ms: u64,
+    running: &[(AttemptRef, KindName)],
+) -> Vec<Action> {
+    controller.observe(
+        now_ms,
+        running.iter().map(|(attempt, kind)| (attempt, kind)),
+    )
+}
+
+fn taken(taken_ms: u64, slowdown: f64) -> Measurement {
+    Measurement { taken_ms, slowdown }
+}
+
+#[test]
+fn evidence_older_than_the_last_action_is_no_reason_for_another() {
+    let mut controller = Controller::new(ControllerLimits::default());
+    observe(&mut controller, 0, &kinds(&[(1, "quiet")]));
+    assert!(controller.decide(100, taken(50, 1.0)).is_empty());
+    observe(&mut controller, 200, &kinds(&[(1, "quiet"), (2, "noisy")]));
+    let first = controller.decide(5_200, taken(300, 1.9));
+    assert_eq!(
+        first,
+        [Action::Throttle {
+            attempt: attempt(2, 1),
+            percent: 10
+        }],
+        "only what came since"
+    );
+    for taken_ms in (400..5_600).step_by(100) {
+        assert!(
+            controller
+                .decide(taken_ms + 5_000, taken(taken_ms, 1.9))
+                .is_empty()
+        );
+    }
+    assert!(!controller.decide(10_800, taken(5_800, 1.9)).is_empty());
+}
+
+#[test]
+fn a_kind_that_was_held_back_starts_held_back() {
+    let mut controller = Controller::new(ControllerLimits::default());
+    controller.decide(0, taken(0, 1.0));
+    observe(&mut controller, 10, &kinds(&[(1, "noisy")]));
+    controller.decide(1_000, taken(20, 2.0));
+    let actions = observe(&mut controller, 60_000, &kinds(&[(2, "noisy")]));
+    assert_eq!(
+        actions,
+        [Action::Throttle {
+            attempt: attempt(2, 1),
+            percent: 10
+        }]
+    );
+}
--- a/components/membership/src/members.rs
+++ b/components/membership/src/members.rs
@@ -3,7 +3,7 @@
 use crate::Change;
 use model::AgentId;
 use std::collections::BTreeMap;
-use wire::Heartbeat;
+use wire::{Heartbeat, Pulse};
 
 /// How long a lost agent is remembered.
 const LOST_TTL_MS: u64 = 3_600_000;
@@ -65,6 +65,18 @@
         Some(changes)
     }
 
+    /// Takes a pulse; returns the agent's whole state after it, or `None` if the rest of that is
+    /// not known or something newer was heard.
+    pub fn on_pulse(&mut self, now_ms: u64, pulse: &Pulse) -> Option<&Heartbeat> {
+        let mut members = self.agents.values_mut();
+        let member = members.find(|member| member.beat.incarnation == pulse.incarnation)?;
+        if member.beat.sequence >= pulse.sequence || !member.beat.take(pulse) {
+            return None;
+        }
+        member.heard_ms = now_ms;
+        Some(&member.beat)
+    }
+
     /// Drops agents whose heartbeats stopped.
     pub fn expire(&mut self, now_ms: u64) -> Vec<Change> {
         let ttl_ms = self.ttl_ms;
--- /dev/null
+++ b/components/settings/tests/settings.rs
@@ -0,0 +1,94 @@
+//! Faults of settings files, the examples, and the page that describes every setting.
+
+use settings::{Settings, load, parse};
+use std::path::Path;
+
+const ENTRY: &str = r#"{
+  // An entry with faults.
+  "role": "entry",
+  "id": "e1",
+  "domain": "a",
+  "listen": "nowhere",
+  "admin_listen": "127.0.0.1:1",
+  "control_listen": "127.0.0.1:2",
+  "admin_token": "short",
+  "colour": "green",
+  "threads": 0,
+  "platform": { "url": "ftp://x", "timeout_ms": "soon" },
+  "routing": { "policy": "astrology", "max_tries": 99 },
+}"#;
+
+#[test]
+fn every_fault_is_named_with_its_line() {
+    let faults = parse("entry.json", ENTRY).expect_err("there are faults");
+    insta::assert_snapshot!(faults);
+    let repaired = ENTRY
+        .replace("\"nowhere\"", "\"127.0.0.1:3\"")
+        .replace("  \"colour\": \"green\",\n", "");
+    let repaired = repaired
+        .replace("\"soon\"", "5")
+        .replace("astrology", "random");
+    insta::assert_snapshot!(parse("entry.json", &repaired).expect_err("ranges are wrong"));
+    insta::assert_snapshot!(
+        parse("x.json", "{\n \"role\": \"agent\",\n \"id\" \n}").expect_err("no JSON")
+    );
+}
+
+#[test]
+fn the_examples_are_good() {
+    let root = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../examples");
+    for user in ["dunmore", "lantern"] {
+        let entry = load(&root.join(user).join("entry.json"));
+        assert!(matches!(entry, Ok(Settings::Entry(_))), "{entry:?}");
+        let agent = load(&root.join(user).join("agent.json"));
+        assert!(matches!(agent, Ok(Settings::Agent(_))), "{agent:?}");
+    }
+}
+
+/// Names of all settings, as a serialized example has them.
+fn names(value: &serde_json::Value, prefix: &str, all: &mut Vec<String>) {
+    for (name, value) in value.as_object().into_iter().flatten() {
+        let path = if prefix.is_empty() {
+            name.clone()
+        } else {
+            format!("{prefix}.{name}")
+        };
+        match value {
+            serde_json::Value::Object(_) => names(value, &path, all),
+            _ => all.push(path),
+        }
+    }
+}
+
+#[test]
+fn the_page_describes_every_setting_and_no_other() {
+    let root = Path::new(env!("CARGO_MANIFEST_DIR")).join("../..");
+    let page = std::fs::read_to_string(root.join("docs/operators/SETTINGS.md")).expect("the page");
+    let mut all = Vec::new();
+    for role in ["entry", "agent"] {
+        let file = root.join(format!("examples/dunmore/{role}.json"));
+        let value = match load(&file).expect("the example is good") {
+            Settings::Entry(settings) => serde_json::to_value(*settings),
+            Settings::Agent(settings) => serde_json::to_value(*settings),
+        };
+        names(&value.expect("settings are JSON"), "", &mut all);
+    }
+    all.sort();
+    all.dedup();
+    let described: Vec<&str> = page
+        .lines()
+        .filter_map(|line| line.strip_prefix("| `")?.split('`').next())
+        .collect();
+    for name in &all {
+        assert!(
+            described.contains(&name.as_str()),
+            "{name} is not described"
+        );
+    }
+    for name in described {
+        assert!(
+            all.iter().any(|known| known == name),
+            "{name} is described and not known"
+        );
+    }
+}
--- a/components/standin/src/lib.rs
+++ b/components/standin/src/lib.rs
@@ -3,6 +3,7 @@
 mod backend;
 mod backend_record;
 mod faults;
+mod memory_table;
 mod platform;
 mod relay;
 mod script;
@@ -10,6 +11,7 @@
 pub use backend::{BackendOptions, StandInBackend, serve_backend};
 pub use backend_record::{BackendRecord, Execution};
 pub use faults::Faults;
+pub use memory_table::{CommitFate, MemoryTable};
 pub use platform::{PlatformState, RunRecord, StandInPlatform, serve_platform};
 pub use relay::{Relay, RelayMode};
 pub use script::TaskScript;
--- a/components/standin/src/platform/mod.rs
+++ b/components/standin/src/platform/mod.rs
@@ -8,3 +8,4 @@
 pub use http::{StandInPlatform, serve_platform};
 pub use runtime::RunRecord;
 pub use state::PlatformState;
+pub(crate) use table::Table;
--- a/components/standin/src/platform/state.rs
+++ b/components/standin/src/platform/state.rs
@@ -95,6 +95,11 @@
         self.lock().runtime.set_failing(worker, failing);
     }
 
+    /// Milliseconds since the stand-in started; all its records count by this clock.
+    pub fn now_ms(&self) -> u64 {
+        self.clock.now_ms()
+    }
+
     /// Every run so far, as the runtime saw it.
     pub fn runs(&self) -> Vec<RunRecord> {
         let now_ms = self.clock.now_ms();
--- a/components/standin/src/relay.rs
+++ b/components/standin/src/relay.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU8, Ordering};
+use std::sync::atomic::{AtomicU8, AtomicU64, Ordering};
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
@@ -38,6 +38,7 @@
     mode: AtomicU8,
     generation: AtomicU8,
     target: SocketAddr,
+    passed_bytes: AtomicU64,
 }
 
 impl Relay {
@@ -52,11 +53,17 @@
             mode: AtomicU8::new(0),
             generation: AtomicU8::new(0),
             target,
+            passed_bytes: AtomicU64::new(0),
         });
         actix_rt::spawn(accept(listener, shared.clone()));
         Ok(Self { address, shared })
     }
 
+    /// Bytes passed on so far, in both directions.
+    pub fn passed_bytes(&self) -> u64 {
+        self.shared.passed_bytes.load(Ordering::Relaxed)
+    }
+
     /// Changes what the relay does; `SilenceOpen` and `CutOpen` concern open connections only.
     pub fn set_mode(&self, mode: RelayMode) {
         self.shared.generation.fetch_add(1, Ordering::SeqCst);
@@ -112,6 +119,9 @@
                 if is_old && mode != RelayMode::Pass as u8 {
                     continue;
                 }
+                shared
+                    .passed_bytes
+                    .fetch_add(count as u64, Ordering::Relaxed);
                 if to.write_all(&buffer[..count]).await.is_err() {
                     return;
                 }
--- /dev/null
+++ b/components/tickets/tests/tickets.rs
@@ -0,0 +1,63 @@
+//! Acceptance of tickets with lost answers and racing operators.
+
+use model::{Config, Ticket};
+use proptest::prelude::*;
+use standin::{CommitFate, MemoryTable};
+use tickets::{Refusal, accept, catch_up, load};
+
+fn ticket(number: u64, author: u32, touched: u32) -> Ticket {
+    let text = serde_json::json!({
+        "number": number, "author": format!("operator{author}"),
+        "teams": [{ "name": format!("team{touched}"), "quota": { "processors_milli": author, "memory_mb": 1 } }],
+    });
+    serde_json::from_value(text).expect("a ticket")
+}
+
+fn fate() -> impl Strategy<Value = CommitFate> {
+    prop_oneof![
+        4 => Just(CommitFate::Answered),
+        3 => Just(CommitFate::AnswerLost),
+        1 => Just(CommitFate::Lost),
+        1 => Just(CommitFate::Refused),
+    ]
+}
+
+fn block_on<T>(future: impl Future<Output = T>) -> T {
+    actix_rt::System::new().block_on(future)
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(150))]
+
+    #[test]
+    fn each_number_has_one_ticket_for_ever(
+        fates in prop::collection::vec(fate(), 0..40),
+        sent in prop::collection::vec((1..6_u64, 0..4_u32, 0..3_u32), 1..40),
+    ) {
+        block_on(async {
+            let table = MemoryTable::with_fates(fates);
+            let mut accepted: Vec<Ticket> = Vec::new();
+            let mut follower = Config::default();
+            for (number, author, touched) in sent {
+                let ticket = ticket(number, author, touched);
+                let outcome = accept(&table, &ticket).await;
+                let held = accepted.iter().find(|held| held.number == number);
+                match (&outcome, held) {
+                    (Ok(()), Some(held)) => assert_eq!(held, &ticket, "a number never changes"),
+                    (Ok(()), None) => accepted.push(ticket.clone()),
+                    (Err(Refusal::Conflict(conflict)), Some(held)) => {
+                        assert_ne!(held, &ticket);
+                        assert_eq!(conflict.held_by.as_deref(), Some(held.author.as_str()));
+                        assert!(!conflict.differences.is_empty());
+                    }
+                    (Err(Refusal::Conflict(_) | Refusal::Store(_)), _) => {}
+                    (Err(error), _) => panic!("{error}"),
+                }
+                let before = follower.number;
+                catch_up(&table, &mut follower).await.expect("reads are answered");
+                assert!(follower.number >= before, "a node only moves forward");
+                assert_eq!(follower, load(&table).await.expect("reads are answered"));
+            }
+        });
+    }
+}
--- a/components/wire/src/heartbeat.rs
+++ b/components/wire/src/heartbeat.rs
@@ -51,6 +51,65 @@
     pub free_long: u32,
 }
 
+/// What changes from one heartbeat to the next; sent in its place while the rest is unchanged.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Pulse {
+    /// Tells the agent; no two agents draw the same.
+    pub incarnation: u64,
+    /// Grows with each heartbeat.
+    pub sequence: u64,
+    /// Load of each service, in the order of the last whole heartbeat.
+    pub loads: Vec<BackendLoad>,
+    /// What is not taken by services and tasks.
+    pub free: Resources,
+    /// Number of the configuration in force here.
+    pub config: u64,
+}
+
+/// Answer to a pulse.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PulseAck {
+    /// Whether the entry knows the rest; otherwise it wants a whole heartbeat.
+    pub known: bool,
+    /// Newest configuration number that the entry has in force.
+    pub config: u64,
+    /// Changes with the set of live entries.
+    pub entries_tag: u64,
+}
+
+impl Heartbeat {
+    /// What changes from one heartbeat to the next.
+    pub fn pulse(&self) -> Pulse {
+        Pulse {
+            incarnation: self.incarnation,
+            sequence: self.sequence,
+            loads: self.services.iter().map(|service| service.load).collect(),
+            free: self.free,
+            config: self.config,
+        }
+    }
+
+    /// Takes over what a pulse tells; answers whether it fits this heartbeat.
+    pub fn take(&mut self, pulse: &Pulse) -> bool {
+        if self.incarnation != pulse.incarnation || self.services.len() != pulse.loads.len() {
+            return false;
+        }
+        self.sequence = pulse.sequence;
+        self.free = pulse.free;
+        self.config = pulse.config;
+        for (service, load) in self.services.iter_mut().zip(&pulse.loads) {
+            service.load = *load;
+        }
+        true
+    }
+
+    /// Whether a pulse tells all that has changed since `sent`.
+    pub fn differs_by_pulse_only(&self, sent: &Self) -> bool {
+        let mut sent = sent.clone();
+        sent.take(&self.pulse()) && sent == *self
+    }
+}
+
 /// Answer to a heartbeat.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct HeartbeatAck {
@@ -60,6 +119,8 @@
     pub config: u64,
     /// Control addresses of the entries that this one knows to be alive.
     pub entries: Vec<SocketAddr>,
+    /// Changes with that set.
+    pub entries_tag: u64,
 }
 
 /// What entries tell each other.
--- a/components/wire/src/lib.rs
+++ b/components/wire/src/lib.rs
@@ -15,5 +15,7 @@
 pub use entry_control::{EntryControl, EntryControlClient};
 pub use fence::{FenceAnswer, FenceRequest};
 pub use headers::{Headers, IDEMPOTENCY_KEY, REQUEST_ID, SERVICE, TEAM, VERDICT};
-pub use heartbeat::{BackendLoad, Heartbeat, HeartbeatAck, PeerState, ServiceLoad};
+pub use heartbeat::{
+    BackendLoad, Heartbeat, HeartbeatAck, PeerState, Pulse, PulseAck, ServiceLoad,
+};
 pub use link::{AgentLink, EntryLink, LinkError, serve_agent, serve_entry};
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -36,6 +36,19 @@
         Self { child }
     }
 
+    /// Starts a process that writes its log as JSON into a file.
+    pub fn start_logged(args: &[&str], log: &std::path::Path) -> Self {
+        let file = std::fs::File::create(log).expect("the log can be written");
+        let child = Command::new(env!("CARGO_BIN_EXE_parsleythread"))
+            .args(args)
+            .args(["--log-format", "json"])
+            .stdout(Stdio::null())
+            .stderr(file)
+            .spawn()
+            .expect("the program starts");
+        Self { child }
+    }
+
     pub fn signal(&self, name: &str) {
         let pid = self.child.id().to_string();
         let status = Command::new("kill")
@@ -130,7 +143,7 @@
     pub agents: Vec<Agent>,
     pub backends: Vec<Backend>,
     pub client: Client,
-    dir: tempfile::TempDir,
+    pub dir: tempfile::TempDir,
     _platform: StandInPlatform,
 }
 
--- a/tests/path.rs
+++ b/tests/path.rs
@@ -129,3 +129,73 @@
         .unwrap_err();
     assert_eq!((missing.0, &missing.1["code"]), (404, &json!("not-found")));
 }
+
+/// Spans in a log, as (trace, span, parent, name).
+fn spans(log: &std::path::Path) -> Vec<[String; 4]> {
+    let text = std::fs::read_to_string(log).unwrap_or_default();
+    let lines = text
+        .lines()
+        .filter_map(|line| serde_json::from_str::<serde_json::Value>(line).ok());
+    let fields = lines
+        .map(|line| line["fields"].clone())
+        .filter(|fields| fields["event"] == 900);
+    let field = |fields: &serde_json::Value, name: &str| {
+        fields[name].as_str().unwrap_or_default().to_owned()
+    };
+    fields
+        .map(|f| ["trace_id", "span_id", "parent_id", "span"].map(|name| field(&f, name)))
+        .collect()
+}
+
+#[actix_rt::test]
+async fn the_spans_of_all_hops_join_into_the_callers_trace() {
+    let mut fleet = Fleet::start(&Plan {
+        entries: 1,
+        agents: 1,
+        ..Plan::default()
+    })
+    .await;
+    let logs = [
+        fleet.dir.path().join("entry.log"),
+        fleet.dir.path().join("agent.log"),
+    ];
+    let settings = [
+        fleet.entries[0].settings.clone(),
+        fleet.agents[0].settings.clone(),
+    ];
+    fleet.entries[0].process.kill();
+    fleet.agents[0].process.kill();
+    let start = |role: &str, index: usize| {
+        let path = settings[index].to_str().unwrap();
+        common::Process::start_logged(&[role, "--settings", path], &logs[index])
+    };
+    fleet.entries[0].process = start("entry", 0);
+    fleet.agents[0].process = start("agent", 1);
+    fleet.wait_ready(fleet.entries[0].admin).await;
+    fleet.wait_serving(1).await;
+    let trace = "0af7651916cd43dd8448eb211c80319c";
+    let parent = format!("00-{trace}-b7ad6b7169203331-01");
+    let told = fleet
+        .call_with(0, "GET", "/free", "traced", &[("traceparent", &parent)])
+        .await;
+    assert!(told.is_whole());
+    wait_until("all spans are logged", async || {
+        spans(&logs[0]).len() + spans(&logs[1]).len() >= 3
+    })
+    .await;
+    let of_entry = spans(&logs[0])
+        .into_iter()
+        .find(|span| span[3] == "entry")
+        .unwrap();
+    let of_agent = spans(&logs[1])
+        .into_iter()
+        .find(|span| span[3] == "agent")
+        .unwrap();
+    let of_call = spans(&logs[1])
+        .into_iter()
+        .find(|span| span[3] == "backend-call")
+        .unwrap();
+    assert_eq!([&of_entry[0], &of_agent[0], &of_call[0]], [trace; 3]);
+    assert_eq!(of_entry[2], "b7ad6b7169203331");
+    assert_eq!((&of_agent[2], &of_call[2]), (&of_entry[1], &of_agent[1]));
+}
