Split grown files by what they are about; docs on every field

Change: shard is split into loading, ends, orders and commits; the entry's control thread into requests, members, state and status; traffic into exchange and flight; the driver into commits and orders; the agent's control thread into requests and state. A worker's release from quarantine is logged (event 621 was in the catalogue and never written). A job refused as unplaceable logs event 602; the end reason "unplaceable", which nothing could reach, is gone.

--- a/components/agent/src/attempts.rs
+++ b/components/agent/src/attempts.rs
@@ -29,9 +29,13 @@
 
 /// Calls to the worker runtime and to owners of shards.
 pub(crate) struct RuntimeDriver {
+    /// Name of the worker.
     worker: AgentId,
+    /// Length of a lease, in milliseconds.
     lease_ms: u64,
+    /// The worker runtime.
     runtime: HttpRuntime,
+    /// Links for control calls.
     links: RefCell<Map<SocketAddr, EntryLink>>,
 }
 
--- a/components/agent/src/backend_call.rs
+++ b/components/agent/src/backend_call.rs
@@ -44,21 +44,33 @@
 
 /// Head of a streamed answer.
 pub(crate) struct StreamHead {
+    /// HTTP status.
     pub status: u16,
+    /// HTTP headers.
     pub headers: Vec<(String, Vec<u8>)>,
+    /// Length, if known.
     pub length: Option<u64>,
 }
 
 /// A request that has a slot.
 pub(crate) struct BackendCall {
+    /// HTTP client of this thread.
     pub client: Client,
+    /// The control thread, or its address.
     pub control: Addr<Control>,
+    /// The slot.
     pub grant: Grant,
+    /// The service.
     pub service: ServiceName,
+    /// HTTP method.
     pub method: Method,
+    /// Path and query.
     pub path: String,
+    /// HTTP headers.
     pub headers: HeaderMap,
+    /// Trace context for the next hop.
     pub traceparent: Option<String>,
+    /// The body.
     pub body: Body,
     /// Whether a small answer is kept for a replay.
     pub keep: bool,
--- a/components/agent/src/control.rs
+++ b/components/agent/src/control.rs
@@ -2,15 +2,14 @@
 
 use crate::attempts::RuntimeDriver;
 use crate::messages::{
-    Abandon, Adopt, Announce, AskAnswer, AskEntries, AskInFlight, AskLoad, AskReady, AskSlot,
-    ConfirmEnds, Drain, Fence, Finish, GrantReply, HeartbeatAnswered, IsBehind, MakeClaim,
-    NewConfig, NextHeartbeat, Progress, ReleaseClaim, StopAdmitting,
+    Adopt, AskEntries, AskInFlight, AskReady, ConfirmEnds, Drain, GrantReply, HeartbeatAnswered,
+    IsBehind, NewConfig, NextHeartbeat, StopAdmitting,
 };
 use crate::metrics::Metrics;
 use crate::service_times::ServiceTimes;
 use actix::{Actor, AsyncContext, Context, Handler, MessageResult};
 use arc_swap::ArcSwap;
-use fence::{Admitted, Claims, Grant, KeptAnswer, Outcome, RequestLimits, Requests};
+use fence::{Claims, Outcome, RequestLimits, Requests};
 use ledger::{Controller, ControllerLimits, Ledger, Owners};
 use model::{Config, RequestId};
 use settings::AgentSettings;
@@ -22,7 +21,7 @@
 use telemetry::{Event, log_event};
 use tokio::sync::Notify;
 use utils::{Clock, Map};
-use wire::{BackendLoad, FenceAnswer, Heartbeat};
+use wire::Heartbeat;
 
 /// Time between two looks at waiting requests and expired announcements.
 const TICK: Duration = Duration::from_millis(100);
@@ -31,27 +30,42 @@
 
 /// The agent's mutable state.
 pub(crate) struct Control {
+    /// Settings of the process.
     pub(crate) settings: AgentSettings,
+    /// Monotonic clock of the process.
     pub(crate) clock: Clock,
+    /// Incarnation of the agent.
     pub(crate) incarnation: u64,
+    /// Requests and backend servers.
     pub(crate) requests: Requests,
+    /// Claims on idempotency keys.
     pub(crate) claims: Claims,
+    /// What the VM has and what is taken.
     pub(crate) ledger: Ledger,
+    /// Owners of shards.
     pub(crate) owners: Owners,
+    /// Control of batch work beside services.
     pub(crate) controller: Controller,
+    /// Run times of services.
     pub(crate) times: ServiceTimes,
+    /// Configuration in force.
     pub(crate) config: Config,
+    /// The configuration, for traffic threads.
     pub(crate) shared_config: Arc<ArcSwap<Config>>,
+    /// Metrics of the process.
     pub(crate) metrics: Metrics,
+    /// The worker runtime.
     pub(crate) runtime: Rc<RuntimeDriver>,
     /// Wakes the heartbeat loop.
     pub(crate) beat_soon: Rc<Notify>,
     /// Control addresses of entries.
-    entries: BTreeSet<SocketAddr>,
+    pub(crate) entries: BTreeSet<SocketAddr>,
     /// Requests that were queued.
-    waiting: Map<RequestId, GrantReply>,
-    sequence: u64,
-    draining: bool,
+    pub(crate) waiting: Map<RequestId, GrantReply>,
+    /// Number of the last heartbeat.
+    pub(crate) sequence: u64,
+    /// Whether the agent shuts down.
+    pub(crate) draining: bool,
 }
 
 impl Control {
@@ -96,7 +110,7 @@
     }
 
     /// Grants freed slots to waiting requests.
-    fn settle_waiting(&mut self) {
+    pub(crate) fn settle_waiting(&mut self) {
         for (id, outcome) in self.requests.advance(self.clock.now_ms()) {
             let Some(reply) = self.waiting.remove(&id) else {
                 continue;
@@ -136,138 +150,6 @@
     }
 }
 
-impl Handler<AskSlot> for Control {
-    type Result = MessageResult<AskSlot>;
-
-    fn handle(&mut self, ask: AskSlot, _: &mut Self::Context) -> Self::Result {
-        let id = ask.admit.id;
-        let admitted = self.requests.admit(self.clock.now_ms(), ask.admit);
-        match &admitted {
-            Admitted::Granted(Grant { .. }) => {
-                self.metrics.admitted.inc();
-            }
-            Admitted::Queued => {
-                self.waiting.insert(id, ask.reply);
-            }
-            Admitted::Refused(_) => {
-                self.metrics.refused.inc();
-            }
-        }
-        self.metrics.in_flight.set(self.requests.in_flight() as i64);
-        MessageResult(admitted)
-    }
-}
-
-impl Handler<Abandon> for Control {
-    type Result = ();
-
-    fn handle(&mut self, Abandon(id): Abandon, _: &mut Self::Context) {
-        if self.waiting.remove(&id).is_some() {
-            self.requests.abandon(id);
-        }
-    }
-}
-
-impl Handler<Progress> for Control {
-    type Result = ();
-
-    fn handle(&mut self, progress: Progress, _: &mut Self::Context) {
-        self.requests.progress(progress.id, progress.total_bytes);
-    }
-}
-
-impl Handler<Finish> for Control {
-    type Result = MessageResult<Finish>;
-
-    fn handle(&mut self, end: Finish, _: &mut Self::Context) -> Self::Result {
-        let now_ms = self.clock.now_ms();
-        match end.outcome {
-            Outcome::Whole => self.times.add(&end.service, end.run_ms),
-            Outcome::Broken => {
-                self.metrics.broken.inc();
-            }
-            Outcome::NotRun => {}
-        }
-        self.requests
-            .finish(now_ms, end.id, end.outcome, end.answer);
-        self.settle_waiting();
-        MessageResult(self.requests.backends.load(now_ms, &end.service))
-    }
-}
-
-impl Handler<AskLoad> for Control {
-    type Result = MessageResult<AskLoad>;
-
-    fn handle(&mut self, AskLoad(service): AskLoad, _: &mut Self::Context) -> Self::Result {
-        let load: BackendLoad = self.requests.backends.load(self.clock.now_ms(), &service);
-        MessageResult(load)
-    }
-}
-
-impl Handler<AskAnswer> for Control {
-    type Result = MessageResult<AskAnswer>;
-
-    fn handle(&mut self, AskAnswer(id): AskAnswer, _: &mut Self::Context) -> Self::Result {
-        let answer: Option<KeptAnswer> = self.requests.answers.get(id).cloned();
-        if answer.is_some() {
-            self.metrics.replayed.inc();
-        }
-        MessageResult(answer)
-    }
-}
-
-impl Handler<Announce> for Control {
-    type Result = ();
-
-    fn handle(&mut self, Announce(announcement): Announce, _: &mut Self::Context) {
-        let expires_ms = self.clock.now_ms() + self.settings.announce_ttl_ms;
-        let open_before = self
-            .requests
-            .backends
-            .open_count(self.clock.now_ms(), &announcement.service);
-        let is_new = self.requests.backends.announce(&announcement, expires_ms);
-        let open_after = self
-            .requests
-            .backends
-            .open_count(self.clock.now_ms(), &announcement.service);
-        if is_new {
-            log_event!(info, Event::BackendAnnounced, service = %announcement.service, backend = %announcement.address);
-        }
-        if open_before != open_after {
-            self.update_reserved();
-            self.beat_soon.notify_one();
-        }
-    }
-}
-
-impl Handler<Fence> for Control {
-    type Result = MessageResult<Fence>;
-
-    fn handle(&mut self, Fence(request): Fence, _: &mut Self::Context) -> Self::Result {
-        let answer: FenceAnswer = self.requests.fence(self.clock.now_ms(), &request);
-        if answer == FenceAnswer::NeverSeen {
-            self.waiting.remove(&request.id);
-        }
-        MessageResult(answer)
-    }
-}
-
-impl Handler<MakeClaim> for Control {
-    type Result = MessageResult<MakeClaim>;
-
-    fn handle(&mut self, MakeClaim(claim): MakeClaim, _: &mut Self::Context) -> Self::Result {
-        MessageResult(self.claims.claim(self.clock.now_ms(), &claim))
-    }
-}
-
-impl Handler<ReleaseClaim> for Control {
-    type Result = ();
-
-    fn handle(&mut self, ReleaseClaim(claim): ReleaseClaim, _: &mut Self::Context) {
-        self.claims.release(&claim);
-    }
-}
-
 impl Handler<Adopt> for Control {
     type Result = Vec<bool>;
 
--- a/components/agent/src/heartbeat.rs
+++ b/components/agent/src/heartbeat.rs
@@ -19,13 +19,17 @@
 /// What an entry has confirmed.
 #[derive(Clone)]
 struct Confirmed {
+    /// The heartbeat.
     beat: Heartbeat,
+    /// Tag of the set of entries.
     entries_tag: u64,
 }
 
 /// One entry as the receiver of heartbeats.
 struct Receiver {
+    /// Link to the entry.
     link: EntryLink,
+    /// What the entry has confirmed.
     confirmed: RefCell<Option<Confirmed>>,
 }
 
--- a/components/agent/src/lib.rs
+++ b/components/agent/src/lib.rs
@@ -5,6 +5,7 @@
 mod backend_call;
 mod config;
 mod control;
+mod control_requests;
 mod heartbeat;
 mod local;
 mod messages;
--- a/components/agent/src/local.rs
+++ b/components/agent/src/local.rs
@@ -14,7 +14,9 @@
 /// What the handlers need.
 #[derive(Clone)]
 pub(crate) struct Local {
+    /// The control thread, or its address.
     pub control: Addr<Control>,
+    /// Metrics of the process.
     pub metrics: Metrics,
 }
 
--- a/components/agent/src/messages.rs
+++ b/components/agent/src/messages.rs
@@ -19,6 +19,7 @@
 #[derive(Message)]
 #[rtype(result = "Admitted")]
 pub(crate) struct AskSlot {
+    /// The request that asks.
     pub admit: Admit,
     /// Told when the request was queued and is settled later.
     pub reply: GrantReply,
@@ -33,7 +34,9 @@
 #[derive(Message)]
 #[rtype(result = "()")]
 pub(crate) struct Progress {
+    /// Number of the request.
     pub id: RequestId,
+    /// Bytes passed on so far.
     pub total_bytes: u64,
 }
 
@@ -41,10 +44,15 @@
 #[derive(Message)]
 #[rtype(result = "BackendLoad")]
 pub(crate) struct Finish {
+    /// Number of the request.
     pub id: RequestId,
+    /// The service.
     pub service: ServiceName,
+    /// How it ended.
     pub outcome: Outcome,
+    /// The answer.
     pub answer: Option<KeptAnswer>,
+    /// Run time, in milliseconds.
     pub run_ms: u64,
 }
 
@@ -82,7 +90,9 @@
 #[derive(Message)]
 #[rtype(result = "Vec<StartResult>")]
 pub(crate) struct StartOrders {
+    /// The owner.
     pub owner: AdoptShard,
+    /// The orders.
     pub orders: Vec<StartOrder>,
 }
 
@@ -90,7 +100,9 @@
 #[derive(Message)]
 #[rtype(result = "()")]
 pub(crate) struct StopOrders {
+    /// The owner.
     pub owner: AdoptShard,
+    /// The orders.
     pub orders: Vec<StopOrder>,
 }
 
@@ -108,7 +120,9 @@
 #[derive(Message)]
 #[rtype(result = "()")]
 pub(crate) struct StartDone {
+    /// The attempt.
     pub attempt: AttemptRef,
+    /// How it ended.
     pub outcome: StartOutcome,
 }
 
@@ -127,7 +141,9 @@
 #[derive(Message)]
 #[rtype(result = "()")]
 pub(crate) struct StopDone {
+    /// The attempt.
     pub attempt: AttemptRef,
+    /// What it does with connections.
     pub mode: StopMode,
     /// Final status; absent if the runtime gave no answer.
     pub status: Option<AttemptStatus>,
@@ -147,6 +163,7 @@
 #[derive(Message)]
 #[rtype(result = "bool")]
 pub(crate) struct HeartbeatAnswered {
+    /// The entry's answer.
     pub ack: HeartbeatAck,
 }
 
--- a/components/agent/src/traffic.rs
+++ b/components/agent/src/traffic.rs
@@ -33,20 +33,31 @@
 /// What the handlers of one traffic thread need.
 #[derive(Clone)]
 pub(crate) struct Traffic {
+    /// The control thread, or its address.
     pub control: Addr<Control>,
+    /// Configuration in force.
     pub config: Arc<ArcSwap<Config>>,
+    /// HTTP client of this thread.
     pub client: Client,
+    /// Monotonic clock of the process.
     pub clock: Clock,
+    /// Incarnation of the agent.
     pub incarnation: u64,
 }
 
 /// What an entry says of a request.
 struct Parsed {
+    /// Number of the request.
     id: RequestId,
+    /// The service.
     service: ServiceName,
+    /// When it is of no use any more.
     deadline_ms: u64,
+    /// Time that is left.
     left: Duration,
+    /// Whether it is expected to run long.
     long: bool,
+    /// Whether a small answer is kept.
     keep: bool,
 }
 
@@ -232,8 +243,11 @@
 
 /// Gives up a waiting request when its handler goes away.
 struct AbandonGuard<'a> {
+    /// The control thread, or its address.
     control: &'a Addr<Control>,
+    /// Number of the request.
     id: RequestId,
+    /// Whether it still has to act.
     armed: bool,
 }
 
--- a/components/batch/src/job_state.rs
+++ b/components/batch/src/job_state.rs
@@ -4,6 +4,7 @@
     AgentId, EndReason, Job, JobPhase, JobStatus, Resources, TaskId, TaskRecord, TaskState,
 };
 use std::collections::{BTreeMap, VecDeque};
+use wire::EndKind;
 
 /// A task as the owner of its shard keeps it.
 #[derive(Debug, Clone)]
@@ -46,6 +47,59 @@
 }
 
 impl TaskView {
+    /// A task that was never placed.
+    pub(crate) fn fresh(id: TaskId) -> Self {
+        let record = TaskRecord {
+            id,
+            attempt: 0,
+            state: TaskState::Waiting,
+            failures: 0,
+            resumes: 0,
+            checkpoint: None,
+        };
+        Self {
+            record,
+            revision: 0,
+            durable: false,
+            accepted: false,
+            on_the_way: false,
+            interrupted: false,
+            ordered_ms: None,
+            need: Resources::default(),
+            avoid: None,
+            confirm: Vec::new(),
+        }
+    }
+
+    /// Takes the end of the newest attempt on a worker; a blameless failure does not count.
+    pub(crate) fn take_end(
+        &mut self,
+        agent: &AgentId,
+        kind: EndKind,
+        is_blameless: bool,
+        max_failures: u32,
+    ) {
+        self.record.state = TaskState::Waiting;
+        match kind {
+            EndKind::Succeeded => self.record.state = TaskState::Ended(EndReason::Succeeded),
+            EndKind::Failed => {
+                self.avoid = Some(agent.clone());
+                self.record.failures += u32::from(!is_blameless);
+                if self.record.failures >= max_failures {
+                    self.record.state = TaskState::Ended(EndReason::Failed);
+                }
+            }
+            EndKind::Checkpointed => {
+                self.interrupted = true;
+                self.record.checkpoint = Some(self.record.attempt);
+            }
+            EndKind::Stopped => {
+                self.interrupted = self.accepted;
+                self.avoid = Some(agent.clone());
+            }
+        }
+    }
+
     /// Marks the record as changed since the last commit.
     pub fn touch(&mut self) {
         self.revision += 1;
--- a/components/batch/src/lib.rs
+++ b/components/batch/src/lib.rs
@@ -8,6 +8,9 @@
 mod place;
 mod rows;
 mod shard;
+mod shard_commit;
+mod shard_ends;
+mod shard_orders;
 mod teams;
 mod workers;
 
--- a/components/batch/src/workers.rs
+++ b/components/batch/src/workers.rs
@@ -38,6 +38,11 @@
         self.free.minus(&self.on_the_way)
     }
 
+    /// Whether the worker was set aside and has not succeeded since.
+    pub fn is_on_trial(&self) -> bool {
+        self.quarantines > 0
+    }
+
     /// Whether the worker is set aside because it fails everything.
     pub fn is_quarantined(&self, now_ms: u64) -> bool {
         now_ms < self.quarantined_until_ms
@@ -112,16 +117,12 @@
     }
 
     /// Counts an attempt as taken in or refused by the agent.
-    pub fn arrived(&mut self, agent: &AgentId, need: &Resources, accepted: bool) {
+    pub fn arrived(&mut self, agent: &AgentId, need: &Resources) {
         if let Some(worker) = self.get_mut(agent) {
             worker.on_the_way = worker.on_the_way.minus(need);
-            if accepted {
-                worker.free = worker.free.minus(need);
-            } else {
-                // A refusal tells that the worker is fuller than known; the next heartbeat
-                // tells how full.
-                worker.free = worker.free.minus(need);
-            }
+            // A refusal tells that the worker is fuller than known; the next heartbeat tells how
+            // full.
+            worker.free = worker.free.minus(need);
         }
     }
 
@@ -134,13 +135,12 @@
         }
     }
 
-    /// Counts a success on a worker; answers whether that ended its quarantine for good.
-    pub fn succeeded(&mut self, agent: &AgentId) -> bool {
-        let Some(worker) = self.get_mut(agent) else {
-            return false;
-        };
-        worker.failed_jobs.clear();
-        std::mem::take(&mut worker.quarantines) > 0
+    /// Counts a success on a worker.
+    pub fn succeeded(&mut self, agent: &AgentId) {
+        if let Some(worker) = self.get_mut(agent) {
+            worker.failed_jobs.clear();
+            worker.quarantines = 0;
+        }
     }
 
     /// Counts a failure on a worker; answers whether it is set aside for it.
--- a/components/bench/src/cost.rs
+++ b/components/bench/src/cost.rs
@@ -93,12 +93,17 @@
 
 /// Stand-ins that run beside the watched processes.
 struct Surroundings {
+    /// The platform stand-in.
     platform: Arc<PlatformState>,
+    /// Its address.
     platform_address: SocketAddr,
+    /// The control thread, or its address.
     control: SocketAddr,
     /// Passes the control traffic of the first agent, and counts it.
     relay_bytes: Box<dyn Fn() -> u64>,
+    /// Address of the relay.
     relay: SocketAddr,
+    /// Threads of the stand-ins.
     _nodes: Vec<Node>,
 }
 
--- a/components/bench/src/neighbour.rs
+++ b/components/bench/src/neighbour.rs
@@ -40,14 +40,20 @@
 }
 
 struct Task {
+    /// Its kind.
     kind: KindName,
+    /// Slowdown that it adds at full speed.
     harm: f64,
+    /// Share of its processors, in percent.
     percent: u32,
 }
 
 struct Outcome {
+    /// 99th percentile of run times.
     p99_ms: f64,
+    /// Work done.
     work: f64,
+    /// Evictions.
     evictions: u32,
 }
 
--- a/components/bench/src/order.rs
+++ b/components/bench/src/order.rs
@@ -66,8 +66,11 @@
 
 /// How tasks are ordered and sized.
 struct Policy {
+    /// Name.
     name: &'static str,
+    /// Order of placement.
     order: PlacementOrder,
+    /// Whether sizes are learnt.
     learns: bool,
 }
 
@@ -119,30 +122,48 @@
 }
 
 struct Outcome {
+    /// Tasks finished a minute.
     per_minute: f64,
+    /// Waits of short tasks.
     short_waits_ms: Vec<f64>,
 }
 
 /// A running task in virtual time.
 struct Running {
+    /// The agent.
     agent: model::AgentId,
+    /// When it ends.
     ends_ms: u64,
+    /// When it started.
     since_ms: u64,
+    /// What it really uses.
     uses: Resources,
 }
 
 struct Simulation<'a> {
+    /// What is compared.
     policy: &'a Policy,
+    /// Configuration in force.
     config: Config,
+    /// Workers by name.
     workers: Workers,
+    /// What teams use of their quotas.
     usage: TeamUsage,
+    /// What is learnt of kinds of work.
     kinds: Kinds,
+    /// Number of the shard.
     shard: Shard,
+    /// Source of random choices.
     rng: StdRng,
+    /// What runs now.
     running: Map<AttemptRef, Running>,
+    /// When each job was submitted.
     submitted_ms: Map<model::JobId, u64>,
+    /// Version of the row.
     version: u64,
+    /// Tasks finished.
     finished: u64,
+    /// Waits of short tasks.
     short_waits_ms: Vec<f64>,
 }
 
--- a/components/bench/src/report.rs
+++ b/components/bench/src/report.rs
@@ -77,9 +77,7 @@
     let (max_x, max_y) = points().fold((0.0_f64, 0.0_f64), |max, point| {
         (max.0.max(point.0), max.1.max(point.1))
     });
-    if points().next().is_none() {
-        return None;
-    }
+    points().next()?;
     let mut svg = String::new();
     {
         let area = SVGBackend::with_string(&mut svg, PLOT).into_drawing_area();
--- a/components/cluster/src/node.rs
+++ b/components/cluster/src/node.rs
@@ -6,8 +6,11 @@
 
 /// One node of a system in one process, with threads of its own.
 pub struct Node {
+    /// Asks it to stop gracefully.
     stop: Option<oneshot::Sender<()>>,
+    /// Stops it at once.
     kill: Option<oneshot::Sender<()>>,
+    /// Its first thread.
     thread: Option<JoinHandle<()>>,
 }
 
--- a/components/cluster/src/system.rs
+++ b/components/cluster/src/system.rs
@@ -55,6 +55,7 @@
     pub agent_local: Vec<SocketAddr>,
     /// Backend servers, one for each worker with slots.
     pub backends: Vec<Backend>,
+    /// Threads of the platform stand-in.
     _platform_node: Node,
 }
 
--- a/components/entry/src/admin.rs
+++ b/components/entry/src/admin.rs
@@ -19,11 +19,17 @@
 /// What the handlers of the admin thread need.
 #[derive(Clone)]
 pub(crate) struct Admin {
+    /// The control thread, or its address.
     pub control: Addr<Control>,
+    /// What traffic threads read.
     pub snapshot: Arc<ArcSwap<Snapshot>>,
+    /// Metrics of the process.
     pub metrics: Metrics,
+    /// Admin token.
     pub token: String,
+    /// The table service.
     pub table: HttpTable,
+    /// Shards that this entry owns.
     pub shards: u16,
 }
 
--- a/components/entry/src/admin_jobs.rs
+++ b/components/entry/src/admin_jobs.rs
@@ -33,7 +33,12 @@
     };
     match accepted {
         Ok(id) => HttpResponse::Accepted().json(serde_json::json!({ "job": id })),
-        Err(failure) => admin.fail(&failure),
+        Err(failure) => {
+            if failure.code == Code::Unplaceable {
+                log_event!(warn, Event::JobUnplaceable, reason = %failure.message);
+            }
+            admin.fail(&failure)
+        }
     }
 }
 
--- a/components/entry/src/agents.rs
+++ b/components/entry/src/agents.rs
@@ -15,6 +15,7 @@
 /// Links to agents.
 #[derive(Default)]
 pub(crate) struct AgentLinks {
+    /// Links by agent.
     by_agent: Map<AgentId, AgentLink>,
 }
 
--- a/components/entry/src/answer.rs
+++ b/components/entry/src/answer.rs
@@ -15,10 +15,15 @@
 /// Body of a refusal or failure.
 #[derive(Serialize)]
 struct FailureBody<'a> {
+    /// The verdict.
     verdict: String,
+    /// The code.
     code: String,
+    /// Text for a person.
     message: &'a str,
+    /// When to try again.
     retry_after_ms: Option<u64>,
+    /// Number of the request.
     request_id: Option<String>,
 }
 
--- a/components/entry/src/answer_stream.rs
+++ b/components/entry/src/answer_stream.rs
@@ -18,16 +18,27 @@
 
 /// A large or endless answer on its way to the caller.
 pub(crate) struct AnswerStream {
+    /// What the traffic thread has.
     pub traffic: Traffic,
+    /// Where the try was sent.
     pub dispatch: Dispatch,
+    /// Number of the request.
     pub id: RequestId,
+    /// The service.
     pub service: ServiceName,
+    /// Route, by which run times are learnt.
     pub route: Route,
+    /// When it was sent.
     pub started: Instant,
+    /// Pieces of the answer.
     pub pieces: Pieces,
+    /// Length, if known.
     pub length: Option<u64>,
+    /// Longest silence.
     pub idle_limit: Duration,
+    /// Bytes that came so far.
     received_bytes: u64,
+    /// Whether the end was told.
     ended: bool,
 }
 
--- /dev/null
+++ b/components/entry/src/commits.rs
@@ -0,0 +1,200 @@
+//! Group commits of the shards that this entry owns.
+
+use crate::control::Control;
+use crate::messages::StoreHealth;
+use actix::{Addr, AsyncContext, Context, Handler, Message};
+use batch::{CommitPlan, Settled, Shard, shard_key};
+use platform::{Row, StoreError, TableStore, Transaction};
+use std::time::Duration;
+use telemetry::{Event, log_event};
+use utils::Backoff;
+
+/// Limits of the pause after a commit that failed, in milliseconds.
+const RETRY_MS: (u64, u64) = (100, 2_000);
+/// Share of a shard's lease after which it is renewed.
+const RENEW_SHARE: u64 = 3;
+
+impl Control {
+    pub(crate) fn commit_all(&mut self, context: &mut Context<Self>) {
+        let now_ms = self.clock.now_ms();
+        let batch = self.settings.batch.clone();
+        let ids: Vec<u16> = self.driver.shards.keys().copied().collect();
+        for id in ids {
+            let last_ms = self.driver.sent_ms.get(&id).copied().unwrap_or(0);
+            let is_paced = now_ms < last_ms + batch.commit_interval_ms;
+            let paused = self.driver.is_paused(now_ms, id);
+            let Some(shard) = self.driver.shards.get_mut(&id) else {
+                continue;
+            };
+            let is_full = shard.backlog() >= batch.max_rows;
+            if paused || (is_paced && !is_full && !shard.has_urgent()) {
+                continue;
+            }
+            let renew_ms = batch.shard_lease_ms / RENEW_SHARE;
+            let Some(plan) = shard.next_commit(now_ms, batch.max_rows, renew_ms) else {
+                continue;
+            };
+            let (txn, epoch) = (plan.txn.clone(), plan.row.epoch);
+            self.driver.sent_ms.insert(id, now_ms);
+            self.send_commit(context.address(), id, epoch, txn);
+        }
+    }
+
+    fn send_commit(&self, control: Addr<Self>, shard: u16, epoch: u64, txn: Transaction) {
+        let table = self.driver.table.clone();
+        self.metrics.commits.inc();
+        actix_rt::spawn(async move {
+            let result = table.commit(&txn).await;
+            control.do_send(Committed {
+                shard,
+                epoch,
+                result,
+            });
+        });
+    }
+
+    fn read_lease(&self, control: Addr<Self>, shard: u16, epoch: u64) {
+        let table = self.driver.table.clone();
+        actix_rt::spawn(async move {
+            let rows = table.read(&[shard_key(shard)]).await;
+            let row = rows.map(|rows| rows.into_iter().next());
+            control.do_send(LeaseRead { shard, epoch, row });
+        });
+    }
+
+    /// Sends the commit in flight again, or reads the lease again, after a pause.
+    fn retry_later(&mut self, shard: u16, epoch: u64, read: bool, context: &mut Context<Self>) {
+        let (first_ms, limit_ms) = RETRY_MS;
+        let fresh = || (Backoff::new(first_ms, limit_ms), 0);
+        let (backoff, _) = self.driver.pauses.entry(shard).or_insert_with(fresh);
+        let delay_ms = backoff.next_delay_ms(&mut self.rng);
+        context.run_later(Duration::from_millis(delay_ms), move |control, context| {
+            let current = control
+                .driver
+                .shards
+                .get(&shard)
+                .filter(|s| s.epoch() == epoch);
+            let Some(plan) = current.and_then(Shard::in_flight) else {
+                return;
+            };
+            let txn = plan.txn.clone();
+            if read {
+                control.read_lease(context.address(), shard, epoch);
+            } else {
+                control.send_commit(context.address(), shard, epoch, txn);
+            }
+        });
+    }
+
+    fn on_committed(&mut self, shard: u16, version: u64, context: &mut Context<Self>) {
+        self.driver.pauses.remove(&shard);
+        let now_ms = self.clock.now_ms();
+        let Some(state) = self.driver.shards.get_mut(&shard) else {
+            return;
+        };
+        let effects = state.on_committed(now_ms, version);
+        let released = state.is_released();
+        self.carry_out_effects(shard, effects, context);
+        if released {
+            self.drop_shard(shard);
+        }
+    }
+}
+
+/// Outcome of a commit.
+#[derive(Message)]
+#[rtype(result = "()")]
+struct Committed {
+    /// Number of the shard.
+    shard: u16,
+    /// Epoch of the lease.
+    epoch: u64,
+    /// What came back.
+    result: Result<u64, StoreError>,
+}
+
+/// Outcome of reading a lease after an answer was lost.
+#[derive(Message)]
+#[rtype(result = "()")]
+struct LeaseRead {
+    /// Number of the shard.
+    shard: u16,
+    /// Epoch of the lease.
+    epoch: u64,
+    /// The lease row.
+    row: Result<Option<Row>, StoreError>,
+}
+
+impl Handler<Committed> for Control {
+    type Result = ();
+
+    fn handle(&mut self, done: Committed, context: &mut Self::Context) {
+        let current = self.driver.shards.get(&done.shard).map(Shard::epoch);
+        if current != Some(done.epoch) {
+            return;
+        }
+        match done.result {
+            Ok(version) => self.on_committed(done.shard, version, context),
+            Err(StoreError::Conflict { .. }) => {
+                self.read_lease(context.address(), done.shard, done.epoch);
+            }
+            Err(StoreError::Invalid(reason)) => {
+                telemetry::tracing::error!(
+                    shard = done.shard,
+                    reason,
+                    "the table refused a commit"
+                );
+                self.drop_shard(done.shard);
+            }
+            Err(StoreError::Unknown(_)) => {
+                context.notify(StoreHealth { up: false });
+                self.retry_later(done.shard, done.epoch, true, context);
+            }
+            Err(StoreError::Unavailable(_)) => {
+                context.notify(StoreHealth { up: false });
+                self.retry_later(done.shard, done.epoch, false, context);
+            }
+        }
+    }
+}
+
+impl Handler<LeaseRead> for Control {
+    type Result = ();
+
+    fn handle(&mut self, read: LeaseRead, context: &mut Self::Context) {
+        let current = self
+            .driver
+            .shards
+            .get(&read.shard)
+            .filter(|s| s.epoch() == read.epoch);
+        let Some(plan) = current.and_then(Shard::in_flight) else {
+            return;
+        };
+        let row = match &read.row {
+            Ok(row) => row.as_ref(),
+            Err(_) => return self.retry_later(read.shard, read.epoch, true, context),
+        };
+        match CommitPlan::settle(plan, read.shard, row) {
+            Settled::Committed(version) => {
+                log_event!(
+                    info,
+                    Event::CommitSettled,
+                    shard = read.shard,
+                    committed = true
+                );
+                self.on_committed(read.shard, version, context);
+            }
+            Settled::SendAgain => {
+                log_event!(
+                    info,
+                    Event::CommitSettled,
+                    shard = read.shard,
+                    committed = false
+                );
+                let txn = plan.txn.clone();
+                self.send_commit(context.address(), read.shard, read.epoch, txn);
+            }
+            Settled::Lost => self.drop_shard(read.shard),
+        }
+    }
+}
--- /dev/null
+++ b/components/entry/src/control_state.rs
@@ -0,0 +1,83 @@
+//! The configuration in force, the table's health, and shutting down.
+
+use crate::control::Control;
+use crate::messages::{AskConfig, AskLeft, Close, Drain, NewConfig, StoreHealth};
+use actix::{Handler, MessageResult};
+use telemetry::{Event, log_event};
+
+impl Handler<AskConfig> for Control {
+    type Result = MessageResult<AskConfig>;
+
+    fn handle(&mut self, ask: AskConfig, _: &mut Self::Context) -> Self::Result {
+        let is_newer = self.loaded && self.config.number > ask.after;
+        MessageResult(is_newer.then(|| self.config.clone()))
+    }
+}
+
+impl Handler<NewConfig> for Control {
+    type Result = ();
+
+    fn handle(&mut self, NewConfig(config): NewConfig, _: &mut Self::Context) {
+        self.loaded = true;
+        if self.config.advance_to(&config) {
+            log_event!(info, Event::ConfigInForce, number = self.config.number);
+        }
+        self.metrics.config_number.set(self.config.number as i64);
+        self.publish();
+    }
+}
+
+impl Handler<StoreHealth> for Control {
+    type Result = ();
+
+    fn handle(&mut self, health: StoreHealth, _: &mut Self::Context) {
+        if health.up {
+            self.heard_ms = self.clock.now_ms();
+        }
+        if health.up != self.store_up {
+            let event = if health.up {
+                Event::StoreUp
+            } else {
+                Event::StoreDown
+            };
+            log_event!(warn, event, entry = %self.settings.id);
+        }
+        self.store_up = health.up;
+        self.metrics.store_up.set(i64::from(health.up));
+    }
+}
+
+impl Handler<Drain> for Control {
+    type Result = ();
+
+    fn handle(&mut self, _: Drain, _: &mut Self::Context) {
+        log_event!(info, Event::DrainStarted, entry = %self.settings.id);
+        self.leaving = true;
+        self.publish();
+        for shard in self.driver.shards.values_mut() {
+            shard.release();
+        }
+    }
+}
+
+impl Handler<Close> for Control {
+    type Result = ();
+
+    fn handle(&mut self, _: Close, _: &mut Self::Context) {
+        self.closed = true;
+        self.publish();
+    }
+}
+
+impl Handler<AskLeft> for Control {
+    type Result = usize;
+
+    fn handle(&mut self, _: AskLeft, _: &mut Self::Context) -> usize {
+        let shards = if self.store_up {
+            self.driver.shards.len()
+        } else {
+            0
+        };
+        self.in_flight + self.waiting.len() + shards
+    }
+}
--- /dev/null
+++ b/components/entry/src/control_status.rs
@@ -0,0 +1,71 @@
+//! The state of the cluster as this entry sees it.
+
+use crate::control::Control;
+use crate::messages::AskStatus;
+use crate::status::{AgentStatus, ClusterStatus, EntryStatus, TeamStatus};
+use actix::{Handler, MessageResult};
+use model::AgentId;
+use wire::PeerState;
+
+impl Control {
+    fn agent_statuses(&self) -> Vec<AgentStatus> {
+        let now_ms = self.clock.now_ms();
+        let workers = &self.driver.workers;
+        let quarantined = |agent: &AgentId| {
+            workers
+                .get(agent)
+                .is_some_and(|worker| worker.is_quarantined(now_ms))
+        };
+        let status = |member: &membership::Member| AgentStatus {
+            agent: member.beat.agent.clone(),
+            domain: member.beat.domain.clone(),
+            config: member.beat.config,
+            draining: member.beat.draining,
+            quarantined: quarantined(&member.beat.agent),
+            capacity: member.beat.capacity,
+            free: member.beat.free,
+            services: member.beat.services.clone(),
+        };
+        self.members.iter().map(status).collect()
+    }
+
+    fn team_statuses(&self) -> Vec<TeamStatus> {
+        let shards = self.settings.batch.shards;
+        let status = |spec: &model::TeamSpec| {
+            let shard = model::JobId::from(format!("{}.", spec.name)).shard(shards);
+            let is_own = self.driver.shards.contains_key(&shard);
+            let used = is_own.then(|| self.driver.usage.of(&spec.name));
+            TeamStatus {
+                team: spec.name.clone(),
+                quota: spec.quota,
+                used,
+            }
+        };
+        self.config.teams.values().map(status).collect()
+    }
+}
+
+impl Handler<AskStatus> for Control {
+    type Result = MessageResult<AskStatus>;
+
+    fn handle(&mut self, _: AskStatus, _: &mut Self::Context) -> Self::Result {
+        let now_ms = self.clock.now_ms();
+        let own = self.peer_state();
+        let peers = self.peers.live(now_ms).map(|peer| peer.state.clone());
+        let status = |state: PeerState| EntryStatus {
+            entry: state.entry,
+            config: state.config,
+            draining: state.draining,
+        };
+        MessageResult(ClusterStatus {
+            entry: self.settings.id.clone(),
+            config: self.config.number,
+            store_up: self.store_up,
+            shards: self.driver.shards.keys().copied().collect(),
+            waiting: self.waiting.len(),
+            entries: std::iter::once(own).chain(peers).map(status).collect(),
+            agents: self.agent_statuses(),
+            teams: self.team_statuses(),
+        })
+    }
+}
--- a/components/entry/src/hop.rs
+++ b/components/entry/src/hop.rs
@@ -32,15 +32,25 @@
 
 /// What is the same in all tries of a request.
 pub(crate) struct Hop<'a> {
+    /// What the traffic thread has.
     pub traffic: &'a Traffic,
+    /// Number of the request.
     pub id: RequestId,
+    /// The service.
     pub service: &'a ServiceName,
+    /// HTTP method.
     pub method: &'a Method,
+    /// Path and query.
     pub path: &'a str,
+    /// HTTP headers.
     pub headers: &'a HeaderMap,
+    /// What the caller asks for.
     pub wishes: &'a Wishes,
+    /// The body.
     pub body: &'a CallerBody,
+    /// When an answer is of no use any more.
     pub deadline: Instant,
+    /// Trace context for the next hop.
     pub traceparent: Option<String>,
 }
 
--- a/components/entry/src/jobs.rs
+++ b/components/entry/src/jobs.rs
@@ -19,7 +19,9 @@
 #[derive(Message)]
 #[rtype(result = "()")]
 struct JobRead {
+    /// Number of the shard.
     shard: u16,
+    /// Rows of the table.
     rows: Result<Vec<Row>, StoreError>,
 }
 
--- a/components/entry/src/messages.rs
+++ b/components/entry/src/messages.rs
@@ -15,9 +15,11 @@
 #[derive(Message)]
 #[rtype(result = "()")]
 pub(crate) struct Submit {
+    /// The waiting try.
     pub pending: Pending,
     /// Whether the request was sent before and provably did not run.
     pub retry: Option<RetryKind>,
+    /// Told what came of it.
     pub reply: oneshot::Sender<Result<Dispatch, Failure>>,
 }
 
@@ -34,7 +36,9 @@
 #[derive(Message)]
 #[rtype(result = "()")]
 pub(crate) struct Abandon {
+    /// The service.
     pub service: ServiceName,
+    /// Number of the request.
     pub id: RequestId,
 }
 
@@ -42,10 +46,15 @@
 #[derive(Message)]
 #[rtype(result = "()")]
 pub(crate) struct Ended {
+    /// Number of the request.
     pub id: RequestId,
+    /// The service.
     pub service: ServiceName,
+    /// The agent.
     pub agent: AgentId,
+    /// How it ended.
     pub outcome: TargetOutcome,
+    /// Free slots, if they were told.
     pub load: Option<BackendLoad>,
     /// Route and run time of a whole answer.
     pub ran: Option<(Route, u64)>,
@@ -57,8 +66,11 @@
 #[derive(Message)]
 #[rtype(result = "FenceOutcome")]
 pub(crate) struct AskFence {
+    /// The agent.
     pub agent: AgentId,
+    /// The control thread, or its address.
     pub control: std::net::SocketAddr,
+    /// The request.
     pub request: wire::FenceRequest,
 }
 
@@ -77,8 +89,11 @@
 #[derive(Message)]
 #[rtype(result = "Result<(), ClaimRefusal>")]
 pub(crate) struct ClaimKey {
+    /// The service.
     pub service: ServiceName,
+    /// The caller's key.
     pub key: String,
+    /// The request.
     pub request: RequestId,
 }
 
@@ -98,12 +113,17 @@
 /// Where the answer to an earlier request with the same key may be.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) struct HolderState {
+    /// Whether its entry still works on it.
     pub active: bool,
     /// Try that was sent to the agent.
     pub sent_as: RequestId,
+    /// The agent.
     pub agent: AgentId,
+    /// Incarnation of the agent.
     pub incarnation: u64,
+    /// What the traffic thread has.
     pub traffic: std::net::SocketAddr,
+    /// The control thread, or its address.
     pub control: std::net::SocketAddr,
 }
 
@@ -111,8 +131,11 @@
 #[derive(Message)]
 #[rtype(result = "()")]
 pub(crate) struct ReleaseKey {
+    /// The service.
     pub service: ServiceName,
+    /// The caller's key.
     pub key: String,
+    /// The request.
     pub request: RequestId,
 }
 
@@ -140,6 +163,7 @@
 #[derive(Message)]
 #[rtype(result = "Option<Config>")]
 pub(crate) struct AskConfig {
+    /// Number that the asker has.
     pub after: u64,
 }
 
@@ -152,6 +176,7 @@
 #[derive(Message)]
 #[rtype(result = "()")]
 pub(crate) struct StoreHealth {
+    /// Whether it answers.
     pub up: bool,
 }
 
@@ -159,7 +184,9 @@
 #[derive(Message)]
 #[rtype(result = "()")]
 pub(crate) struct Ends {
+    /// The agent.
     pub agent: AgentId,
+    /// Ends of attempts.
     pub ends: Vec<AttemptEnd>,
 }
 
--- a/components/entry/src/rpc.rs
+++ b/components/entry/src/rpc.rs
@@ -12,7 +12,9 @@
 /// Answers control calls by asking the control thread.
 #[derive(Clone)]
 pub(crate) struct Rpc {
+    /// The control thread, or its address.
     pub control: Addr<Control>,
+    /// The entry.
     pub entry: EntryId,
 }
 
--- a/components/entry/src/shard_leases.rs
+++ b/components/entry/src/shard_leases.rs
@@ -28,9 +28,13 @@
 #[derive(Message)]
 #[rtype(result = "()")]
 struct Taken {
+    /// Number of the shard.
     shard: u16,
+    /// The lease row.
     row: ShardRow,
+    /// Version of the row.
     version: u64,
+    /// Rows of the table.
     rows: [Vec<Row>; 3],
 }
 
--- /dev/null
+++ b/components/entry/src/tuning.rs
@@ -0,0 +1,25 @@
+//! Settings of routing as the dispatcher wants them.
+
+use routing::{Policy, Tuning};
+use settings::{EntrySettings, RoutingPolicy};
+
+/// Settings of routing as the dispatcher wants them.
+pub(crate) fn tuning(settings: &EntrySettings) -> Tuning {
+    let routing = &settings.routing;
+    Tuning {
+        policy: match routing.policy {
+            RoutingPolicy::LateBinding => Policy::LateBinding,
+            RoutingPolicy::Random => Policy::Random,
+            RoutingPolicy::RoundRobin => Policy::RoundRobin,
+            RoutingPolicy::LeastOutstanding => Policy::LeastOutstanding,
+            RoutingPolicy::TwoChoices => Policy::TwoChoices,
+        },
+        queue_limit: routing.queue_limit,
+        retry_percent: routing.retry_percent,
+        max_tries: routing.max_tries,
+        eject_failures: routing.eject_failures,
+        eject_ms: routing.eject_ms,
+        slow_start_ms: routing.slow_start_ms,
+        heartbeat_ttl_ms: routing.heartbeat_ttl_ms,
+    }
+}
--- a/components/model/src/task.rs
+++ b/components/model/src/task.rs
@@ -47,6 +47,4 @@
     Failed,
     /// An operator cancelled the job.
     Cancelled,
-    /// No worker is large enough.
-    Unplaceable,
 }
--- a/components/standin/src/backend.rs
+++ b/components/standin/src/backend.rs
@@ -35,12 +35,19 @@
 /// Behaviour that can be changed while it runs.
 #[derive(Debug)]
 struct Behaviour {
+    /// Run time, in milliseconds.
     work_ms: u64,
+    /// Run time as a share of the usual, in percent.
     slow_percent: AtomicU64,
+    /// Whether everything fails.
     failing: AtomicBool,
+    /// Whether the process shuts down.
     leaving: AtomicBool,
+    /// Whether it announces itself.
     announcing: AtomicBool,
+    /// What runs now.
     running: AtomicU32,
+    /// Most that ran at once.
     most_running: AtomicU32,
 }
 
@@ -50,6 +57,7 @@
     pub address: SocketAddr,
     /// Stops it.
     pub server: ServerHandle,
+    /// Behaviour that can be changed.
     behaviour: Arc<Behaviour>,
 }
 
--- a/components/standin/src/backend_record.rs
+++ b/components/standin/src/backend_record.rs
@@ -15,6 +15,7 @@
 /// What a stand-in backend server really ran; several servers may share one.
 #[derive(Debug, Default)]
 pub struct BackendRecord {
+    /// All executions so far.
     executions: Mutex<Vec<Execution>>,
 }
 
--- a/components/standin/src/memory_table.rs
+++ b/components/standin/src/memory_table.rs
@@ -22,7 +22,9 @@
 /// A table in memory; commits meet the given fates in turn and are answered after those.
 #[derive(Debug, Default)]
 pub struct MemoryTable {
+    /// The table service.
     table: RefCell<Table>,
+    /// Fates of the next commits.
     fates: RefCell<VecDeque<CommitFate>>,
 }
 
--- a/components/standin/src/platform/runtime.rs
+++ b/components/standin/src/platform/runtime.rs
@@ -28,30 +28,46 @@
 
 #[derive(Debug)]
 struct Running {
+    /// Position of its record.
     record: usize,
+    /// What it is declared to need.
     need: Resources,
+    /// What it really uses.
     uses: Resources,
+    /// What it does.
     script: TaskScript,
+    /// Work that is done, in milliseconds at full speed.
     done_ms: f64,
+    /// Share of its processors, in percent.
     percent: u32,
+    /// Time up to which its work is counted.
     advanced_ms: u64,
+    /// End of its lease.
     lease_until_ms: u64,
 }
 
 #[derive(Debug, Default)]
 struct Worker {
+    /// What the VM has.
     capacity: Resources,
+    /// What services take.
     reserved: Resources,
+    /// What runs now.
     running: HashMap<AttemptRef, Running>,
+    /// Whether the end was told.
     ended: Vec<(u64, AttemptReport)>,
+    /// Whether everything fails.
     failing: bool,
+    /// Whether the VM is gone.
     gone: bool,
 }
 
 /// Stand-in for the worker runtime.
 #[derive(Debug, Default)]
 pub(crate) struct Runtime {
+    /// Workers by name.
     workers: BTreeMap<AgentId, Worker>,
+    /// Newest attempt of each task.
     newest: HashMap<TaskId, Attempt>,
     /// Every run, in order of starting.
     pub records: Vec<RunRecord>,
--- a/components/standin/src/platform/state.rs
+++ b/components/standin/src/platform/state.rs
@@ -15,26 +15,38 @@
 /// Everything that the platform stand-in keeps.
 #[derive(Debug)]
 pub struct PlatformState {
+    /// Monotonic clock of the process.
     clock: Clock,
+    /// What is kept, behind a lock.
     inner: Mutex<Inner>,
 }
 
 #[derive(Debug, Default)]
 struct Inner {
+    /// The table service.
     table: Table,
+    /// The worker runtime.
     runtime: Runtime,
+    /// Objects by key.
     objects: HashMap<String, Vec<u8>>,
+    /// Faults that are shown.
     faults: Faults,
+    /// Commits asked for.
     commits_seen: u64,
+    /// Commits within a second.
     writes: Rate,
+    /// Reads within a second.
     reads: Rate,
 }
 
 /// Calls within the present second.
 #[derive(Debug, Default)]
 struct Rate {
+    /// The present second.
     second: u64,
+    /// Calls within it.
     calls: u64,
+    /// Most calls within any second.
     most: u64,
 }
 
--- a/components/standin/src/platform/table.rs
+++ b/components/standin/src/platform/table.rs
@@ -11,7 +11,9 @@
 /// Stand-in for the table service.
 #[derive(Debug, Default)]
 pub(crate) struct Table {
+    /// Rows of the table.
     rows: BTreeMap<String, (u64, String)>,
+    /// Version of the row.
     version: u64,
     /// Commits that took effect.
     pub commits: u64,
--- a/components/standin/src/relay.rs
+++ b/components/standin/src/relay.rs
@@ -31,13 +31,18 @@
 pub struct Relay {
     /// Where it listens.
     pub address: SocketAddr,
+    /// What its connections share.
     shared: Arc<Shared>,
 }
 
 struct Shared {
+    /// What it does with connections.
     mode: AtomicU8,
+    /// Grows with each change of the mode.
     generation: AtomicU8,
+    /// Address that it passes on to.
     target: SocketAddr,
+    /// Bytes passed on.
     passed_bytes: AtomicU64,
 }
 
--- a/src/cmd/admin.rs
+++ b/src/cmd/admin.rs
@@ -17,8 +17,11 @@
 
 /// A connection to the admin interface of an entry.
 pub struct Admin {
+    /// Base address.
     url: String,
+    /// Admin token.
     token: String,
+    /// HTTP client of this thread.
     client: Client,
 }
 
--- a/src/cmd/demo.rs
+++ b/src/cmd/demo.rs
@@ -53,9 +53,13 @@
 
 /// What the demo found.
 struct Report {
+    /// What came of the requests.
     tally: Tally,
+    /// The job at its end.
     job: JobStatus,
+    /// Time until the ticket was in force, in milliseconds.
     ticket_ms: u128,
+    /// Breaches that the platform saw.
     breaches: Vec<String>,
 }
 
