--- a/components/agent/src/attempts.rs
+++ b/components/agent/src/attempts.rs
@@ -303,7 +303,11 @@
 
     fn handle(&mut self, done: StartDone, context: &mut Self::Context) {
         match done.outcome {
-            StartOutcome::Running => self.ledger.started(&done.attempt),
+            StartOutcome::Running => {
+                self.ledger.started(&done.attempt);
+                // A kind that had to be held back is held back from its start.
+                self.control_batch(&context.address());
+            }
             StartOutcome::Final(status) => self.on_final(&done.attempt, status, context),
             StartOutcome::Unknown => {
                 let order = self
--- a/components/agent/src/heartbeat.rs
+++ b/components/agent/src/heartbeat.rs
@@ -11,8 +11,10 @@
 use tokio::sync::Notify;
 use wire::{EntryLink, Heartbeat};
 
-/// Time for one heartbeat.
-const BEAT_TIMEOUT: Duration = Duration::from_millis(900);
+/// Time for a whole heartbeat.
+const BEAT_TIMEOUT: Duration = Duration::from_millis(600);
+/// Time for the answer to a pulse.
+const PULSE_TIMEOUT: Duration = Duration::from_millis(300);
 /// Time for fetching a configuration.
 const CONFIG_TIMEOUT: Duration = Duration::from_secs(5);
 
@@ -84,15 +86,10 @@
     beat: &Heartbeat,
     confirmed: &Confirmed,
 ) -> Option<bool> {
-    let pulse = beat.pulse();
-    let call = receiver
-        .link
-        .call(BEAT_TIMEOUT, |client, context| async move {
-            client.pulse(context, pulse).await
-        });
-    let Ok(ack) = call.await else {
+    let sent = wire::send_pulse(receiver.link.address(), &beat.pulse(), PULSE_TIMEOUT).await;
+    let Ok(ack) = sent else {
         receiver.confirmed.take();
-        return Some(false);
+        return None;
     };
     if !ack.known || ack.entries_tag != confirmed.entries_tag {
         return None;
--- a/components/batch/src/kinds.rs
+++ b/components/batch/src/kinds.rs
@@ -50,8 +50,11 @@
     pub fn need(&self, spec: &JobSpec) -> Resources {
         match self.by_name.get(&spec.kind) {
             Some(stats) if stats.samples >= MIN_SAMPLES => Resources {
-                processors_milli: with_headroom(stats.peak.processors_milli),
-                memory_mb: with_headroom(stats.peak.memory_mb),
+                processors_milli: corrected(
+                    spec.need.processors_milli,
+                    stats.peak.processors_milli,
+                ),
+                memory_mb: corrected(spec.need.memory_mb, stats.peak.memory_mb),
                 accelerators: spec.need.accelerators,
             },
             _ => spec.need,
@@ -68,8 +71,9 @@
     }
 }
 
-fn with_headroom(amount: u32) -> u32 {
-    (u64::from(amount) * HEADROOM_PERCENT)
-        .div_ceil(100)
-        .min(u64::from(u32::MAX)) as u32
+/// A measured peak with headroom. The headroom never goes above what is declared: work that
+/// takes all it is given would otherwise be given more each time.
+fn corrected(declared: u32, peak: u32) -> u32 {
+    let roomy = (u64::from(peak) * HEADROOM_PERCENT).div_ceil(100);
+    roomy.min(u64::from(declared.max(peak))) as u32
 }
--- a/components/batch/src/lib.rs
+++ b/components/batch/src/lib.rs
@@ -20,7 +20,7 @@
 pub use kinds::{KindStats, Kinds};
 pub use lease::{LeaseWatch, ShardRow, claim_transaction};
 pub use place::{PlaceLimits, PlacementOrder, Placer};
-pub use rows::{cancel_key, done_key, job_key, shard_key, task_key};
+pub use rows::{cancel_key, done_key, done_prefix, job_key, shard_key, task_key};
 pub use shard::Shard;
 pub use teams::TeamUsage;
 pub use workers::{Worker, Workers};
--- a/components/batch/src/place.rs
+++ b/components/batch/src/place.rs
@@ -8,6 +8,8 @@
 const DRAWS: usize = 8;
 /// Expected run time from which a task counts as long.
 const LONG_RUN_MS: u64 = 120_000;
+/// Run time up to which tasks are in the shortest class.
+const SHORTEST_CLASS_MS: u64 = 1_000;
 /// Share of all workers together that long tasks of one entry may hold.
 const LONG_SHARE: f64 = 0.7;
 
@@ -21,7 +23,7 @@
 /// In which order jobs of one team are placed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum PlacementOrder {
-    /// Shortest expected run first, which short work needs beside stragglers.
+    /// Shortest class of expected run time first, which short work needs beside stragglers.
     ShortestFirst,
     /// In order of acceptance; a baseline for measurements.
     FirstInFirstOut,
@@ -146,7 +148,7 @@
             let by_urgency = right.urgent.cmp(&left.urgent);
             let by_share = share(left).total_cmp(&share(right));
             let by_run = match self.order {
-                PlacementOrder::ShortestFirst => left.run_ms.cmp(&right.run_ms),
+                PlacementOrder::ShortestFirst => run_class(left).cmp(&run_class(right)),
                 PlacementOrder::FirstInFirstOut => std::cmp::Ordering::Equal,
             };
             let by_age = left.accepted_wall_ms.cmp(&right.accepted_wall_ms);
@@ -218,6 +220,12 @@
     }
 }
 
+/// Class of an expected run time; each is twice as long as the one before. Within a class the
+/// oldest goes first, so that nothing waits for ever behind what is shorter by a little.
+fn run_class(candidate: &Candidate) -> u32 {
+    (candidate.run_ms / SHORTEST_CLASS_MS).max(1).ilog2()
+}
+
 /// The worker that failed the job's next task last.
 fn avoided(shard: &Shard, job: &JobId) -> Option<AgentId> {
     let state = shard.job(job)?;
--- a/components/batch/src/rows.rs
+++ b/components/batch/src/rows.rs
@@ -22,6 +22,11 @@
     format!("done/{shard:03}/{job}")
 }
 
+/// Prefix of the summaries of a shard's ended jobs.
+pub fn done_prefix(shard: u16) -> String {
+    format!("done/{shard:03}/")
+}
+
 /// Key of a placed task.
 pub fn task_key(shard: u16, task: &TaskId) -> String {
     format!("task/{shard:03}/{}/{:06}", task.job, task.index)
--- a/components/batch/src/shard.rs
+++ b/components/batch/src/shard.rs
@@ -4,7 +4,7 @@
 use crate::lease::ShardRow;
 use crate::rows::{cancel_key, job_key, task_prefix};
 use crate::{JobState, TaskView, TeamUsage};
-use model::{AgentId, Job, JobId, JobStatus, Resources, TaskId, TaskRecord, TaskState};
+use model::{AgentId, Job, JobId, JobStatus, JobSummary, Resources, TaskId, TaskRecord, TaskState};
 use platform::Row;
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -24,7 +24,9 @@
     /// Keys that are of no use any more.
     pub(crate) garbage: Vec<String>,
     /// Jobs whose summaries the next commits carry.
-    pub(crate) closing: Vec<(JobId, JobStatus)>,
+    pub(crate) closing: Vec<(JobId, JobSummary)>,
+    /// Jobs that may be over since the last commit was built.
+    pub(crate) maybe_over: BTreeSet<JobId>,
     /// The commit whose outcome is not known yet.
     pub(crate) in_flight: Option<CommitPlan>,
     /// When the shard was taken over.
@@ -46,6 +48,7 @@
             dirty: BTreeSet::new(),
             garbage: Vec::new(),
             closing: Vec::new(),
+            maybe_over: BTreeSet::new(),
             in_flight: None,
             taken_ms: now_ms,
             committed_ms: now_ms,
@@ -80,6 +83,7 @@
         for state in self.jobs.values_mut() {
             state.finish_loading();
         }
+        self.maybe_over.extend(self.jobs.keys().cloned());
         for row in cancels {
             self.load_cancel(row);
         }
@@ -125,6 +129,13 @@
         }
     }
 
+    /// Marks the row of a job's summary as of no use any more.
+    pub fn forget_summary(&mut self, row: &Row) {
+        if !self.garbage.contains(&row.key) {
+            self.garbage.push(row.key.clone());
+        }
+    }
+
     pub(crate) fn is_closing(&self, job: &JobId) -> bool {
         self.closing.iter().any(|(id, _)| id == job)
     }
@@ -133,7 +144,10 @@
     pub fn load_cancel(&mut self, row: &Row) {
         let job = JobId::from(row.key.rsplit('/').next().unwrap_or_default());
         match self.jobs.get_mut(&job) {
-            Some(state) => state.cancelled = true,
+            Some(state) => {
+                state.cancelled = true;
+                self.maybe_over.insert(job);
+            }
             None if !self.garbage.contains(&row.key) => self.garbage.push(row.key.clone()),
             None => {}
         }
@@ -161,11 +175,8 @@
 
     /// A job's state, also while its summary is being written.
     pub fn status(&self, job: &JobId) -> Option<JobStatus> {
-        let closing = self
-            .closing
-            .iter()
-            .find(|(id, _)| id == job)
-            .map(|(_, status)| status.clone());
+        let closing = self.closing.iter().find(|(id, _)| id == job);
+        let closing = closing.map(|(_, summary)| summary.status.clone());
         closing.or_else(|| self.jobs.get(job).map(JobState::status))
     }
 
--- a/components/batch/src/shard_commit.rs
+++ b/components/batch/src/shard_commit.rs
@@ -3,22 +3,24 @@
 use crate::commit::CommitPlan;
 use crate::rows::{cancel_key, done_key, job_key, shard_key, task_key};
 use crate::shard_orders::due_order;
-use crate::{Effect, Shard};
-use model::{AgentId, JobId, JobPhase, TaskId};
+use crate::{Effect, JobState, Shard};
+use model::{AgentId, JobPhase, JobSummary, TaskId, TaskState};
 use platform::{AttemptRef, Transaction};
 
 impl Shard {
-    /// The next commit, if there is anything to write or the lease must be renewed.
+    /// The next commit, if there is anything to write or the lease must be renewed; `wall_ms`
+    /// is recorded as the end of jobs that are over.
     pub fn next_commit(
         &mut self,
         now_ms: u64,
+        wall_ms: u64,
         max_rows: usize,
         renew_ms: u64,
     ) -> Option<&CommitPlan> {
         if self.in_flight.is_some() || self.row.released {
             return None;
         }
-        self.close_jobs();
+        self.close_jobs(wall_ms);
         let is_due = now_ms.saturating_sub(self.committed_ms) >= renew_ms;
         let has_work =
             !self.dirty.is_empty() || !self.garbage.is_empty() || !self.closing.is_empty();
@@ -34,13 +36,13 @@
         row.sequence += 1;
         let mut room = max_rows.saturating_sub(1);
         let mut txn = Transaction::default();
-        for (job, status) in &self.closing {
+        for (job, summary) in &self.closing {
             if room < 3 {
                 break;
             }
             room -= 3;
             txn = txn
-                .put(done_key(self.id, job), to_json(status))
+                .put(done_key(self.id, job), to_json(summary))
                 .delete(job_key(self.id, job.as_str()))
                 .delete(cancel_key(self.id, job.as_str()));
         }
@@ -100,7 +102,7 @@
         effects.extend(
             self.closing
                 .drain(..closed)
-                .map(|(_, status)| Effect::JobEnded(status)),
+                .map(|(_, summary)| Effect::JobEnded(summary.status)),
         );
         self.row = plan.row;
         effects
@@ -121,6 +123,9 @@
         }
         self.dirty.remove(task);
         view.durable = true;
+        if matches!(view.record.state, TaskState::Ended(_)) {
+            self.maybe_over.insert(task.job.clone());
+        }
         for (agent, attempt) in view.confirm.drain(..) {
             effects.push(Effect::Confirm(
                 agent,
@@ -136,28 +141,32 @@
     }
 
     /// Moves jobs that are over to the summaries that the next commits carry.
-    fn close_jobs(&mut self) {
-        let over: Vec<JobId> = self
-            .jobs
-            .values()
-            .filter(|state| state.is_over())
-            .map(|s| s.job.id.clone())
-            .collect();
-        for id in over {
+    fn close_jobs(&mut self, wall_ms: u64) {
+        for id in std::mem::take(&mut self.maybe_over) {
+            if !self.jobs.get(&id).is_some_and(JobState::is_over) {
+                continue;
+            }
             let Some(state) = self.jobs.remove(&id) else {
                 continue;
             };
             let mut status = state.status();
             status.phase = JobPhase::Ended;
             let shard = self.id;
-            self.garbage.extend(
-                state
-                    .tasks
-                    .values()
-                    .map(|view| task_key(shard, &view.record.id)),
-            );
+            let rows = state
+                .tasks
+                .values()
+                .map(|view| task_key(shard, &view.record.id));
+            self.garbage.extend(rows);
             self.dirty.retain(|task| task.job != id);
-            self.closing.push((id, status));
+            let spec_digest = state.job.spec_digest();
+            self.closing.push((
+                id,
+                JobSummary {
+                    status,
+                    spec_digest,
+                    ended_wall_ms: wall_ms,
+                },
+            ));
         }
     }
 }
--- a/components/batch/src/shard_orders.rs
+++ b/components/batch/src/shard_orders.rs
@@ -1,6 +1,6 @@
 //! Orders to agents about placed attempts.
 
-use crate::{Effect, Shard, TaskView};
+use crate::{Effect, JobState, Shard, TaskView};
 use model::{AgentId, Job, TaskState};
 use platform::AttemptRef;
 use wire::{StartOrder, StopOrder};
@@ -21,11 +21,15 @@
         let mut effects = Vec::new();
         let owned_ms = now_ms.saturating_sub(self.taken_ms);
         let unheard_ms = |agent: &AgentId| unheard_ms(agent).unwrap_or(owned_ms);
-        for state in self.jobs.values_mut() {
-            let cancelled = state.cancelled;
-            let job = state.job.clone();
-            for view in state.tasks.values_mut() {
-                effects.extend(due_order(now_ms, &job, cancelled, view, &unheard_ms));
+        for JobState {
+            job,
+            cancelled,
+            tasks,
+            ..
+        } in self.jobs.values_mut()
+        {
+            for view in tasks.values_mut() {
+                effects.extend(due_order(now_ms, job, *cancelled, view, &unheard_ms));
             }
         }
         effects
--- a/components/batch/tests/shard.rs
+++ b/components/batch/tests/shard.rs
@@ -5,7 +5,7 @@
     CommitPlan, Effect, Kinds, LeaseWatch, PlaceLimits, PlacementOrder, Placer, Settled, Shard,
     TeamUsage, Workers, claim_transaction, shard_key,
 };
-use model::{AgentId, Config, EntryId, Job, JobPhase, JobSpec, JobStatus, Resources, TeamSpec};
+use model::{AgentId, Config, EntryId, Job, JobPhase, JobSpec, JobSummary, Resources, TeamSpec};
 use platform::{AttemptRef, StoreError, TableStore, Transaction};
 use proptest::prelude::*;
 use rand::SeedableRng;
@@ -263,7 +263,7 @@
         }
         let plan = match owner.shard.in_flight() {
             Some(plan) => Some(plan.clone()),
-            None => owner.shard.next_commit(self.now_ms, 5, 1).cloned(),
+            None => owner.shard.next_commit(self.now_ms, 0, 5, 1).cloned(),
         };
         let Some(plan) = plan else { return };
         match self.table.commit_now(&plan.txn) {
@@ -367,7 +367,7 @@
     }
 
     /// A last owner, with nothing failing any more, brings the job to its end.
-    fn finish(&mut self) -> JobStatus {
+    fn finish(&mut self) -> JobSummary {
         for _ in 0..100 {
             self.takeover();
             if let Some(nth) = self.owners.len().checked_sub(1) {
@@ -435,7 +435,7 @@
         for step in &steps {
             world.run(step);
         }
-        let status = world.finish();
+        let status = world.finish().status;
         prop_assert_eq!(status.phase, JobPhase::Ended);
         prop_assert_eq!(status.succeeded, TASKS);
         prop_assert!(world.runtime.succeeded.values().all(|count| *count == 1));
--- a/components/bench/src/cost.rs
+++ b/components/bench/src/cost.rs
@@ -15,6 +15,7 @@
 use std::process::{Child, Command, Stdio};
 use std::sync::{Arc, mpsc};
 use std::time::Duration;
+use wire::{BackendLoad, Pulse, PulseAck};
 
 /// Time for which processes are watched.
 const WATCH: Duration = Duration::from_secs(10);
@@ -24,6 +25,8 @@
 const PAGE_MB: f64 = 4_096.0 / 1_048_576.0;
 /// Load while processes are watched.
 const RATE_PER_S: f64 = 800.0;
+/// Workers of each user today.
+const WORKERS_TODAY: usize = 11;
 /// Agents at which the entry's cost is measured, for its slope.
 const AGENTS: [usize; 3] = [4, 12, 24];
 
@@ -174,22 +177,26 @@
         &agents,
         || std::thread::sleep(WATCH),
     );
-    let bytes_per_s = ((around.relay_bytes)() - bytes) as f64 / WATCH.as_secs_f64();
+    let whole_beats = ((around.relay_bytes)() - bytes) as f64 / WATCH.as_secs_f64();
+    let pulses = wire::pulse_bytes(&sample_pulse(), &sample_ack()) as f64;
+    let subject = format!("{count} agents");
     let most = Bound::AtMost(bound("control", "bytes_per_s"));
+    let link = whole_beats + pulses;
     results.add(
         "control",
-        &format!("{count} agents"),
-        "agent to entry, bytes/s",
-        bytes_per_s,
+        &subject,
+        "agent and one entry, bytes/s",
+        link,
         Some(most),
     );
-    let of_entry = bytes_per_s * count as f64;
+    let of_entry = link * count as f64;
+    let bounded = (count <= WORKERS_TODAY + 1).then_some(most);
     results.add(
         "control",
-        &format!("{count} agents"),
+        &subject,
         "entry with all agents, bytes/s",
         of_entry,
-        None,
+        bounded,
     );
     let arrivals = trace(
         &[Phase {
@@ -224,6 +231,28 @@
     );
 }
 
+/// A pulse of an agent with one service.
+fn sample_pulse() -> Pulse {
+    Pulse {
+        incarnation: u64::MAX,
+        sequence: 100_000,
+        loads: vec![BackendLoad {
+            free: 8,
+            free_long: 4,
+        }],
+        free: Resources::new(64_000, 250_000, 0),
+        config: 1_000,
+    }
+}
+
+fn sample_ack() -> PulseAck {
+    PulseAck {
+        known: true,
+        config: 1_000,
+        entries_tag: u64::MAX,
+    }
+}
+
 fn start_worker(around: &Surroundings, url: &str, index: usize) -> (Watched, Node) {
     let ports = free_ports(4).expect("ports are free");
     let id = AgentId::from(format!("worker-{index}"));
--- a/components/bench/src/neighbour.rs
+++ b/components/bench/src/neighbour.rs
@@ -150,6 +150,26 @@
         if within_ms >= WAVE_MS.0 {
             tasks.retain(|(job, _), _| *job != name);
         }
+        if control == Control::Ours {
+            let running: Vec<(AttemptRef, KindName)> = tasks
+                .iter()
+                .map(|((job, index), task)| (attempt(job, *index), task.kind.clone()))
+                .collect();
+            let running = running.iter().map(|(attempt, kind)| (attempt, kind));
+            let mut actions = controller.observe(now_ms, running);
+            while measured
+                .front()
+                .is_some_and(|oldest| oldest.taken_ms + LAG_MS <= now_ms)
+            {
+                let Some(measurement) = measured.pop_front() else {
+                    break;
+                };
+                actions.extend(controller.decide(now_ms, measurement));
+            }
+            for action in actions {
+                apply(action, &mut tasks, &mut outcome);
+            }
+        }
         let slowdown: f64 = 1.0
             + tasks
                 .values()
@@ -164,27 +184,6 @@
             taken_ms: now_ms,
             slowdown,
         });
-        if control != Control::Ours {
-            continue;
-        }
-        let refs: Vec<(AttemptRef, KindName)> = tasks
-            .iter()
-            .map(|((job, index), task)| (attempt(job, *index), task.kind.clone()))
-            .collect();
-        let mut actions =
-            controller.observe(now_ms, refs.iter().map(|(attempt, kind)| (attempt, kind)));
-        while measured
-            .front()
-            .is_some_and(|oldest| oldest.taken_ms + LAG_MS <= now_ms)
-        {
-            let Some(measurement) = measured.pop_front() else {
-                break;
-            };
-            actions.extend(controller.decide(now_ms, measurement));
-        }
-        for action in actions {
-            apply(action, &mut tasks, &mut outcome);
-        }
     }
     outcome.p99_ms = percentile_ms(samples.into_iter(), 99.0);
     outcome
--- a/components/bench/src/order.rs
+++ b/components/bench/src/order.rs
@@ -295,7 +295,11 @@
     }
 
     fn commit(&mut self, now_ms: u64) {
-        while self.shard.next_commit(now_ms, 100, u64::MAX).is_some() {
+        while self
+            .shard
+            .next_commit(now_ms, now_ms, 100, u64::MAX)
+            .is_some()
+        {
             self.version += 1;
             for effect in self.shard.on_committed(now_ms, self.version) {
                 if let Effect::Start(agent, order) = effect {
--- a/components/entry/src/admin_jobs.rs
+++ b/components/entry/src/admin_jobs.rs
@@ -9,7 +9,7 @@
 use batch::{cancel_key, done_key, job_key};
 use errors::{Code, Failure};
 use garde::Validate;
-use model::{Job, JobId, JobPhase, JobSpec, JobStatus};
+use model::{Job, JobId, JobPhase, JobSpec, JobStatus, JobSummary};
 use platform::{Row, StoreError, TableStore, Transaction};
 use std::time::Duration;
 use telemetry::{Event, log_event};
@@ -119,9 +119,8 @@
 fn is_same(row: &Row, job: &Job) -> bool {
     match serde_json::from_str::<Job>(&row.value) {
         Ok(held) => held.spec == job.spec,
-        // A summary does not repeat the whole job; its number of tasks must agree.
-        Err(_) => serde_json::from_str::<JobStatus>(&row.value)
-            .is_ok_and(|status| status.id == job.id && status.tasks == job.spec.tasks),
+        Err(_) => serde_json::from_str::<JobSummary>(&row.value)
+            .is_ok_and(|summary| summary.spec_digest == job.spec_digest()),
     }
 }
 
@@ -169,8 +168,8 @@
         .map_err(|error| store_failure(&error))?;
     let not_found = || Failure::not_run(Code::NotFound, format!("there is no job {job}"));
     let row = rows.first().ok_or_else(not_found)?;
-    if let Ok(status) = serde_json::from_str::<JobStatus>(&row.value) {
-        return Ok(status);
+    if let Ok(summary) = serde_json::from_str::<JobSummary>(&row.value) {
+        return Ok(summary.status);
     }
     let accepted: Job = serde_json::from_str(&row.value).map_err(|_| not_found())?;
     Ok(JobStatus {
--- a/components/entry/src/answer_stream.rs
+++ b/components/entry/src/answer_stream.rs
@@ -95,8 +95,9 @@
     async fn next(&mut self) -> Option<Result<Bytes, Cut>> {
         let mut silent_probes = 0;
         let silent_since = Instant::now();
+        let mut patience = self.traffic.probe;
         loop {
-            match tokio::time::timeout(self.traffic.probe, self.pieces.next()).await {
+            match tokio::time::timeout(patience, self.pieces.next()).await {
                 Ok(Some(Ok(piece))) => {
                     self.received_bytes += piece.len() as u64;
                     return Some(Ok(piece));
@@ -117,8 +118,10 @@
             }
             if self.is_connection_silent().await {
                 silent_probes += 1;
+                patience = self.traffic.probe;
             } else {
                 silent_probes = 0;
+                patience = (patience * 2).min(resolve::MAX_PATIENCE);
             }
             if silent_probes >= SILENT_PROBES {
                 return Some(Err(Cut("the connection to the agent went silent")));
--- a/components/entry/src/commits.rs
+++ b/components/entry/src/commits.rs
@@ -31,7 +31,8 @@
                 continue;
             }
             let renew_ms = batch.shard_lease_ms / RENEW_SHARE;
-            let Some(plan) = shard.next_commit(now_ms, batch.max_rows, renew_ms) else {
+            let Some(plan) = shard.next_commit(now_ms, utils::wall_ms(), batch.max_rows, renew_ms)
+            else {
                 continue;
             };
             let (txn, epoch) = (plan.txn.clone(), plan.row.epoch);
--- a/components/entry/src/driver.rs
+++ b/components/entry/src/driver.rs
@@ -17,6 +17,8 @@
 const ORDERS_EVERY: Duration = Duration::from_millis(500);
 /// Commits that one shard's backlog may grow ahead of, so that placement keeps pace with writes.
 const BACKLOG_COMMITS: usize = 2;
+/// Time between two readings of an own shard's summaries.
+const POLL_SUMMARIES_EVERY: Duration = Duration::from_secs(3_600);
 /// Time between two readings of an own shard's jobs.
 const POLL_JOBS_EVERY: Duration = Duration::from_millis(5_000);
 
@@ -78,6 +80,12 @@
                 control.poll_jobs(shard, context);
             }
         });
+        context.run_interval(POLL_SUMMARIES_EVERY, |control, context| {
+            let own: Vec<u16> = control.driver.shards.keys().copied().collect();
+            for shard in own {
+                control.poll_summaries(shard, context);
+            }
+        });
         self.start_leases(context);
     }
 
--- a/components/entry/src/hop.rs
+++ b/components/entry/src/hop.rs
@@ -24,6 +24,8 @@
 
 /// Largest answer that is read whole before the caller gets it, so that a cut can be mended.
 const WHOLE_ANSWER_BYTES: u64 = 64 << 10;
+/// Time for an answer that has left the agent to come in.
+const ON_ITS_WAY: Duration = Duration::from_millis(150);
 /// Largest failure body of an agent, in bytes.
 const MAX_FAILURE_BYTES: usize = 16 << 10;
 
@@ -97,9 +99,10 @@
         };
         let mut sending = Box::pin(sending);
         let mut finished_seen = false;
+        let mut patience = self.traffic.probe;
         loop {
             let left = self.deadline.saturating_duration_since(Instant::now());
-            let pause = self.traffic.probe.min(left);
+            let pause = patience.min(left);
             match tokio::time::timeout(pause, &mut sending).await {
                 Ok(Ok(head)) => return self.take_answer(head, dispatch).await,
                 Ok(Err(error)) if is_never_sent(&error) => {
@@ -114,9 +117,13 @@
             let fence = resolve::ask(self.traffic, dispatch, self.id, true).await;
             match fence {
                 FenceOutcome::Known(FenceAnswer::Running { .. }) | FenceOutcome::NoAnswer
-                    if !is_over => {}
+                    if !is_over =>
+                {
+                    patience = (patience * 2).min(resolve::MAX_PATIENCE);
+                }
                 FenceOutcome::Known(FenceAnswer::Finished { .. }) if !finished_seen && !is_over => {
                     finished_seen = true;
+                    patience = ON_ITS_WAY;
                 }
                 _ if is_over => return self.at_deadline(fence, dispatch).await,
                 _ => {
--- a/components/entry/src/jobs.rs
+++ b/components/entry/src/jobs.rs
@@ -3,8 +3,8 @@
 use crate::control::Control;
 use crate::messages::{AskFits, AskJob, AskOwner, JobAccepted, JobChanged};
 use actix::{AsyncContext, Handler, Message, MessageResult};
-use batch::{cancel_key, job_key};
-use model::{Job, JobStatus};
+use batch::{cancel_key, done_prefix, job_key};
+use model::{Job, JobStatus, JobSummary};
 use platform::{Row, ScanRange, StoreError, TableStore};
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -12,6 +12,8 @@
 
 /// Time for a hint to another entry.
 const HINT_TIMEOUT: Duration = Duration::from_millis(500);
+/// How long summaries of jobs are kept: 30 days.
+const SUMMARY_TTL_MS: u64 = 30 * 24 * 3_600 * 1_000;
 /// Rows in one page of a scan.
 const PAGE_ROWS: usize = 1_000;
 
@@ -43,6 +45,51 @@
     }
 }
 
+/// Summaries of an own shard, as read from the table.
+#[derive(Message)]
+#[rtype(result = "()")]
+struct SummariesRead {
+    /// Number of the shard.
+    shard: u16,
+    /// Rows of the table.
+    rows: Result<Vec<Row>, StoreError>,
+}
+
+impl Control {
+    /// Reads the summaries of an own shard, to forget those that are old.
+    pub(crate) fn poll_summaries(&self, shard: u16, context: &mut actix::Context<Self>) {
+        let (table, control) = (self.driver.table.clone(), context.address());
+        actix_rt::spawn(async move {
+            let range = ScanRange {
+                prefix: done_prefix(shard),
+                after: None,
+                limit: PAGE_ROWS,
+            };
+            control.do_send(SummariesRead {
+                shard,
+                rows: table.scan(&range).await,
+            });
+        });
+    }
+}
+
+impl Handler<SummariesRead> for Control {
+    type Result = ();
+
+    fn handle(&mut self, read: SummariesRead, _: &mut Self::Context) {
+        let wall_ms = utils::wall_ms();
+        let Some(shard) = self.driver.shards.get_mut(&read.shard) else {
+            return;
+        };
+        for row in read.rows.unwrap_or_default() {
+            let summary = serde_json::from_str::<JobSummary>(&row.value);
+            if summary.is_ok_and(|s| wall_ms.saturating_sub(s.ended_wall_ms) >= SUMMARY_TTL_MS) {
+                shard.forget_summary(&row);
+            }
+        }
+    }
+}
+
 impl Handler<JobRead> for Control {
     type Result = ();
 
--- a/components/entry/src/resolve.rs
+++ b/components/entry/src/resolve.rs
@@ -12,6 +12,8 @@
 
 /// Time between two questions about a request that still runs.
 const ASK_EVERY: Duration = Duration::from_millis(50);
+/// Longest time between two questions about a request that goes on and on.
+pub(crate) const MAX_PATIENCE: Duration = Duration::from_secs(8);
 /// Time for fetching a kept answer.
 const FETCH_TIMEOUT: Duration = Duration::from_millis(2_000);
 
--- a/components/entry/src/rpc.rs
+++ b/components/entry/src/rpc.rs
@@ -1,13 +1,11 @@
 //! Control calls that the entry answers.
 
 use crate::control::Control;
-use crate::messages::{AskConfig, AskJob, AskRequest, Beat, Beating, Ends, HearPeer, JobChanged};
+use crate::messages::{AskConfig, AskJob, AskRequest, Beat, Ends, HearPeer, JobChanged};
 use actix::Addr;
 use model::{AgentId, Config, EntryId, JobId, JobStatus, RequestId};
 use tarpc::context::Context;
-use wire::{
-    AttemptEnd, EntryControl, Heartbeat, HeartbeatAck, PeerState, Pulse, PulseAck, RequestState,
-};
+use wire::{AttemptEnd, EntryControl, Heartbeat, HeartbeatAck, PeerState, RequestState};
 
 /// Answers control calls by asking the control thread.
 #[derive(Clone)]
@@ -29,15 +27,6 @@
         self.control.send(Beat(beat)).await.unwrap_or(stopping)
     }
 
-    async fn pulse(self, _: Context, pulse: Pulse) -> PulseAck {
-        let stopping = PulseAck {
-            known: true,
-            config: 0,
-            entries_tag: 0,
-        };
-        self.control.send(Beating(pulse)).await.unwrap_or(stopping)
-    }
-
     async fn exchange(self, _: Context, peer: PeerState) -> PeerState {
         let stopping = PeerState {
             entry: self.entry,
--- a/components/entry/src/run.rs
+++ b/components/entry/src/run.rs
@@ -2,7 +2,7 @@
 
 use crate::admin::{self, Admin};
 use crate::control::Control;
-use crate::messages::{AskLeft, Close, Drain};
+use crate::messages::{AskLeft, Beating, Close, Drain};
 use crate::metrics::Metrics;
 use crate::rpc::Rpc;
 use crate::snapshot::Snapshot;
@@ -20,7 +20,7 @@
 use std::time::{Duration, Instant};
 use telemetry::{Event, log_event};
 use utils::Clock;
-use wire::serve_entry;
+use wire::{serve_entry, serve_pulses};
 
 /// Time for the head of a caller's request.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(5);
@@ -45,6 +45,12 @@
         entry: settings.id.clone(),
     };
     serve_entry(settings.control_listen, rpc).await?;
+    let pulses = control.clone();
+    serve_pulses(settings.control_listen, move |pulse| {
+        let answered = pulses.send(Beating(pulse));
+        async move { answered.await.ok() }
+    })
+    .await?;
     let platform = settings.platform.clone();
     let table = Rc::new(HttpTable::new(&platform.url, platform.timeout_ms));
     let every = Duration::from_millis(settings.batch.head_poll_ms);
--- a/components/ledger/src/controller.rs
+++ b/components/ledger/src/controller.rs
@@ -157,10 +157,10 @@
         }
         self.learn(measurement.slowdown);
         let actions = if is_high {
-            self.hold_back()
+            self.hold_back(measurement.taken_ms)
         } else if measurement.slowdown < self.limits.low {
             self.vain = 0;
-            self.let_go().into_iter().collect()
+            self.let_go(measurement.taken_ms)
         } else {
             Vec::new()
         };
@@ -187,8 +187,8 @@
     /// Holds back whatever came since the service was last well, all of it and as far as it
     /// goes, because the next evidence is a whole delay away. If nothing came, throttles the
     /// attempt most to blame, and evicts it when throttling was in vain.
-    fn hold_back(&mut self) -> Vec<Action> {
-        let newcomers = self.newcomers();
+    fn hold_back(&mut self, taken_ms: u64) -> Vec<Action> {
+        let newcomers = self.newcomers(taken_ms);
         if newcomers.is_empty() {
             return self.hold_back_one().into_iter().collect();
         }
@@ -200,14 +200,17 @@
             .collect()
     }
 
-    fn newcomers(&self) -> Vec<AttemptRef> {
+    /// Attempts that came after the service was last well and before the measurement.
+    fn newcomers(&self, taken_ms: u64) -> Vec<AttemptRef> {
         let last = STEPS_PERCENT.len() - 1;
-        let came_since = |subject: &Subject| {
-            self.good_ms
-                .is_none_or(|good_ms| subject.since_ms > good_ms)
+        let is_new = |subject: &Subject| {
+            let since_ms = subject.since_ms;
+            self.good_ms.is_none_or(|good_ms| since_ms > good_ms) && since_ms <= taken_ms
         };
-        let is_new = |subject: &Subject| came_since(subject) && subject.step < last;
-        let found = self.subjects.iter().filter(|(_, subject)| is_new(subject));
+        let found = self
+            .subjects
+            .iter()
+            .filter(|(_, s)| is_new(s) && s.step < last);
         found.map(|(attempt, _)| attempt.clone()).collect()
     }
 
@@ -234,17 +237,29 @@
         self.step_to(&worst, |step| step + 1)
     }
 
-    /// Loosens the throttle of the attempt least to blame.
-    fn let_go(&mut self) -> Option<Action> {
-        let throttled = self.subjects.iter().filter(|(_, subject)| subject.step > 0);
-        let order = |left: &(&AttemptRef, &Subject), right: &(&AttemptRef, &Subject)| {
-            let by_blame = self.blame_of(left.1).total_cmp(&self.blame_of(right.1));
-            by_blame.then_with(|| left.0.task.cmp(&right.0.task))
+    /// Loosens the throttle of the kind least to blame by one step. A measurement that was taken
+    /// before an attempt came says nothing of it.
+    fn let_go(&mut self, taken_ms: u64) -> Vec<Action> {
+        let is_measured = |subject: &Subject| subject.since_ms + self.limits.settle_ms <= taken_ms;
+        let throttled = |subject: &Subject| subject.step > 0 && is_measured(subject);
+        let candidates = self.subjects.values().filter(|subject| throttled(subject));
+        let order = |left: &&Subject, right: &&Subject| {
+            let by_blame = self.blame_of(left).total_cmp(&self.blame_of(right));
+            by_blame.then_with(|| left.kind.cmp(&right.kind))
         };
-        let best = throttled
-            .min_by(order)
-            .map(|(attempt, _)| attempt.clone())?;
-        self.step_to(&best, |step| step - 1)
+        let Some(kind) = candidates.min_by(order).map(|subject| subject.kind.clone()) else {
+            return Vec::new();
+        };
+        let of_kind = self
+            .subjects
+            .iter()
+            .filter(|(_, s)| throttled(s) && s.kind == kind);
+        let mut chosen: Vec<AttemptRef> = of_kind.map(|(attempt, _)| attempt.clone()).collect();
+        chosen.sort_by(|left, right| left.task.cmp(&right.task));
+        chosen
+            .iter()
+            .filter_map(|attempt| self.step_to(attempt, |step| step - 1))
+            .collect()
     }
 
     fn step_to(&mut self, attempt: &AttemptRef, change: impl Fn(usize) -> usize) -> Option<Action> {
--- a/components/ledger/tests/ledger.rs
+++ b/components/ledger/tests/ledger.rs
@@ -167,3 +167,20 @@
         }]
     );
 }
+
+#[test]
+fn a_measurement_from_before_an_attempt_came_does_not_let_it_go() {
+    let mut controller = Controller::new(ControllerLimits::default());
+    controller.decide(0, taken(0, 1.0));
+    observe(&mut controller, 10, &kinds(&[(1, "noisy")]));
+    controller.decide(1_000, taken(20, 2.0));
+    observe(&mut controller, 60_000, &kinds(&[(2, "noisy")]));
+    assert!(controller.decide(60_100, taken(55_000, 1.0)).is_empty());
+    assert_eq!(
+        controller.decide(66_000, taken(61_000, 1.0)),
+        [Action::Throttle {
+            attempt: attempt(2, 1),
+            percent: 25
+        }]
+    );
+}
--- a/components/model/src/lib.rs
+++ b/components/model/src/lib.rs
@@ -5,6 +5,7 @@
 mod names;
 mod resources;
 mod service;
+mod summary;
 mod task;
 mod team;
 mod ticket;
@@ -16,6 +17,7 @@
 };
 pub use resources::Resources;
 pub use service::ServiceSpec;
+pub use summary::JobSummary;
 pub use task::{Attempt, EndReason, TaskRecord, TaskState};
 pub use team::TeamSpec;
 pub use ticket::{Ticket, TicketError};
--- a/components/wire/src/entry_control.rs
+++ b/components/wire/src/entry_control.rs
@@ -1,6 +1,6 @@
 //! Control calls that an entry answers.
 
-use crate::{AttemptEnd, Heartbeat, HeartbeatAck, PeerState, Pulse, PulseAck, RequestState};
+use crate::{AttemptEnd, Heartbeat, HeartbeatAck, PeerState, RequestState};
 use model::{AgentId, Config, JobId, JobStatus, RequestId};
 
 /// Control calls that an entry answers.
@@ -8,8 +8,6 @@
 pub trait EntryControl {
     /// State of an agent.
     async fn heartbeat(beat: Heartbeat) -> HeartbeatAck;
-    /// What has changed of an agent's state since its last heartbeat.
-    async fn pulse(pulse: Pulse) -> PulseAck;
     /// State of another entry; answered with this one's.
     async fn exchange(peer: PeerState) -> PeerState;
     /// The configuration in force, if it is newer than `number`.
--- a/tests/cli.rs
+++ b/tests/cli.rs
@@ -159,3 +159,43 @@
         assert!(answer.status().is_success(), "{line}: {}", answer.status());
     }
 }
+
+#[actix_rt::test]
+async fn the_page_of_metrics_describes_each_and_no_other() {
+    let fleet = Fleet::start(&Plan {
+        entries: 1,
+        agents: 1,
+        ..Plan::default()
+    })
+    .await;
+    // A counter with labels is only shown once it has counted.
+    let nowhere = format!("http://{}/nowhere", fleet.entries[0].traffic);
+    assert_eq!(fleet.client.get(nowhere).send().await.unwrap().status(), 404);
+    let mut names: Vec<String> = Vec::new();
+    for address in [fleet.entries[0].admin, fleet.agents[0].local] {
+        let sent = fleet
+            .client
+            .get(format!("http://{address}/metrics"))
+            .send()
+            .await;
+        let body = sent.unwrap().body().await.unwrap();
+        let text = text(&body);
+        let types = text.lines().filter_map(|line| line.strip_prefix("# TYPE "));
+        names.extend(types.map(|line| {
+            let (name, kind) = line.split_once(' ').unwrap();
+            if kind == "counter" {
+                format!("{name}_total")
+            } else {
+                name.to_owned()
+            }
+        }));
+    }
+    names.sort();
+    let page = include_str!("../docs/operators/METRICS.md");
+    let rows = page
+        .lines()
+        .filter_map(|line| line.strip_prefix("| `parsleythread")?.split('`').next());
+    let mut described: Vec<String> = rows.map(|rest| format!("parsleythread{rest}")).collect();
+    described.sort();
+    assert_eq!(names, described);
+}
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -115,6 +115,8 @@
     pub slots: u32,
     pub work_ms: u64,
     pub capacity: Resources,
+    /// Where the platform stand-in listens; anywhere if absent.
+    pub platform_listen: Option<SocketAddr>,
     /// Added to each entry's settings.
     pub entry_extra: Value,
     /// Added to each agent's settings.
@@ -129,6 +131,7 @@
             slots: 8,
             work_ms: 10,
             capacity: Resources::new(8_000, 16_000, 0),
+            platform_listen: None,
             entry_extra: json!({}),
             agent_extra: json!({}),
         }
@@ -160,7 +163,8 @@
 
     /// Starts a system without a configuration.
     pub async fn start_empty(plan: &Plan) -> Self {
-        let platform = serve_platform(free_ports(1).unwrap()[0]).unwrap();
+        let platform =
+            serve_platform(plan.platform_listen.unwrap_or(free_ports(1).unwrap()[0])).unwrap();
         let mut fleet = Self {
             platform: platform.state.clone(),
             platform_address: platform.address,
--- a/tests/requests.rs
+++ b/tests/requests.rs
@@ -498,3 +498,111 @@
     assert_eq!(evil, 0, "nothing malformed reaches a backend server");
     assert_eq!(entry.ip(), Ipv4Addr::LOCALHOST);
 }
+
+/// Sends raw bytes slowly, piece by piece, and returns what comes back.
+fn raw_slowly(address: SocketAddr, head: &[u8], piece: &[u8], pieces: usize) -> String {
+    let mut stream = TcpStream::connect(address).unwrap();
+    stream.set_read_timeout(Some(LIMIT)).unwrap();
+    stream.write_all(head).unwrap();
+    for _ in 0..pieces {
+        if stream.write_all(piece).is_err() {
+            break;
+        }
+    }
+    let mut answer = vec![0; 4_096];
+    let count = stream.read(&mut answer).unwrap_or(0);
+    String::from_utf8_lossy(&answer[..count]).into_owned()
+}
+
+#[actix_rt::test]
+async fn endless_and_stalled_bodies_are_ended_and_others_are_unharmed() {
+    let fleet = Fleet::start(&Plan::default()).await;
+    let mut ticket = common::first_ticket();
+    ticket["number"] = json!(2);
+    ticket["services"][0]["max_body_bytes"] = json!(600_000);
+    fleet.apply(&ticket).await;
+    fleet.wait_serving(3).await;
+    let entry = fleet.entries[0].traffic;
+    let head = b"POST /s/rooms/b HTTP/1.1\r\nhost: x\r\nx-mark: endless\r\ntransfer-encoding: chunked\r\n\r\n";
+    let chunk = [b"4000\r\n".to_vec(), vec![b'z'; 0x4000], b"\r\n".to_vec()].concat();
+    let endless = actix_rt::task::spawn_blocking(move || raw_slowly(entry, head, &chunk, 2_000));
+    let head =
+        b"POST /s/rooms/b HTTP/1.1\r\nhost: x\r\nx-mark: stalled\r\ncontent-length: 100\r\n\r\nabc";
+    let stalled = actix_rt::task::spawn_blocking(move || raw_slowly(entry, head, b"", 0));
+    for number in 0..20 {
+        let told = fleet
+            .call(0, "POST", "/book", &format!("good{number}"))
+            .await;
+        assert!(told.is_whole(), "{told:?}");
+    }
+    let endless = endless.await.unwrap();
+    assert!(!endless.starts_with("HTTP/1.1 200"), "{endless}");
+    let stalled = stalled.await.unwrap();
+    assert!(
+        stalled.starts_with("HTTP/1.1 408") && stalled.contains("not-run"),
+        "{stalled}"
+    );
+    let ran = fleet.executions().await;
+    assert!(ran.iter().all(|execution| execution.mark != "stalled"));
+    assert!(
+        ran.iter()
+            .all(|execution| execution.mark != "endless" || !execution.finished)
+    );
+}
+
+#[actix_rt::test]
+async fn a_lost_failure_domain_loses_and_doubles_nothing() {
+    let mut fleet = Fleet::start(&Plan {
+        entries: 3,
+        agents: 6,
+        work_ms: 40,
+        ..Plan::default()
+    })
+    .await;
+    fleet
+        .submit(1, &common::job("timetabling", "rebuild", 24, 3_000))
+        .await
+        .unwrap();
+    wait_until("tasks run", async || fleet.platform.runs().len() >= 24).await;
+    let stand_in = || common::Process::start(&["--version"]);
+    let mut victims = vec![std::mem::replace(&mut fleet.entries[0].process, stand_in())];
+    for index in [0, 3] {
+        victims.push(std::mem::replace(
+            &mut fleet.agents[index].process,
+            stand_in(),
+        ));
+        victims.push(std::mem::replace(
+            &mut fleet.backends[index].process,
+            stand_in(),
+        ));
+    }
+    let calls = (0..300).map(|number| {
+        let fleet = &fleet;
+        async move {
+            pause(number as u64 * 8).await;
+            let mark = format!("m{number}");
+            let told = fleet
+                .call(1 + number % 2, "POST", "/book?size=50", &mark)
+                .await;
+            (mark, told)
+        }
+    });
+    let disaster = async {
+        pause(700).await;
+        victims.iter_mut().for_each(common::Process::kill);
+        for index in [0, 3] {
+            fleet.platform.lose_worker(&fleet.agents[index].id);
+        }
+    };
+    let (history, ()) = futures::join!(join_all(calls), disaster);
+    assert!(history.iter().all(|(_, told)| *told != Told::Broken));
+    assert!(
+        whole(&history) > 200,
+        "most bookings go on: {}",
+        whole(&history)
+    );
+    fleet.check_history(&history).await;
+    let status = fleet.job_end(1, "timetabling.rebuild").await;
+    assert_eq!(status["succeeded"], 24, "{status}");
+    assert_eq!(fleet.platform.breaches(), Vec::<String>::new());
+}
--- a/tests/work.rs
+++ b/tests/work.rs
@@ -7,7 +7,7 @@
 use model::Resources;
 use platform::AttemptStatus;
 use serde_json::{Value, json};
-use standin::{Faults, RunRecord};
+use standin::{Faults, Relay, RelayMode, RunRecord};
 use std::collections::{HashMap, HashSet};
 
 /// Asserts, by the runtime's own record, that every task succeeded exactly once and never ran in
@@ -234,11 +234,11 @@
 #[actix_rt::test]
 async fn a_wave_of_cancellations_leaves_nothing_running() {
     let fleet = Fleet::start(&Plan::default()).await;
-    let names: Vec<String> = (0..60).map(|number| format!("wave{number}")).collect();
+    let names: Vec<String> = (0..1_000).map(|number| format!("wave{number}")).collect();
     let submitted = join_all(
         names
             .iter()
-            .map(async |name| fleet.submit(0, &job("exams", name, 20, 60_000)).await),
+            .map(async |name| fleet.submit(0, &job("exams", name, 2, 60_000)).await),
     )
     .await;
     assert!(submitted.iter().all(Result::is_ok));
@@ -257,7 +257,7 @@
         let status = fleet.job_end(0, &format!("exams.{name}")).await;
         assert_eq!(
             (&status["failed"], &status["reason"]),
-            (&json!(20), &json!("cancelled"))
+            (&json!(2), &json!("cancelled"))
         );
     }
     let running = |run: &RunRecord| run.status == AttemptStatus::Running;
@@ -509,3 +509,78 @@
     let status = fleet.get(admin, "/v1/status").await.unwrap();
     assert_eq!(status["config"], 1);
 }
+
+#[actix_rt::test]
+async fn a_drain_while_the_owner_dies_resumes_each_task_once() {
+    let mut fleet = Fleet::start(&Plan {
+        entries: 3,
+        ..Plan::default()
+    })
+    .await;
+    fleet
+        .submit(0, &job("timetabling", "rebuild", 12, 5_000))
+        .await
+        .unwrap();
+    wait_until("tasks run", async || fleet.platform.runs().len() >= 12).await;
+    pause(500).await;
+    fleet.agents[2].process.signal("TERM");
+    wait_until("tasks are checkpointed", async || {
+        fleet
+            .platform
+            .runs()
+            .iter()
+            .any(|run| run.status == AttemptStatus::Checkpointed)
+    })
+    .await;
+    fleet.entries[0].process.kill();
+    fleet.entries[1].process.kill();
+    fleet.restart_entry(0);
+    let status = fleet.job_end(2, "timetabling.rebuild").await;
+    assert_eq!(status["succeeded"], 12, "{status}");
+    assert!(
+        fleet.agents[2].process.ended_well().await,
+        "its ends became durable"
+    );
+    check_runs(&fleet, 12);
+    let runs = fleet.platform.runs();
+    for run in runs
+        .iter()
+        .filter(|run| run.status == AttemptStatus::Checkpointed)
+    {
+        let resumed = runs.iter().filter(|next| {
+            next.attempt.task == run.attempt.task
+                && next.attempt.attempt > run.attempt.attempt
+                && next.resumed_ms > 0
+        });
+        assert_eq!(resumed.count(), 1, "one resume of {}", run.attempt.task);
+    }
+}
+
+#[actix_rt::test]
+async fn a_cut_off_entry_asks_for_no_callers_and_serves_who_comes() {
+    let ports = cluster::free_ports(2).unwrap();
+    let relay = Relay::start(ports[0], ports[1]).await.unwrap();
+    let url = format!("http://{}", relay.address);
+    let plan = Plan {
+        entries: 1,
+        platform_listen: Some(ports[1]),
+        entry_extra: json!({ "platform": { "url": url, "timeout_ms": 500 } }),
+        ..Plan::default()
+    };
+    let fleet = Fleet::start(&plan).await;
+    relay.set_mode(RelayMode::Block);
+    let admin = fleet.entries[0].admin;
+    let is_ready = async || {
+        let sent = fleet
+            .client
+            .get(format!("http://{admin}/readyz"))
+            .send()
+            .await;
+        sent.is_ok_and(|answer| answer.status().is_success())
+    };
+    assert!(is_ready().await);
+    wait_until("readiness goes off", async || !is_ready().await).await;
+    assert!(fleet.call(0, "POST", "/book", "cut-off").await.is_whole());
+    relay.set_mode(RelayMode::Pass);
+    wait_until("readiness comes back", async || is_ready().await).await;
+}
