Slow start: not where every agent is new

Cause: cut_connections_lose_no_answer failed twice in some ten runs, 'm12 was told 503 not-run deadline-unreachable' 96 ms after its start, before any connection was cut. Its entry had just heard its only agent: slow start allowed 1 of 64 slots and grew over 2 s, and what waited was refused early at a drain rate that slow start itself had set. The same holds of every entry that starts: all agents are new to it, and each got one request. Ruled out: the cuts (none yet); the agent's slots (64 free); a busy machine (also seen alone). Change: an agent's share grows slowly only beside agents that take their whole share. With none but new ones, holding back left slots empty and spared nobody. Before: a new entry with 2 agents of 8 slots sent 2 of 16 requests at once (test, red). A new agent beside two warm ones still gets a quarter of its slots after a quarter of the time (test). Conclusion: slow start shares load between agents and no longer limits the whole.

--- a/components/routing/src/choose.rs
+++ b/components/routing/src/choose.rs
@@ -50,14 +50,27 @@
 
     /// Whether any agent is known to have a free slot for the class.
     pub fn any_free(&self, targets: &Targets, class: Class) -> bool {
+        let slow_start_ms = self.slow_start_ms(targets);
         targets
             .list()
             .iter()
-            .any(|target| self.is_open(target) && self.can_take(target, class))
+            .any(|target| self.is_open(target, slow_start_ms) && self.can_take(target, class))
     }
 
-    fn is_open(&self, target: &Target) -> bool {
-        target.outstanding < target.allowance(self.now_ms, self.tuning.slow_start_ms)
+    /// Time over which a new agent's share grows. With none but new agents, as after the start of
+    /// an entry, holding back would leave slots empty and spare nobody.
+    fn slow_start_ms(&self, targets: &Targets) -> u64 {
+        let slow_start_ms = self.tuning.slow_start_ms;
+        let is_warm = |target: &Target| target.is_warm(self.now_ms, slow_start_ms);
+        if targets.list().iter().any(is_warm) {
+            slow_start_ms
+        } else {
+            0
+        }
+    }
+
+    fn is_open(&self, target: &Target, slow_start_ms: u64) -> bool {
+        target.outstanding < target.allowance(self.now_ms, slow_start_ms)
     }
 
     /// An agent that this entry has nothing at sends no news, so it is tried when its news is old.
@@ -75,8 +88,9 @@
         let is_avoided = |target: &Target| pending.avoid.contains(&target.agent);
         // With nobody else left, an agent that failed the request before is better than none.
         let ignore_avoided = targets.list().iter().all(is_avoided);
+        let slow_start_ms = self.slow_start_ms(targets);
         let open = move |(_, target): &(usize, &Target)| {
-            self.is_open(target) && (ignore_avoided || !is_avoided(target))
+            self.is_open(target, slow_start_ms) && (ignore_avoided || !is_avoided(target))
         };
         targets.list().iter().enumerate().filter(open)
     }
--- a/components/routing/src/target.rs
+++ b/components/routing/src/target.rs
@@ -92,6 +92,13 @@
         (grown as u32).max(1)
     }
 
+    /// Whether the agent takes its whole share: known for long enough, and not ejected.
+    pub(crate) fn is_warm(&self, now_ms: u64, slow_start_ms: u64) -> bool {
+        let age_ms = now_ms.saturating_sub(self.joined_ms);
+        let is_held_back = self.ejection.is_out(now_ms) || self.ejection.is_on_trial(now_ms);
+        age_ms >= slow_start_ms && !is_held_back
+    }
+
     pub(crate) fn sent(&mut self, class: Class) {
         self.outstanding += 1;
         self.free.free = self.free.free.saturating_sub(1);
--- a/components/routing/tests/dispatcher.rs
+++ b/components/routing/tests/dispatcher.rs
@@ -268,3 +268,34 @@
         (Class::Long, Class::Short)
     );
 }
+
+#[test]
+fn an_entry_that_just_started_uses_all_slots_of_agents_that_are_all_new_to_it() {
+    let mut dispatcher = Dispatcher::new(Tuning::default(), "d0".into());
+    (0..2).for_each(|index| dispatcher.on_heartbeat(0, &beat(index, 8)));
+    for number in 0..16 {
+        let request = pending(number, "a", Class::Short, 50);
+        dispatcher.submit(50, request).unwrap();
+    }
+    let decisions = dispatcher.decide(50, &mut rng());
+    assert_eq!(sent(&decisions).len(), 16);
+}
+
+#[test]
+fn a_new_agent_beside_warm_ones_starts_slowly() {
+    let mut dispatcher = dispatcher(2, 8);
+    dispatcher.on_heartbeat(WARM_MS, &beat(2, 8));
+    for number in 0..24 {
+        let request = pending(number, "a", Class::Short, WARM_MS + 500);
+        dispatcher.submit(WARM_MS + 500, request).unwrap();
+    }
+    let decisions = dispatcher.decide(WARM_MS + 500, &mut rng());
+    let to_new = decisions
+        .iter()
+        .filter(|decision| matches!(decision, Decision::Send(d) if d.agent.as_str() == "w2"));
+    assert_eq!(
+        to_new.count(),
+        2,
+        "a quarter of its slots after a quarter of the time"
+    );
+}
