Home entries and digests: what an entry hears no longer grows with all agents

Cause: every agent told every entry of itself, 88 bytes a second each; 34 agents filled an entry's 3 KB/s, and 620 would take 55 KB/s. Entries exchanged states over TCP each second, some 4 KB/s at 21. Weighed: gossip of all states with random peers; records in the table; homes with digests (docs/DESIGN.md). Ruled out: loads in digests (620 agents, 4 bytes each, pass the budget alone; loads travel on answers). Change: an agent tells the first heartbeat_homes entries of its own rendezvous order that answer; an entry sends the others a datagram of some 20 bytes each 2 s and at once on a change; a new tag has the view fetched. Half of the pulses are answered. Incarnations grow with time, so that of two views the later start counts. With no more entries than homes (3 by default) all is as before. Found by its tests: the time since a relayed agent was last heard was lost with its view (red, then green). Mutations: views that leave old agents behind, and views that rank by source alone, both fail. Connections for control calls close after 10 s without one.

--- a/components/agent/src/control.rs
+++ b/components/agent/src/control.rs
@@ -221,7 +221,7 @@
     type Result = MessageResult<AskEntries>;
 
     fn handle(&mut self, _: AskEntries, _: &mut Self::Context) -> Self::Result {
-        MessageResult(self.entries.iter().copied().collect())
+        MessageResult(self.entries.clone())
     }
 }
 
--- a/components/agent/src/messages.rs
+++ b/components/agent/src/messages.rs
@@ -5,6 +5,7 @@
 use fence::{Admit, Admitted, Announcement, Grant, KeptAnswer, Outcome};
 use model::{Config, RequestId, ServiceName};
 use platform::{AttemptRef, AttemptReport, AttemptStatus, StopMode};
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use tokio::sync::oneshot;
 use wire::{
@@ -174,7 +175,7 @@
 
 /// Asks where heartbeats go.
 #[derive(Message)]
-#[rtype(result = "Vec<SocketAddr>")]
+#[rtype(result = "BTreeSet<SocketAddr>")]
 pub(crate) struct AskEntries;
 
 /// A newer configuration.
--- a/components/agent/src/run.rs
+++ b/components/agent/src/run.rs
@@ -13,6 +13,7 @@
 use arc_swap::ArcSwap;
 use awc::Client;
 use client::ClientLimits;
+use membership::Homes;
 use model::Config;
 use rand::RngExt;
 use settings::AgentSettings;
@@ -20,7 +21,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 use telemetry::{Event, log_event};
-use utils::Clock;
+use utils::{Clock, wall_ms};
 use wire::serve_agent;
 
 /// Time for connecting to a backend server.
@@ -29,6 +30,8 @@
 const BACKEND_KEEP_ALIVE: Duration = Duration::from_secs(2);
 /// Time after which an idle connection from an entry is closed.
 const ENTRY_KEEP_ALIVE: Duration = Duration::from_secs(75);
+/// Random bits of an incarnation; the others tell the time of the start.
+const INCARNATION_RANDOM_BITS: u32 = 20;
 /// Time between two looks at what is left while draining.
 const DRAIN_LOOK: Duration = Duration::from_millis(50);
 
@@ -38,7 +41,7 @@
 /// An address can't be bound.
 pub async fn run(settings: AgentSettings, stop: impl Future<Output = ()>) -> std::io::Result<()> {
     let clock = Clock::start();
-    let incarnation: u64 = rand::rng().random();
+    let incarnation = incarnation(wall_ms(), &mut rand::rng());
     let config = Arc::new(ArcSwap::from_pointee(Config::default()));
     let metrics = Metrics::default();
     let state = Control::new(
@@ -90,7 +93,9 @@
     actix_web::rt::spawn(traffic_server);
     actix_web::rt::spawn(local_server);
     let every = Duration::from_millis(settings.heartbeat_ms);
-    actix_web::rt::spawn(heartbeat::run(control.clone(), every, soon));
+    let homes = Homes::new(settings.heartbeat_homes);
+    let sender = heartbeat::Sender::new(control.clone(), settings.id.clone(), clock, homes);
+    actix_web::rt::spawn(sender.run(every, soon));
     log_event!(info, Event::Started, role = "agent", id = %settings.id, listen = %settings.listen);
     stop.await;
     drain(&settings, &control).await;
@@ -100,6 +105,11 @@
     Ok(())
 }
 
+/// A number that no other start of any agent draws, and that is larger for a later start.
+fn incarnation(wall_ms: u64, rng: &mut impl RngExt) -> u64 {
+    (wall_ms << INCARNATION_RANDOM_BITS) | rng.random_range(0..1 << INCARNATION_RANDOM_BITS)
+}
+
 fn client() -> Client {
     client::build(ClientLimits {
         connect: CONNECT_TIMEOUT,
--- a/components/bench/src/cost.rs
+++ b/components/bench/src/cost.rs
@@ -46,7 +46,7 @@
 }
 
 /// A process that ends with its owner.
-struct Watched(Child);
+pub struct Watched(Child);
 
 impl Drop for Watched {
     fn drop(&mut self) {
@@ -56,7 +56,8 @@
 }
 
 impl Watched {
-    fn start(name: &str, settings: &Value) -> Self {
+    /// Starts a node with these settings.
+    pub fn start(name: &str, settings: &Value) -> Self {
         let path = std::env::temp_dir().join(format!("bench-{}-{name}.json", std::process::id()));
         std::fs::write(&path, settings.to_string()).expect("the settings can be written");
         let program = std::env::current_exe().expect("the program has a path");
@@ -69,7 +70,7 @@
     }
 
     /// Processor time so far, in seconds.
-    fn processor_s(&self) -> f64 {
+    pub fn processor_s(&self) -> f64 {
         let text =
             std::fs::read_to_string(format!("/proc/{}/stat", self.0.id())).unwrap_or_default();
         let rest = text.rsplit(')').next().unwrap_or_default();
@@ -81,7 +82,7 @@
     }
 
     /// Resident memory, in megabytes.
-    fn rss_mb(&self) -> f64 {
+    pub fn rss_mb(&self) -> f64 {
         let text =
             std::fs::read_to_string(format!("/proc/{}/statm", self.0.id())).unwrap_or_default();
         let pages: f64 = text
@@ -155,7 +156,14 @@
         }),
     );
     let (agents, _backends): (Vec<Watched>, Vec<Node>) = (0..count)
-        .map(|index| start_worker(&around, &url, index))
+        .map(|index| {
+            let entry = if index == 0 {
+                around.relay
+            } else {
+                around.control
+            };
+            start_worker(&around.platform, &url, index, &[entry], 3)
+        })
         .unzip();
     let ticket = json!({
         "number": 1, "author": "bench",
@@ -228,23 +236,23 @@
     );
 }
 
-fn start_worker(around: &Surroundings, url: &str, index: usize) -> (Watched, Node) {
+/// Starts an agent that tells so many of the entries, and a backend server beside it.
+pub fn start_worker(
+    platform: &PlatformState,
+    url: &str,
+    index: usize,
+    entries: &[SocketAddr],
+    homes: usize,
+) -> (Watched, Node) {
     let ports = free_ports(4).expect("ports are free");
     let id = AgentId::from(format!("worker-{index}"));
     let capacity = Resources::new(16_000, 60_000, 0);
-    around
-        .platform
-        .add_worker(&id, capacity, Resources::default());
-    let entry = if index == 0 {
-        around.relay
-    } else {
-        around.control
-    };
+    platform.add_worker(&id, capacity, Resources::default());
     let agent = Watched::start(
         &format!("agent-{index}"),
         &json!({
             "role": "agent", "id": id, "domain": "a", "listen": ports[0],
-            "local_listen": ports[1], "control_listen": ports[2], "entries": [entry],
+            "local_listen": ports[1], "control_listen": ports[2], "entries": entries, "heartbeat_homes": homes,
             "capacity": capacity, "platform": { "url": url },
         }),
     );
--- /dev/null
+++ b/components/bench/src/homes.rs
@@ -0,0 +1,209 @@
+//! Cost of control at entries of which each agent tells one.
+
+use crate::bounds::bound;
+use crate::cost::{Watched, start_worker};
+use crate::hops::{admin, text};
+use crate::results::{Bound, Results};
+use cluster::{Cluster, Node, free_ports};
+use serde_json::{Value, json};
+use standin::serve_platform;
+use std::net::SocketAddr;
+use std::sync::mpsc;
+use std::time::Duration;
+
+/// Entries at the planned size: three in each of seven failure domains.
+const ENTRIES: usize = 21;
+/// Agents at which the cost is measured, for its slope.
+const AGENTS: [usize; 3] = [21, 63, 105];
+/// Agents at the planned size.
+const PLANNED_AGENTS: f64 = 620.0;
+/// Agents of the busiest entry at the planned size; a test of the home entries shows the spread.
+const BUSIEST_AGENTS: f64 = 37.0;
+/// Time for which processes are watched.
+const WATCH: Duration = Duration::from_secs(20);
+/// Longest time until all entries know all agents.
+const KNOWN_LIMIT: Duration = Duration::from_secs(60);
+
+/// What one entry cost.
+#[derive(Debug, Clone, Copy)]
+struct Cost {
+    /// Agents that it knows.
+    known: f64,
+    /// Agents that it hears itself.
+    direct: f64,
+    /// Bytes of datagrams a second, both ways.
+    bytes_per_s: f64,
+    /// Share of a core.
+    core_share: f64,
+    /// Resident memory, in megabytes.
+    rss_mb: f64,
+}
+
+/// An entry that is watched.
+struct Entry {
+    /// Its process.
+    process: Watched,
+    /// Its address for administrators.
+    admin: SocketAddr,
+}
+
+impl Entry {
+    fn metric(&self, name: &str) -> f64 {
+        let page = text(self.admin, "/metrics").unwrap_or_default();
+        let line = page
+            .lines()
+            .find_map(|line| line.strip_prefix(&format!("parsleythread_entry_{name} ")));
+        line.and_then(|value| value.parse().ok()).unwrap_or(0.0)
+    }
+
+    fn bytes(&self) -> f64 {
+        self.metric("datagram_sent_bytes_total") + self.metric("datagram_received_bytes_total")
+    }
+}
+
+/// Watches the entries with growing numbers of agents, idle.
+pub fn run(results: &mut Results) {
+    let costs: Vec<Vec<Cost>> = AGENTS
+        .iter()
+        .map(|count| measure(results, *count))
+        .collect();
+    let all: Vec<Cost> = costs.into_iter().flatten().collect();
+    let (base, slope) = line(&all, |cost| (cost.direct, cost.bytes_per_s));
+    results.add("homes", "slope", "bytes/s an agent heard", slope, None);
+    results.add("homes", "slope", "bytes/s without agents", base, None);
+    let most = Bound::AtMost(bound("control", "bytes_per_s"));
+    for (subject, direct) in [
+        ("620 agents, mean entry", PLANNED_AGENTS / ENTRIES as f64),
+        ("620 agents, busiest entry", BUSIEST_AGENTS),
+    ] {
+        let planned = base + slope * direct;
+        results.add(
+            "homes",
+            subject,
+            "bytes/s, from the slope",
+            planned,
+            Some(most),
+        );
+    }
+    let (base, slope) = line(&all, |cost| (cost.known, cost.rss_mb));
+    results.add("homes", "slope", "MB an agent known", slope, None);
+    let planned = base + slope * PLANNED_AGENTS;
+    let most = Bound::AtMost(bound("control", "rss_mb"));
+    let subject = "620 agents";
+    results.add("homes", subject, "MB, from the slope", planned, Some(most));
+}
+
+fn measure(results: &mut Results, count: usize) -> Vec<Cost> {
+    let ports = free_ports(1 + ENTRIES * 3).expect("ports are free");
+    let (told, ready) = mpsc::channel();
+    let listen = ports[0];
+    let _platform = Node::start("platform", move |stop| async move {
+        let platform = serve_platform(listen).expect("the stand-in starts");
+        told.send(platform.state.clone()).expect("the parent waits");
+        drop(stop.await);
+    });
+    let platform = ready.recv().expect("the stand-in starts");
+    let url = format!("http://{listen}");
+    let control: Vec<SocketAddr> = ports[1..].chunks(3).map(|ports| ports[2]).collect();
+    let entries: Vec<Entry> = (0..ENTRIES)
+        .map(|index| start_entry(&url, index, &ports[1 + index * 3..][..3], &control))
+        .collect();
+    let (_agents, _backends): (Vec<Watched>, Vec<Node>) = (0..count)
+        .map(|index| start_worker(&platform, &url, index, &control, 1))
+        .unzip();
+    let ticket = json!({
+        "number": 1, "author": "bench",
+        "teams": [{ "name": "t", "quota": { "processors_milli": 1, "memory_mb": 1 } }],
+        "services": [{ "name": "rooms", "team": "t" }],
+    });
+    let applied = (0..100).find_map(|_| {
+        std::thread::sleep(Duration::from_millis(100));
+        admin(entries[0].admin, "/v1/tickets", Some(&ticket))
+    });
+    applied.expect("the ticket is accepted");
+    wait_known(&entries, count);
+    std::thread::sleep(Duration::from_secs(5));
+    let costs = watch(&entries);
+    report(results, count, &costs);
+    costs
+}
+
+fn start_entry(url: &str, index: usize, ports: &[SocketAddr], all: &[SocketAddr]) -> Entry {
+    let peers: Vec<&SocketAddr> = all.iter().filter(|peer| **peer != ports[2]).collect();
+    let process = Watched::start(
+        &format!("entry-{index}"),
+        &json!({
+            "role": "entry", "id": format!("entry-{index}"), "domain": format!("domain-{}", index % 7),
+            "listen": ports[0], "admin_listen": ports[1], "control_listen": ports[2],
+            "admin_token": Cluster::token(), "threads": 1, "trace_ratio": 0.0,
+            "peers": peers, "platform": { "url": url },
+        }),
+    );
+    Entry {
+        process,
+        admin: ports[1],
+    }
+}
+
+fn wait_known(entries: &[Entry], count: usize) {
+    let started = std::time::Instant::now();
+    let knows = |entry: &Entry| {
+        let status = admin(entry.admin, "/v1/status", None).unwrap_or(Value::Null);
+        let agents = status["agents"].as_array().map_or(0, Vec::len);
+        agents == count
+    };
+    while !entries.iter().all(knows) {
+        assert!(started.elapsed() < KNOWN_LIMIT, "entries do not agree");
+        std::thread::sleep(Duration::from_millis(500));
+    }
+}
+
+fn watch(entries: &[Entry]) -> Vec<Cost> {
+    let before: Vec<(f64, f64)> = entries
+        .iter()
+        .map(|entry| (entry.bytes(), entry.process.processor_s()))
+        .collect();
+    let started = std::time::Instant::now();
+    std::thread::sleep(WATCH);
+    let watched_s = started.elapsed().as_secs_f64();
+    let cost = |(entry, (bytes, processor_s)): (&Entry, &(f64, f64))| Cost {
+        known: entry.metric("agents"),
+        direct: entry.metric("agents_direct"),
+        bytes_per_s: (entry.bytes() - bytes) / watched_s,
+        core_share: (entry.process.processor_s() - processor_s) / watched_s,
+        rss_mb: entry.process.rss_mb(),
+    };
+    entries.iter().zip(&before).map(cost).collect()
+}
+
+fn report(results: &mut Results, count: usize, costs: &[Cost]) {
+    let subject = format!("{ENTRIES} entries, {count} agents");
+    let largest = |of: fn(&Cost) -> f64| costs.iter().map(of).fold(0.0, f64::max);
+    let at_most = |name| Some(Bound::AtMost(bound("control", name)));
+    let mut add = |what: &str, value: f64, bound| {
+        results.add("homes", &subject, what, value, bound);
+    };
+    add("most agents heard", largest(|cost| cost.direct), None);
+    let bytes = largest(|cost| cost.bytes_per_s);
+    add("dearest entry, bytes/s", bytes, at_most("bytes_per_s"));
+    let core = largest(|cost| cost.core_share);
+    add(
+        "dearest entry, share of a core",
+        core,
+        at_most("core_share"),
+    );
+    let rss = largest(|cost| cost.rss_mb);
+    add("dearest entry, MB", rss, at_most("rss_mb"));
+}
+
+/// Least squares: the value without agents, and for each agent.
+fn line(costs: &[Cost], point: impl Fn(&Cost) -> (f64, f64)) -> (f64, f64) {
+    let points: Vec<(f64, f64)> = costs.iter().map(point).collect();
+    let count = points.len() as f64;
+    let mean_x = points.iter().map(|(x, _)| x).sum::<f64>() / count;
+    let mean_y = points.iter().map(|(_, y)| y).sum::<f64>() / count;
+    let shared = |(x, y): &(f64, f64)| (x - mean_x) * (y - mean_y);
+    let spread = |(x, _): &(f64, f64)| (x - mean_x).powi(2);
+    let slope = points.iter().map(shared).sum::<f64>() / points.iter().map(spread).sum::<f64>();
+    (mean_y - slope * mean_x, slope)
+}
--- a/components/bench/src/hops.rs
+++ b/components/bench/src/hops.rs
@@ -22,15 +22,28 @@
 /// Longest time for a ticket to be in force.
 const TICKET_LIMIT: Duration = Duration::from_secs(20);
 
+fn blocking_client() -> awc::Client {
+    client::build(client::ClientLimits {
+        connect: Duration::from_secs(2),
+        keep_alive: Duration::from_secs(1),
+        call: Some(Duration::from_secs(20)),
+    })
+}
+
+/// Fetches a page as text.
+pub fn text(address: SocketAddr, path: &str) -> Option<String> {
+    actix_rt::System::new().block_on(async {
+        let url = format!("http://{address}{path}");
+        let mut answer = blocking_client().get(url).send().await.ok()?;
+        let body = answer.body().await.ok()?;
+        String::from_utf8(body.to_vec()).ok()
+    })
+}
+
 /// Makes an admin call and returns its answer.
 pub fn admin(address: SocketAddr, path: &str, body: Option<&Value>) -> Option<Value> {
     actix_rt::System::new().block_on(async {
-        let limits = client::ClientLimits {
-            connect: Duration::from_secs(2),
-            keep_alive: Duration::from_secs(1),
-            call: Some(Duration::from_secs(20)),
-        };
-        let client = client::build(limits);
+        let client = blocking_client();
         let url = format!("http://{address}{path}");
         let token = ("authorization", format!("Bearer {}", Cluster::token()));
         let sent = match body {
--- a/components/bench/src/main.rs
+++ b/components/bench/src/main.rs
@@ -2,6 +2,7 @@
 
 mod bounds;
 mod cost;
+mod homes;
 mod hops;
 mod load;
 mod lower_bound;
--- a/components/bench/src/requests.rs
+++ b/components/bench/src/requests.rs
@@ -6,7 +6,7 @@
 use crate::results::{Bound, Results};
 use crate::stats::percentile_ms;
 use crate::trace::{Arrival, Phase, SEED, SHORT_MEAN_MS, STRAGGLER_FACTOR, trace};
-use crate::{cost, hops};
+use crate::{cost, homes, hops};
 use cluster::{Cluster, ClusterOptions, WorkerOptions};
 use model::Resources;
 use settings::RoutingPolicy;
@@ -66,6 +66,9 @@
     if wanted("control") {
         cost::run(&mut results);
     }
+    if wanted("homes") {
+        homes::run(&mut results);
+    }
     results.save("requests");
     results.all_hold()
 }
--- a/components/bench/src/results.rs
+++ b/components/bench/src/results.rs
@@ -82,17 +82,30 @@
         self.rows.iter().all(Row::holds)
     }
 
-    /// Keeps the results for the report.
+    /// Keeps the results for the report, in place of earlier ones of the same cases.
     pub fn save(&self, name: &str) {
         let path = Self::path(name);
-        let text = serde_json::to_string_pretty(self).unwrap_or_default();
+        let text = serde_json::to_string_pretty(&self.over(Self::read(name)));
+        let text = text.unwrap_or_default();
         let kept = path.parent().map(std::fs::create_dir_all).transpose();
         if kept.and_then(|_| std::fs::write(&path, text)).is_err() {
             eprintln!("can't write {}", path.display());
         }
     }
 
-    /// Results kept by the last run of a command.
+    /// These results and those of other cases and plots in `earlier`.
+    fn over(&self, earlier: Option<Self>) -> Self {
+        let mut all = earlier.unwrap_or_default();
+        all.rows
+            .retain(|row| self.rows.iter().all(|new| new.case != row.case));
+        all.series
+            .retain(|old| self.series.iter().all(|new| new.plot != old.plot));
+        all.rows.extend(self.rows.iter().cloned());
+        all.series.extend(self.series.iter().cloned());
+        all
+    }
+
+    /// Results kept by the last runs of a command.
     pub fn read(name: &str) -> Option<Self> {
         let text = std::fs::read_to_string(Self::path(name)).ok()?;
         serde_json::from_str(&text).ok()
--- a/components/entry/src/agents.rs
+++ b/components/entry/src/agents.rs
@@ -12,6 +12,9 @@
 /// Time for asking an agent about a request.
 const FENCE_TIMEOUT: Duration = Duration::from_millis(400);
 
+/// Time without a call after which a connection to an agent is closed.
+const LINK_IDLE: Duration = Duration::from_secs(10);
+
 /// Links to agents.
 #[derive(Default)]
 pub(crate) struct AgentLinks {
@@ -34,6 +37,13 @@
         self.by_agent.remove(agent);
     }
 
+    /// Closes connections that no call has used of late, so that memory does not grow with agents.
+    pub fn close_idle(&self) {
+        for link in self.by_agent.values() {
+            link.close_if_idle(LINK_IDLE);
+        }
+    }
+
     /// The link to an agent, if it is alive.
     pub fn get(&self, agent: &AgentId) -> Option<AgentLink> {
         self.by_agent.get(agent).cloned()
--- a/components/entry/src/control.rs
+++ b/components/entry/src/control.rs
@@ -1,6 +1,7 @@
 //! The entry's control thread: all mutable state, reached by messages.
 
 use crate::agents::AgentLinks;
+use crate::control_peers::{DIGEST_EVERY, Gossip};
 use crate::driver::Driver;
 use crate::metrics::Metrics;
 use crate::snapshot::Snapshot;
@@ -53,6 +54,8 @@
     pub(crate) members: Members,
     /// The other entries.
     pub(crate) peers: Peers,
+    /// What the other entries are told.
+    pub(crate) gossip: Gossip,
     /// Links for control calls.
     pub(crate) links: AgentLinks,
     /// Drives the shards that this entry owns.
@@ -93,6 +96,7 @@
             dispatcher: Dispatcher::new(tuning, settings.domain.clone()),
             members: Members::new(settings.routing.heartbeat_ttl_ms),
             peers: Peers::default(),
+            gossip: Gossip::default(),
             links: AgentLinks::default(),
             driver: Driver::new(&settings),
             keyed: Map::default(),
@@ -143,6 +147,8 @@
         context.run_interval(MEMBER_TICK, |control, context| {
             control.on_member_tick(context);
         });
+        self.send_digests();
+        context.run_interval(DIGEST_EVERY, |control, _| control.send_digests());
         self.start_driver(context);
     }
 }
--- a/components/entry/src/control_members.rs
+++ b/components/entry/src/control_members.rs
@@ -1,24 +1,30 @@
 //! Heartbeats of agents and news of other entries.
 
 use crate::control::Control;
-use crate::messages::{Beat, Beating, HearPeer};
+use crate::messages::{Beat, Beating};
 use actix::{Context, Handler, MessageResult};
 use membership::Change;
 use std::net::SocketAddr;
 use telemetry::{Event, log_event};
 use utils::hash64;
-use wire::{Heartbeat, HeartbeatAck, PeerState, PulseAck};
+use wire::{Heartbeat, HeartbeatAck, PulseAck};
 
 impl Control {
     pub(crate) fn on_member_tick(&mut self, context: &mut Context<Self>) {
         for change in self.members.expire(self.clock.now_ms()) {
             self.on_change(&change, context);
         }
+        self.tell_changes();
+        self.refresh_loads(context);
+        self.links.close_idle();
         self.metrics.agents.set(self.members.iter().count() as i64);
+        let direct = self.members.direct().count() as i64;
+        self.metrics.agents_direct.set(direct);
+        self.count_datagrams();
         self.publish();
     }
 
-    fn on_change(&mut self, change: &Change, context: &mut Context<Self>) {
+    pub(crate) fn on_change(&mut self, change: &Change, context: &mut Context<Self>) {
         match change {
             Change::Joined(agent) => {
                 log_event!(info, Event::AgentJoined, agent = %agent);
@@ -38,16 +44,6 @@
             }
         }
     }
-
-    pub(crate) fn peer_state(&self) -> PeerState {
-        PeerState {
-            entry: self.settings.id.clone(),
-            control: self.settings.control_listen,
-            domain: self.settings.domain.clone(),
-            config: self.config.number,
-            draining: self.leaving,
-        }
-    }
 }
 
 impl Handler<Beat> for Control {
@@ -64,6 +60,7 @@
             config: self.config.number,
             entries_tag: tag(&entries),
             entries,
+            draining: self.leaving,
         })
     }
 }
@@ -86,7 +83,7 @@
 }
 
 impl Control {
-    fn take_beat(
+    pub(crate) fn take_beat(
         &mut self,
         now_ms: u64,
         beat: &Heartbeat,
@@ -118,15 +115,3 @@
     let text: Vec<String> = addresses.iter().map(ToString::to_string).collect();
     hash64(&text.join(" "))
 }
-
-impl Handler<HearPeer> for Control {
-    type Result = MessageResult<HearPeer>;
-
-    fn handle(&mut self, HearPeer(state): HearPeer, _: &mut Self::Context) -> Self::Result {
-        if let Some(state) = state.filter(|state| state.entry != self.settings.id) {
-            self.heard_ms = self.clock.now_ms();
-            self.peers.heard(self.heard_ms, state);
-        }
-        MessageResult(self.peer_state())
-    }
-}
--- a/components/entry/src/lib.rs
+++ b/components/entry/src/lib.rs
@@ -14,6 +14,7 @@
 mod config_watch;
 mod control;
 mod control_members;
+mod control_peers;
 mod control_requests;
 mod control_state;
 mod control_status;
--- a/components/entry/src/messages.rs
+++ b/components/entry/src/messages.rs
@@ -7,8 +7,8 @@
 use routing::{Dispatch, Pending, Route, TargetOutcome};
 use tokio::sync::oneshot;
 use wire::{
-    AttemptEnd, BackendLoad, FenceAnswer, Heartbeat, HeartbeatAck, PeerState, Pulse, PulseAck,
-    RequestState,
+    AttemptEnd, BackendLoad, Digest, FenceAnswer, Heartbeat, HeartbeatAck, PeerView, Pulse,
+    PulseAck, RequestState,
 };
 
 /// Asks for an agent to send a request to.
@@ -154,10 +154,35 @@
 #[rtype(result = "PulseAck")]
 pub(crate) struct Beating(pub Pulse);
 
-/// What another entry tells; answered with what this one would tell.
+/// A sign of life of another entry.
 #[derive(Message)]
-#[rtype(result = "PeerState")]
-pub(crate) struct HearPeer(pub Option<PeerState>);
+#[rtype(result = "()")]
+pub(crate) struct HearDigest(pub Digest);
+
+/// State of another entry and of the agents that it hears.
+#[derive(Message)]
+#[rtype(result = "()")]
+pub(crate) struct HearView(pub PeerView);
+
+/// Loads of the agents that another entry hears.
+#[derive(Message)]
+#[rtype(result = "()")]
+pub(crate) struct HearLoads {
+    /// Control address of that entry.
+    pub home: std::net::SocketAddr,
+    /// The loads.
+    pub loads: Vec<Pulse>,
+}
+
+/// Asks for the state of this entry and of the agents that it hears.
+#[derive(Message)]
+#[rtype(result = "PeerView")]
+pub(crate) struct AskView;
+
+/// Asks for the loads of the agents that this entry hears.
+#[derive(Message)]
+#[rtype(result = "Vec<Pulse>")]
+pub(crate) struct AskLoads;
 
 /// Asks for the configuration if it is newer.
 #[derive(Message)]
--- a/components/entry/src/metrics.rs
+++ b/components/entry/src/metrics.rs
@@ -38,6 +38,12 @@
     pub in_flight: Gauge,
     /// Agents that are alive.
     pub agents: Gauge,
+    /// Agents that the entry hears itself.
+    pub agents_direct: Gauge,
+    /// Bytes of datagrams sent for control, headers included.
+    pub datagram_sent_bytes: Counter,
+    /// Bytes of datagrams received for control, headers included.
+    pub datagram_received_bytes: Counter,
     /// Shards that this entry owns.
     pub shards: Gauge,
     /// Commits to the table.
@@ -64,6 +70,9 @@
             waiting: Gauge::default(),
             in_flight: Gauge::default(),
             agents: Gauge::default(),
+            agents_direct: Gauge::default(),
+            datagram_sent_bytes: Counter::default(),
+            datagram_received_bytes: Counter::default(),
             shards: Gauge::default(),
             commits: Counter::default(),
             placements: Counter::default(),
@@ -112,6 +121,21 @@
             self.in_flight.clone(),
         );
         registry.register("agents", "Agents that are alive", self.agents.clone());
+        registry.register(
+            "agents_direct",
+            "Agents that the entry hears itself",
+            self.agents_direct.clone(),
+        );
+        registry.register(
+            "datagram_sent_bytes",
+            "Bytes of datagrams sent for control, headers included",
+            self.datagram_sent_bytes.clone(),
+        );
+        registry.register(
+            "datagram_received_bytes",
+            "Bytes of datagrams received for control, headers included",
+            self.datagram_received_bytes.clone(),
+        );
         registry.register("shards", "Shards owned", self.shards.clone());
         registry.register("commits", "Commits to the table", self.commits.clone());
         registry.register("placements", "Tasks placed", self.placements.clone());
--- a/components/entry/src/peers.rs
+++ b/components/entry/src/peers.rs
@@ -1,61 +1,61 @@
-//! Exchanges state with the other entries.
+//! Calls to the other entries for what their digests do not tell.
 
 use crate::control::Control;
-use crate::messages::{HearPeer, NewConfig};
-use crate::snapshot::Snapshot;
+use crate::messages::{HearLoads, HearView, NewConfig};
 use actix::Addr;
-use arc_swap::ArcSwap;
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::time::Duration;
 use wire::EntryLink;
 
-/// Time between two exchanges with one peer.
-const EXCHANGE_EVERY: Duration = Duration::from_millis(1_000);
-/// Time for one exchange.
-const EXCHANGE_TIMEOUT: Duration = Duration::from_millis(800);
+/// Time for fetching a view or loads.
+const VIEW_TIMEOUT: Duration = Duration::from_millis(800);
 /// Time for fetching a configuration.
 const CONFIG_TIMEOUT: Duration = Duration::from_secs(5);
 
-/// Exchanges state with one peer for ever.
-pub(crate) async fn run(
-    control: Addr<Control>,
-    snapshot: Arc<ArcSwap<Snapshot>>,
-    peer: SocketAddr,
-) {
-    let link = EntryLink::new(peer);
-    loop {
-        if exchange(&control, &snapshot, &link).await.is_none() && !control.connected() {
-            return;
-        }
-        actix_rt::time::sleep(EXCHANGE_EVERY).await;
+/// What is wanted of another entry.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct Wanted {
+    /// Its view.
+    pub view: bool,
+    /// A configuration newer than this number.
+    pub config_after: Option<u64>,
+}
+
+impl Wanted {
+    /// Whether nothing is wanted.
+    pub fn is_nothing(&self) -> bool {
+        !self.view && self.config_after.is_none()
     }
 }
 
-async fn exchange(
-    control: &Addr<Control>,
-    snapshot: &ArcSwap<Snapshot>,
-    link: &EntryLink,
-) -> Option<()> {
-    let own = control.send(HearPeer(None)).await.ok()?;
-    let number = own.config;
-    let call = link.call(EXCHANGE_TIMEOUT, |client, context| async move {
-        client.exchange(context, own).await
-    });
-    let state = call.await.ok()?;
-    let is_newer = state.config > number || !snapshot.load().loaded;
-    control.send(HearPeer(Some(state))).await.ok()?;
-    if is_newer {
-        fetch(control, link, number).await?;
+/// Fetches what is wanted of a peer, over a connection for just this.
+pub(crate) async fn fetch(control: Addr<Control>, peer: SocketAddr, wanted: Wanted) {
+    let link = EntryLink::new(peer);
+    if wanted.view {
+        let call = link.call(VIEW_TIMEOUT, |client, context| async move {
+            client.view(context).await
+        });
+        if let Ok(view) = call.await {
+            control.do_send(HearView(view));
+        }
+    }
+    if let Some(number) = wanted.config_after {
+        let call = link.call(CONFIG_TIMEOUT, |client, context| async move {
+            client.config_after(context, number).await
+        });
+        if let Ok(Some(config)) = call.await {
+            control.do_send(NewConfig(config));
+        }
     }
-    Some(())
 }
 
-async fn fetch(control: &Addr<Control>, link: &EntryLink, number: u64) -> Option<()> {
-    let call = link.call(CONFIG_TIMEOUT, |client, context| async move {
-        client.config_after(context, number).await
+/// Fetches the loads of the agents that a peer hears.
+pub(crate) async fn fetch_loads(control: Addr<Control>, peer: SocketAddr) {
+    let link = EntryLink::new(peer);
+    let call = link.call(VIEW_TIMEOUT, |client, context| async move {
+        client.loads(context).await
     });
-    let config = call.await.ok().flatten()?;
-    control.do_send(NewConfig(config));
-    Some(())
+    if let Ok(loads) = call.await {
+        control.do_send(HearLoads { home: peer, loads });
+    }
 }
--- a/components/entry/src/run.rs
+++ b/components/entry/src/run.rs
@@ -1,13 +1,13 @@
 //! Runs an entry from start to a graceful end.
 
 use crate::admin::{self, Admin};
+use crate::config_watch;
 use crate::control::Control;
-use crate::messages::{AskLeft, Beating, Close, Drain};
+use crate::messages::{AskLeft, Beating, Close, Drain, HearDigest};
 use crate::metrics::Metrics;
 use crate::rpc::Rpc;
 use crate::snapshot::Snapshot;
 use crate::traffic::{self, Traffic};
-use crate::{config_watch, peers};
 use actix::{Actor, Addr};
 use actix_web::web::{self, Data};
 use actix_web::{App, HttpServer};
@@ -20,7 +20,7 @@
 use std::time::{Duration, Instant};
 use telemetry::{Event, log_event};
 use utils::Clock;
-use wire::{serve_entry, serve_pulses};
+use wire::{Datagram, PeerState, PeerView, PulseAck, serve_datagrams, serve_entry};
 
 /// Time for the head of a caller's request.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(5);
@@ -39,16 +39,17 @@
     let clock = Clock::start();
     let snapshot = Arc::new(ArcSwap::from_pointee(Snapshot::default()));
     let metrics = Metrics::default();
-    let control = Control::new(settings.clone(), clock, snapshot.clone(), metrics.clone()).start();
+    let state = Control::new(settings.clone(), clock, snapshot.clone(), metrics.clone());
+    let meter = state.gossip.meter.clone();
+    let control = state.start();
     let rpc = Rpc {
         control: control.clone(),
-        entry: settings.id.clone(),
+        gone: gone(&settings),
     };
     serve_entry(settings.control_listen, rpc).await?;
-    let pulses = control.clone();
-    serve_pulses(settings.control_listen, move |pulse| {
-        let answered = pulses.send(Beating(pulse));
-        async move { answered.await.ok() }
+    let receiver = control.clone();
+    serve_datagrams(settings.control_listen, meter, move |message| {
+        take_datagram(receiver.clone(), message)
     })
     .await?;
     let platform = settings.platform.clone();
@@ -60,9 +61,6 @@
         table,
         every,
     ));
-    for peer in &settings.peers {
-        actix_web::rt::spawn(peers::run(control.clone(), snapshot.clone(), *peer));
-    }
     let servers = start_servers(&settings, clock, &control, &snapshot, &metrics)?;
     log_event!(info, Event::Started, role = "entry", id = %settings.id, listen = %settings.listen);
     stop.await;
@@ -74,6 +72,36 @@
     Ok(())
 }
 
+/// What other entries are told of this one once its control thread has ended.
+fn gone(settings: &EntrySettings) -> PeerView {
+    let state = PeerState {
+        entry: settings.id.clone(),
+        control: settings.control_listen,
+        domain: settings.domain.clone(),
+        config: 0,
+        draining: true,
+    };
+    PeerView {
+        state,
+        tag: 0,
+        beats: Vec::new(),
+    }
+}
+
+async fn take_datagram(control: Addr<Control>, message: Datagram) -> Option<PulseAck> {
+    match message {
+        Datagram::Pulse(pulse) => control.send(Beating(pulse)).await.ok(),
+        Datagram::QuietPulse(pulse) => {
+            control.do_send(Beating(pulse));
+            None
+        }
+        Datagram::Digest(digest) => {
+            control.do_send(HearDigest(digest));
+            None
+        }
+    }
+}
+
 fn start_servers(
     settings: &EntrySettings,
     clock: Clock,
--- a/components/membership/src/change.rs
+++ b/components/membership/src/change.rs
@@ -12,3 +12,17 @@
     /// The agent's heartbeats stopped.
     Lost(AgentId),
 }
+
+impl Change {
+    /// The agent that it is about.
+    ///
+    /// ```
+    /// let change = membership::Change::Lost("w".into());
+    /// assert_eq!(change.agent().as_str(), "w");
+    /// ```
+    pub fn agent(&self) -> &AgentId {
+        match self {
+            Self::Joined(agent) | Self::Leaving(agent) | Self::Lost(agent) => agent,
+        }
+    }
+}
--- a/components/membership/src/members.rs
+++ b/components/membership/src/members.rs
@@ -1,28 +1,34 @@
 //! The agents that are alive.
 
-use crate::Change;
+use crate::view::View;
+use crate::{Change, Member, Source};
 use model::AgentId;
 use std::collections::BTreeMap;
+use std::hash::Hasher;
+use std::net::SocketAddr;
+use utils::Map;
 use wire::{Heartbeat, Pulse};
 
 /// How long a lost agent is remembered.
 const LOST_TTL_MS: u64 = 3_600_000;
+/// Time without a digest after which another entry's view is dropped.
+const VIEW_TTL_MS: u64 = 7_000;
 
-/// An agent that is alive.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Member {
-    /// Its newest heartbeat.
-    pub beat: Heartbeat,
-    /// When that came.
-    pub heard_ms: u64,
-}
-
-/// The agents that are alive.
+/// The agents that are alive: those that this entry hears itself, and those that others relay.
+///
+/// An agent tells a few entries of itself and these tell the others, so an agent may be known from
+/// several sides. The later start counts, and of equal starts what the agent told itself.
 #[derive(Debug)]
 pub struct Members {
     /// Time without a heartbeat after which an agent counts as lost.
     ttl_ms: u64,
-    /// Agents by name.
+    /// Agents that this entry hears itself.
+    direct: BTreeMap<AgentId, Member>,
+    /// The same agents by incarnation.
+    by_incarnation: Map<u64, AgentId>,
+    /// Agents that other entries hear, by control address.
+    views: BTreeMap<SocketAddr, View>,
+    /// The best news of each agent.
     agents: BTreeMap<AgentId, Member>,
     /// When each lost agent was last heard.
     lost: BTreeMap<AgentId, u64>,
@@ -37,6 +43,9 @@
     pub fn new(ttl_ms: u64) -> Self {
         Self {
             ttl_ms,
+            direct: BTreeMap::new(),
+            by_incarnation: Map::default(),
+            views: BTreeMap::new(),
             agents: BTreeMap::new(),
             lost: BTreeMap::new(),
         }
@@ -44,65 +53,118 @@
 
     /// Takes a heartbeat; `None` if it is older than one heard before.
     pub fn on_heartbeat(&mut self, now_ms: u64, beat: &Heartbeat) -> Option<Vec<Change>> {
-        let before = self.agents.get(&beat.agent);
-        let same = before.filter(|member| member.beat.incarnation == beat.incarnation);
-        if same.is_some_and(|member| member.beat.sequence >= beat.sequence) {
+        let before = self.direct.get(&beat.agent).map(|member| &member.beat);
+        let order = |beat: &Heartbeat| (beat.incarnation, beat.sequence);
+        if before.is_some_and(|before| order(before) >= order(beat)) {
             return None;
         }
-        let mut changes = Vec::new();
-        if same.is_none() {
-            changes.push(Change::Joined(beat.agent.clone()));
-        }
-        if beat.draining && same.is_none_or(|member| !member.beat.draining) {
-            changes.push(Change::Leaving(beat.agent.clone()));
+        if let Some(before) = before {
+            self.by_incarnation.remove(&before.incarnation);
         }
         let member = Member {
             beat: beat.clone(),
             heard_ms: now_ms,
+            source: Source::Direct,
         };
-        self.lost.remove(&beat.agent);
-        self.agents.insert(beat.agent.clone(), member);
-        Some(changes)
+        self.by_incarnation
+            .insert(beat.incarnation, beat.agent.clone());
+        self.direct.insert(beat.agent.clone(), member);
+        Some(self.settle(&beat.agent))
     }
 
     /// Takes a pulse; returns the agent's whole state after it, or `None` if the rest of that is
     /// not known or something newer was heard.
     pub fn on_pulse(&mut self, now_ms: u64, pulse: &Pulse) -> Option<&Heartbeat> {
-        let mut members = self.agents.values_mut();
-        let member = members.find(|member| member.beat.incarnation == pulse.incarnation)?;
+        let agent = self.by_incarnation.get(&pulse.incarnation)?;
+        let member = self.direct.get_mut(agent)?;
         if member.beat.sequence >= pulse.sequence || !member.beat.take(pulse) {
             return None;
         }
         member.heard_ms = now_ms;
-        Some(&member.beat)
+        let best = self.agents.get_mut(agent)?;
+        if best.source == Source::Direct {
+            best.beat.take(pulse);
+            best.heard_ms = now_ms;
+        }
+        Some(&best.beat)
     }
 
     /// Whether the rest of an agent's state is known, so that a pulse tells all.
     pub fn knows(&self, pulse: &Pulse) -> bool {
-        let mut members = self.agents.values();
-        members.any(|member| {
-            let beat = &member.beat;
-            beat.incarnation == pulse.incarnation && beat.services.len() == pulse.loads.len()
-        })
+        let agent = self.by_incarnation.get(&pulse.incarnation);
+        let member = agent.and_then(|agent| self.direct.get(agent));
+        member.is_some_and(|member| member.beat.services.len() == pulse.loads.len())
     }
 
-    /// Drops agents whose heartbeats stopped.
+    /// Takes another entry's view in place of the one before.
+    pub fn on_view(
+        &mut self,
+        now_ms: u64,
+        home: SocketAddr,
+        tag: u32,
+        beats: Vec<Heartbeat>,
+    ) -> Vec<Change> {
+        let view = View::new(now_ms, home, tag, beats);
+        let mut touched: Vec<AgentId> = view.agents().cloned().collect();
+        if let Some(before) = self.views.insert(home, view) {
+            touched.extend(before.agents().cloned());
+        }
+        self.settle_all(&touched)
+    }
+
+    /// Takes a sign of life of another entry; answers whether its view is still the one known.
+    pub fn on_digest(&mut self, now_ms: u64, digest: &wire::Digest) -> bool {
+        let Some(view) = self.views.get_mut(&digest.control) else {
+            return false;
+        };
+        view.heard_ms = now_ms;
+        view.raise_config(digest.agents_config);
+        let source = Source::Relayed(digest.control);
+        for member in self.agents.values_mut().filter(|m| m.source == source) {
+            member.heard_ms = now_ms;
+            member.beat.config = member.beat.config.max(digest.agents_config);
+        }
+        view.tag == digest.tag
+    }
+
+    /// Takes loads that another entry told; returns the states that follow from them.
+    pub fn on_loads(&mut self, home: SocketAddr, loads: &[Pulse]) -> Vec<Heartbeat> {
+        let Some(view) = self.views.get_mut(&home) else {
+            return Vec::new();
+        };
+        let taken = view.take_loads(loads);
+        self.settle_all(&taken);
+        let source = Source::Relayed(home);
+        let members = taken.iter().filter_map(|agent| self.agents.get(agent));
+        members
+            .filter(|member| member.source == source)
+            .map(|member| member.beat.clone())
+            .collect()
+    }
+
+    /// Drops agents whose heartbeats stopped and views of entries that fell silent.
     pub fn expire(&mut self, now_ms: u64) -> Vec<Change> {
-        let ttl_ms = self.ttl_ms;
-        let is_lost = |member: &Member| now_ms.saturating_sub(member.heard_ms) >= ttl_ms;
-        let lost: Vec<(AgentId, u64)> = self
-            .agents
-            .values()
-            .filter(|member| is_lost(member))
-            .map(|member| (member.beat.agent.clone(), member.heard_ms))
-            .collect();
-        self.agents.retain(|_, member| !is_lost(member));
+        let mut touched = self.expire_direct(now_ms);
+        let silent = |view: &View| now_ms.saturating_sub(view.heard_ms) >= VIEW_TTL_MS;
+        let views = self.views.values().filter(|view| silent(view));
+        touched.extend(views.flat_map(View::agents).cloned());
+        self.views.retain(|_, view| !silent(view));
         self.lost
             .retain(|_, heard_ms| now_ms.saturating_sub(*heard_ms) < LOST_TTL_MS);
-        self.lost.extend(lost.iter().cloned());
-        lost.into_iter()
-            .map(|(agent, _)| Change::Lost(agent))
-            .collect()
+        self.settle_all(&touched)
+    }
+
+    fn expire_direct(&mut self, now_ms: u64) -> Vec<AgentId> {
+        let is_silent = |m: &Member| now_ms.saturating_sub(m.heard_ms) >= self.ttl_ms;
+        let silent = self.direct.values().filter(|member| is_silent(member));
+        let silent: Vec<(AgentId, u64)> = silent
+            .map(|member| (member.beat.agent.clone(), member.beat.incarnation))
+            .collect();
+        for (agent, incarnation) in &silent {
+            self.direct.remove(agent);
+            self.by_incarnation.remove(incarnation);
+        }
+        silent.into_iter().map(|(agent, _)| agent).collect()
     }
 
     /// How long an agent has not been heard; unknown if it never was, or not for long.
@@ -112,6 +174,25 @@
         Some(now_ms.saturating_sub(heard_ms))
     }
 
+    /// Newest heartbeats of the agents that this entry hears itself.
+    pub fn direct(&self) -> impl Iterator<Item = &Heartbeat> {
+        self.direct.values().map(|member| &member.beat)
+    }
+
+    /// Changes with what is known of the agents that this entry hears itself, loads left out.
+    pub fn tag(&self) -> u64 {
+        let mut hasher = rustc_hash::FxHasher::default();
+        for beat in self.direct() {
+            beat.hash_stable(&mut hasher);
+        }
+        hasher.finish()
+    }
+
+    /// Control addresses of the entries that relay agents.
+    pub fn homes(&self) -> impl Iterator<Item = SocketAddr> {
+        self.views.keys().copied()
+    }
+
     /// An agent by name.
     pub fn get(&self, agent: &AgentId) -> Option<&Member> {
         self.agents.get(agent)
@@ -121,4 +202,43 @@
     pub fn iter(&self) -> impl Iterator<Item = &Member> {
         self.agents.values()
     }
+
+    fn best(&self, agent: &AgentId) -> Option<Member> {
+        let direct = self.direct.get(agent).cloned();
+        let relayed = self.views.values().filter_map(|view| view.member(agent));
+        let known: Vec<Member> = relayed.chain(direct).collect();
+        let mut best = known.iter().max_by_key(|member| member.rank())?.clone();
+        // An agent that began to leave never comes back under the same incarnation.
+        best.beat.draining = known
+            .iter()
+            .any(|member| member.beat.incarnation == best.beat.incarnation && member.beat.draining);
+        Some(best)
+    }
+
+    fn settle_all(&mut self, agents: &[AgentId]) -> Vec<Change> {
+        agents.iter().flat_map(|agent| self.settle(agent)).collect()
+    }
+
+    /// Looks for the best news of an agent; returns what that changes.
+    fn settle(&mut self, agent: &AgentId) -> Vec<Change> {
+        let Some(best) = self.best(agent) else {
+            let Some(gone) = self.agents.remove(agent) else {
+                return Vec::new();
+            };
+            self.lost.insert(agent.clone(), gone.heard_ms);
+            return vec![Change::Lost(agent.clone())];
+        };
+        let before = self.agents.get(agent).map(|member| &member.beat);
+        let same = before.filter(|before| before.incarnation == best.beat.incarnation);
+        let mut changes = Vec::new();
+        if same.is_none() {
+            changes.push(Change::Joined(agent.clone()));
+        }
+        if best.beat.draining && same.is_none_or(|before| !before.draining) {
+            changes.push(Change::Leaving(agent.clone()));
+        }
+        self.lost.remove(agent);
+        self.agents.insert(agent.clone(), best);
+        changes
+    }
 }
--- a/components/membership/src/peers.rs
+++ b/components/membership/src/peers.rs
@@ -3,7 +3,7 @@
 use model::EntryId;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use wire::PeerState;
+use wire::{Digest, PeerState};
 
 /// Time without news after which an entry counts as gone.
 const PEER_TTL_MS: u64 = 5_000;
@@ -27,6 +27,9 @@
 impl Peers {
     /// Takes what an entry told.
     pub fn heard(&mut self, now_ms: u64, state: PeerState) {
+        // An entry that started anew at the same address has another name.
+        self.entries
+            .retain(|_, peer| peer.state.control != state.control);
         self.entries.insert(
             state.entry.clone(),
             Peer {
@@ -36,6 +39,18 @@
         );
     }
 
+    /// Takes a sign of life; answers whether the entry is known.
+    pub fn on_digest(&mut self, now_ms: u64, digest: &Digest) -> bool {
+        let mut entries = self.entries.values_mut();
+        let Some(peer) = entries.find(|peer| peer.state.control == digest.control) else {
+            return false;
+        };
+        peer.heard_ms = now_ms;
+        peer.state.config = digest.config;
+        peer.state.draining = digest.draining;
+        true
+    }
+
     /// Entries heard of late, in order of names.
     pub fn live(&self, now_ms: u64) -> impl Iterator<Item = &Peer> {
         let is_live = move |peer: &&Peer| now_ms.saturating_sub(peer.heard_ms) < PEER_TTL_MS;
--- a/components/settings/src/agent.rs
+++ b/components/settings/src/agent.rs
@@ -43,6 +43,10 @@
     #[serde(default = "default_heartbeat_ms")]
     #[garde(range(min = 100, max = 5_000))]
     pub heartbeat_ms: u64,
+    /// Entries that are sent heartbeats; these tell the others.
+    #[serde(default = "default_heartbeat_homes")]
+    #[garde(range(min = 1, max = 64))]
+    pub heartbeat_homes: usize,
     /// Time without a renewed announcement after which a backend server has left, in milliseconds.
     #[serde(default = "default_announce_ttl_ms")]
     #[garde(range(min = 500, max = 3_000))]
@@ -80,6 +84,10 @@
     1_000
 }
 
+fn default_heartbeat_homes() -> usize {
+    3
+}
+
 fn default_announce_ttl_ms() -> u64 {
     2_500
 }
--- a/components/wire/src/entry_control.rs
+++ b/components/wire/src/entry_control.rs
@@ -1,6 +1,6 @@
 //! Control calls that an entry answers.
 
-use crate::{AttemptEnd, Heartbeat, HeartbeatAck, PeerState, RequestState};
+use crate::{AttemptEnd, Heartbeat, HeartbeatAck, PeerView, Pulse, RequestState};
 use model::{AgentId, Config, JobId, JobStatus, RequestId};
 
 /// Control calls that an entry answers.
@@ -8,8 +8,10 @@
 pub trait EntryControl {
     /// State of an agent.
     async fn heartbeat(beat: Heartbeat) -> HeartbeatAck;
-    /// State of another entry; answered with this one's.
-    async fn exchange(peer: PeerState) -> PeerState;
+    /// State of the entry and of the agents that it hears itself.
+    async fn view() -> PeerView;
+    /// Loads of the agents that the entry hears itself.
+    async fn loads() -> Vec<Pulse>;
     /// The configuration in force, if it is newer than `number`.
     async fn config_after(number: u64) -> Option<Config>;
     /// Ends of attempts, for the owner of their shards.
--- a/components/wire/src/heartbeat.rs
+++ b/components/wire/src/heartbeat.rs
@@ -2,6 +2,7 @@
 
 use model::{AgentId, DomainName, EntryId, Resources, ServiceName};
 use serde::{Deserialize, Serialize};
+use std::hash::{Hash, Hasher};
 use std::net::SocketAddr;
 
 /// State of an agent as it tells entries.
@@ -103,6 +104,16 @@
         true
     }
 
+    /// Hashes what pulses do not tell.
+    pub fn hash_stable(&self, hasher: &mut impl Hasher) {
+        let addresses = (self.traffic, self.control);
+        (&self.agent, self.incarnation, &self.domain, addresses).hash(hasher);
+        (self.draining, self.capacity).hash(hasher);
+        for service in &self.services {
+            (&service.service, service.slots).hash(hasher);
+        }
+    }
+
     /// Whether a pulse tells all that has changed since `sent`.
     pub fn differs_by_pulse_only(&self, sent: &Self) -> bool {
         let mut sent = sent.clone();
@@ -121,19 +132,6 @@
     pub entries: Vec<SocketAddr>,
     /// Changes with that set.
     pub entries_tag: u64,
-}
-
-/// What entries tell each other.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct PeerState {
-    /// The entry.
-    pub entry: EntryId,
-    /// Its control address.
-    pub control: SocketAddr,
-    /// Its failure domain.
-    pub domain: DomainName,
-    /// Number of the configuration in force there.
-    pub config: u64,
-    /// Whether it is shutting down.
+    /// Whether the entry shuts down, so that heartbeats belong elsewhere.
     pub draining: bool,
 }
--- a/components/wire/src/lib.rs
+++ b/components/wire/src/lib.rs
@@ -9,15 +9,17 @@
 mod headers;
 mod heartbeat;
 mod link;
+mod meter;
+mod peer;
 
 pub use agent_control::{AgentControl, AgentControlClient};
 pub use attempts::{AdoptShard, AttemptEnd, EndKind, StartOrder, StartResult, StopOrder};
 pub use claim::{Claim, ClaimAnswer, RequestState};
-pub use datagram::{send_pulse, serve_pulses};
+pub use datagram::{Datagram, send_digest, send_pulse, send_quiet_pulse, serve_datagrams};
 pub use entry_control::{EntryControl, EntryControlClient};
 pub use fence::{FenceAnswer, FenceRequest};
 pub use headers::{Headers, IDEMPOTENCY_KEY, REQUEST_ID, SERVICE, TEAM, VERDICT};
-pub use heartbeat::{
-    BackendLoad, Heartbeat, HeartbeatAck, PeerState, Pulse, PulseAck, ServiceLoad,
-};
+pub use heartbeat::{BackendLoad, Heartbeat, HeartbeatAck, Pulse, PulseAck, ServiceLoad};
 pub use link::{AgentLink, EntryLink, LinkError, serve_agent, serve_entry};
+pub use meter::Meter;
+pub use peer::{Digest, PeerState, PeerView};
--- a/components/wire/src/link.rs
+++ b/components/wire/src/link.rs
@@ -2,7 +2,7 @@
 
 use crate::{AgentControl, AgentControlClient, EntryControl, EntryControlClient};
 use futures::StreamExt;
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::future::Future;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -41,12 +41,22 @@
             address: SocketAddr,
             /// Connection of the last successful call.
             open: Rc<RefCell<Option<$client>>>,
+            /// When the last call began.
+            used: Rc<Cell<Instant>>,
         }
 
         impl $name {
             /// A link to the process at `address`; connects at the first call.
             pub fn new(address: SocketAddr) -> Self {
-                Self { address, open: Rc::default() }
+                let used = Rc::new(Cell::new(Instant::now()));
+                Self { address, open: Rc::default(), used }
+            }
+
+            /// Closes the connection if no call began within `idle`; the next one connects anew.
+            pub fn close_if_idle(&self, idle: Duration) {
+                if self.used.get().elapsed() >= idle {
+                    self.open.borrow_mut().take();
+                }
             }
 
             /// Address of the other process.
@@ -81,6 +91,7 @@
             where
                 F: Future<Output = Result<T, RpcError>>,
             {
+                self.used.set(Instant::now());
                 let client = self.client().await?;
                 let mut context = context::current();
                 context.deadline = Instant::now() + limit;
