Memory of held bodies is bounded; files split where they had grown

Cause: an entry reads up to 256 KiB of each body before it asks for a slot, for each of max_connections times threads: 1 GB at the defaults. 300 senders of 240 KB that never finish took 173 MB (new test, red). A sender that drips one byte each 9 s could keep that for ever. Ruled out: answers (streamed), requests in flight (bodies are passed on as they come after the head). Change: all but 16 KiB of each body counts against held_body_bytes; beyond it a large body is refused as not run, and small ones go on. What is read ahead must come within 30 s. Weighed: closing refused connections would free the read-ahead too, but costs reconnects at a crest. Besides, no change of behaviour: exchange.rs gave keyed.rs, attempts.rs gave runtime_driver.rs, and the loop that waits while draining stands once, in utils.

--- a/components/agent/src/control.rs
+++ b/components/agent/src/control.rs
@@ -1,11 +1,11 @@
 //! The agent's control thread: all mutable state, reached by messages.
 
-use crate::attempts::RuntimeDriver;
 use crate::messages::{
     Adopt, AskEntries, AskInFlight, AskReady, ConfirmEnds, Drain, GrantReply, HeartbeatAnswered,
     IsBehind, NewConfig, NextHeartbeat, StopAdmitting,
 };
 use crate::metrics::Metrics;
+use crate::runtime_driver::RuntimeDriver;
 use crate::service_times::ServiceTimes;
 use actix::{Actor, AsyncContext, Context, Handler, MessageResult};
 use arc_swap::ArcSwap;
--- a/components/agent/src/lib.rs
+++ b/components/agent/src/lib.rs
@@ -12,6 +12,7 @@
 mod metrics;
 mod rpc;
 mod run;
+mod runtime_driver;
 mod service_times;
 mod traffic;
 
--- a/components/agent/src/run.rs
+++ b/components/agent/src/run.rs
@@ -19,9 +19,9 @@
 use settings::AgentSettings;
 use std::future::Future;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 use telemetry::{Event, log_event};
-use utils::{Clock, wall_ms};
+use utils::{Clock, drained, wall_ms};
 use wire::serve_agent;
 
 /// Time for connecting to a backend server.
@@ -32,8 +32,6 @@
 const ENTRY_KEEP_ALIVE: Duration = Duration::from_secs(75);
 /// Random bits of an incarnation; the others tell the time of the start.
 const INCARNATION_RANDOM_BITS: u32 = 20;
-/// Time between two looks at what is left while draining.
-const DRAIN_LOOK: Duration = Duration::from_millis(50);
 
 /// Runs an agent until `stop` resolves and all work in flight is done.
 ///
@@ -123,16 +121,6 @@
     control.do_send(Drain);
     actix_web::rt::time::sleep(Duration::from_millis(settings.drain.notice_ms)).await;
     control.do_send(StopAdmitting);
-    let started = Instant::now();
-    loop {
-        let left = control.send(AskInFlight).await.unwrap_or(0);
-        let is_over = settings
-            .drain
-            .limit_ms
-            .is_some_and(|limit_ms| started.elapsed() >= Duration::from_millis(limit_ms));
-        if left == 0 || is_over {
-            return;
-        }
-        actix_web::rt::time::sleep(DRAIN_LOOK).await;
-    }
+    let limit = settings.drain.limit_ms.map(Duration::from_millis);
+    drained(limit, async || control.send(AskInFlight).await.unwrap_or(0)).await;
 }
--- a/components/entry/src/body.rs
+++ b/components/entry/src/body.rs
@@ -1,5 +1,6 @@
 //! The body of a caller's request.
 
+use crate::hold::Hold;
 use actix_web::HttpRequest;
 use actix_web::http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use actix_web::web::Payload;
@@ -13,11 +14,23 @@
 
 /// Largest body that is read whole before a slot is asked for, and that can be sent again.
 const WHOLE_BODY_BYTES: usize = 256 << 10;
+/// Longest time for what is read before a slot is asked for.
+const READ_LIMIT: Duration = Duration::from_secs(30);
+/// Delay that a caller is told when there is no room for its body, in milliseconds.
+const RETRY_AFTER_MS: u64 = 1_000;
 /// Longest pause of a sender.
 const SENDER_IDLE: Duration = Duration::from_secs(10);
 
 /// The body of a caller's request.
-pub(crate) enum CallerBody {
+pub(crate) struct CallerBody {
+    /// What was read of it.
+    content: Content,
+    /// Its memory.
+    _hold: Hold,
+}
+
+/// What was read of a body.
+enum Content {
     /// Read whole; can be sent any number of times.
     Whole(Bytes),
     /// The head of a large body; the rest is still coming and can be sent once.
@@ -36,9 +49,45 @@
 impl CallerBody {
     /// Reads as much of a body as is read before a slot is asked for.
     pub async fn read(
+        request: &HttpRequest,
+        payload: Payload,
+        limit_bytes: u64,
+        mut hold: Hold,
+    ) -> Result<Self, Failure> {
+        let reading = Content::read(request, payload, limit_bytes, &mut hold);
+        let read = tokio::time::timeout(READ_LIMIT, reading).await;
+        let content = read.unwrap_or_else(|_| Err(too_slow()))?;
+        Ok(Self {
+            content,
+            _hold: hold,
+        })
+    }
+
+    /// Whether the body can still be sent.
+    pub fn can_be_sent(&self) -> bool {
+        self.content.can_be_sent()
+    }
+
+    /// The body as a stream; of a large body, the only one.
+    pub fn stream(&self) -> LocalBoxStream<'static, Result<Bytes, std::io::Error>> {
+        self.content.stream()
+    }
+
+    /// Whole length, if known.
+    pub fn length(&self) -> Option<u64> {
+        match &self.content {
+            Content::Whole(bytes) => Some(bytes.len() as u64),
+            Content::Rest { length, .. } => *length,
+        }
+    }
+}
+
+impl Content {
+    async fn read(
         request: &HttpRequest,
         mut payload: Payload,
         limit_bytes: u64,
+        hold: &mut Hold,
     ) -> Result<Self, Failure> {
         let length = content_length(request)?;
         if length.is_some_and(|length| length > limit_bytes) {
@@ -52,18 +101,18 @@
         while head.len() <= WHOLE_BODY_BYTES {
             let piece = tokio::time::timeout(SENDER_IDLE, payload.next()).await;
             match piece {
-                Err(_) => {
-                    return Err(Failure::not_run(
-                        Code::CallerTimeout,
-                        "the body came too slowly",
-                    ));
-                }
+                Err(_) => return Err(too_slow()),
                 Ok(None) => return Ok(Self::Whole(head.freeze())),
                 Ok(Some(Err(error))) => {
                     let message = format!("the body did not come whole: {error}");
                     return Err(Failure::not_run(Code::BadRequest, message));
                 }
-                Ok(Some(Ok(piece))) => head.extend_from_slice(&piece),
+                Ok(Some(Ok(piece))) => {
+                    if !hold.grow_to(head.len() + piece.len()) {
+                        return Err(too_many());
+                    }
+                    head.extend_from_slice(&piece);
+                }
             }
             if head.len() as u64 > limit_bytes {
                 return Err(too_large(limit_bytes));
@@ -78,16 +127,14 @@
         })
     }
 
-    /// Whether the body can still be sent.
-    pub fn can_be_sent(&self) -> bool {
+    fn can_be_sent(&self) -> bool {
         match self {
             Self::Whole(_) => true,
             Self::Rest { rest, .. } => rest.borrow().is_some(),
         }
     }
 
-    /// The body as a stream; of a large body, the only one.
-    pub fn stream(&self) -> LocalBoxStream<'static, Result<Bytes, std::io::Error>> {
+    fn stream(&self) -> LocalBoxStream<'static, Result<Bytes, std::io::Error>> {
         match self {
             Self::Whole(bytes) => stream::iter([Ok(bytes.clone())]).boxed_local(),
             Self::Rest {
@@ -106,14 +153,6 @@
             }
         }
     }
-
-    /// Whole length, if known.
-    pub fn length(&self) -> Option<u64> {
-        match self {
-            Self::Whole(bytes) => Some(bytes.len() as u64),
-            Self::Rest { length, .. } => *length,
-        }
-    }
 }
 
 /// Passes a payload on, up to a limit and as long as the sender does not pause too long.
@@ -156,6 +195,15 @@
     .boxed_local()
 }
 
+fn too_slow() -> Failure {
+    Failure::not_run(Code::CallerTimeout, "the body came too slowly")
+}
+
+fn too_many() -> Failure {
+    let failure = Failure::not_run(Code::NoCapacity, "too many large bodies are on their way");
+    failure.retry_after(RETRY_AFTER_MS)
+}
+
 fn too_large(limit_bytes: u64) -> Failure {
     Failure::not_run(
         Code::TooLarge,
--- a/components/entry/src/exchange.rs
+++ b/components/entry/src/exchange.rs
@@ -6,10 +6,7 @@
 use crate::caller::{Destination, Wishes};
 use crate::flight::Flight;
 use crate::hop::{Hop, HopEnd};
-use crate::messages::{
-    Abandon, ClaimKey, ClaimRefusal, HolderState, KeyedEnded, ReleaseKey, RetryKind, Submit,
-};
-use crate::resolve::{self, Resolution};
+use crate::messages::{Abandon, RetryKind, Submit};
 use crate::traffic::Traffic;
 use actix_web::{HttpRequest, HttpResponse};
 use errors::{Code, Failure, Verdict};
@@ -43,80 +40,6 @@
 }
 
 impl Exchange<'_> {
-    /// Runs a request with a key, unless one with the same key was here before.
-    pub async fn run_once(&self, key: &str) -> Result<HttpResponse, Failure> {
-        let service = self.destination.service.clone();
-        let claim = ClaimKey {
-            service: service.clone(),
-            key: key.to_owned(),
-            request: self.id,
-        };
-        let claimed = self.traffic.control.send(claim).await;
-        match claimed {
-            Ok(Ok(())) => {}
-            Ok(Err(ClaimRefusal::Held { holder, state })) => {
-                log_event!(info, Event::DuplicateRefused, request = %self.id, holder = %holder);
-                return self.repeat_answer(holder, state).await;
-            }
-            Ok(Err(ClaimRefusal::Unavailable)) | Err(_) => {
-                let message = "the key can't be claimed now";
-                return Err(Failure::not_run(Code::NoBackend, message).retry_after(1_000));
-            }
-        }
-        let _ended = KeyedGuard {
-            traffic: self.traffic,
-            id: self.id,
-        };
-        let outcome = self.run().await;
-        if outcome
-            .as_ref()
-            .is_err_and(|failure| failure.verdict.is_safe_to_retry())
-        {
-            let key = key.to_owned();
-            self.traffic.control.do_send(ReleaseKey {
-                service,
-                key,
-                request: self.id,
-            });
-        }
-        outcome
-    }
-
-    /// Answers a repetition with the answer to the first request, if that can be had.
-    async fn repeat_answer(
-        &self,
-        holder: RequestId,
-        state: Option<HolderState>,
-    ) -> Result<HttpResponse, Failure> {
-        let unknown = || {
-            let message = format!(
-                "the request {holder} with the same key came first; its answer is not known here"
-            );
-            Failure::may_have_run(Code::DuplicateKey, message)
-        };
-        let state = state.ok_or_else(unknown)?;
-        let dispatch = Dispatch {
-            id: state.sent_as,
-            agent: state.agent,
-            traffic: state.traffic,
-            control: state.control,
-            incarnation: state.incarnation,
-            class: Class::Short,
-        };
-        let deadline = Instant::now() + Duration::from_millis(self.wishes.deadline_ms);
-        let found = resolve::follow(self.traffic, &dispatch, state.sent_as, deadline).await;
-        let Resolution::Answer(mut head) = found else {
-            return Err(unknown());
-        };
-        let mut response = answer::head(
-            head.status().as_u16(),
-            &crate::hop::passed_headers(head.headers()),
-            holder,
-        );
-        let body = head.body().await.map_err(|_| unknown())?;
-        Ok(response.body(body))
-    }
-
     /// Tries agents until one gives an answer or nothing more may be tried.
     pub async fn run(&self) -> Result<HttpResponse, Failure> {
         let started = Instant::now();
@@ -359,17 +282,3 @@
         }
     }
 }
-
-/// Marks a keyed request as ended when its handler is done.
-struct KeyedGuard<'a> {
-    /// What the traffic thread has.
-    traffic: &'a Traffic,
-    /// Number of the request.
-    id: RequestId,
-}
-
-impl Drop for KeyedGuard<'_> {
-    fn drop(&mut self) {
-        self.traffic.control.do_send(KeyedEnded(self.id));
-    }
-}
--- a/components/entry/src/run.rs
+++ b/components/entry/src/run.rs
@@ -3,6 +3,7 @@
 use crate::admin::{self, Admin};
 use crate::config_watch;
 use crate::control::Control;
+use crate::hold::HeldBodies;
 use crate::messages::{AskLeft, Beating, Close, Drain, HearDigest};
 use crate::metrics::Metrics;
 use crate::rpc::Rpc;
@@ -17,17 +18,15 @@
 use std::future::Future;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 use telemetry::{Event, log_event};
-use utils::Clock;
+use utils::{Clock, drained};
 use wire::{Datagram, PeerState, PeerView, PulseAck, serve_datagrams, serve_entry};
 
 /// Time for the head of a caller's request.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(5);
 /// Time after which an idle connection of a caller is closed.
 const CALLER_KEEP_ALIVE: Duration = Duration::from_secs(75);
-/// Time between two looks at what is left while draining.
-const DRAIN_LOOK: Duration = Duration::from_millis(50);
 /// Longest time for a graceful stop of the servers, once nothing is left, in seconds.
 const STOP_LIMIT_S: u64 = 2;
 
@@ -110,10 +109,11 @@
     metrics: &Metrics,
 ) -> std::io::Result<Vec<actix_web::dev::ServerHandle>> {
     let probe = Duration::from_millis(settings.routing.probe_ms);
+    let bodies = HeldBodies::new(settings.held_body_bytes as usize);
     let shared = (control.clone(), snapshot.clone(), metrics.clone());
     let traffic_server = HttpServer::new(move || {
         let (control, snapshot, metrics) = shared.clone();
-        let traffic = Traffic::new(control, snapshot, metrics, clock, probe);
+        let traffic = Traffic::new(control, snapshot, metrics, clock, probe, bodies.clone());
         App::new()
             .app_data(Data::new(traffic))
             .default_service(web::to(traffic::serve))
@@ -160,16 +160,6 @@
     control.do_send(Drain);
     actix_web::rt::time::sleep(Duration::from_millis(settings.drain.notice_ms)).await;
     control.do_send(Close);
-    let started = Instant::now();
-    loop {
-        let left = control.send(AskLeft).await.unwrap_or(0);
-        let is_over = settings
-            .drain
-            .limit_ms
-            .is_some_and(|limit_ms| started.elapsed() >= Duration::from_millis(limit_ms));
-        if left == 0 || is_over {
-            return;
-        }
-        actix_web::rt::time::sleep(DRAIN_LOOK).await;
-    }
+    let limit = settings.drain.limit_ms.map(Duration::from_millis);
+    drained(limit, async || control.send(AskLeft).await.unwrap_or(0)).await;
 }
--- a/components/entry/src/traffic.rs
+++ b/components/entry/src/traffic.rs
@@ -5,6 +5,7 @@
 use crate::caller::{self};
 use crate::control::Control;
 use crate::exchange::Exchange;
+use crate::hold::HeldBodies;
 use crate::metrics::Metrics;
 use crate::snapshot::Snapshot;
 use actix::Addr;
@@ -40,6 +41,8 @@
     pub clock: Clock,
     /// Silence after which a request in flight is asked about.
     pub probe: Duration,
+    /// Memory for bodies, shared by all threads.
+    pub bodies: HeldBodies,
     /// HTTP client of this thread.
     client: Rc<RefCell<Client>>,
 }
@@ -51,6 +54,7 @@
         metrics: Metrics,
         clock: Clock,
         probe: Duration,
+        bodies: HeldBodies,
     ) -> Self {
         let client = Rc::new(RefCell::new(new_client()));
         Self {
@@ -59,6 +63,7 @@
             metrics,
             clock,
             probe,
+            bodies,
             client,
         }
     }
@@ -130,7 +135,8 @@
             )
         })?;
     let wishes = caller::wishes(request, &destination, spec)?;
-    let body = CallerBody::read(request, payload, spec.max_body_bytes).await?;
+    let body =
+        CallerBody::read(request, payload, spec.max_body_bytes, traffic.bodies.hold()).await?;
     let weight = snapshot
         .config
         .teams
--- a/components/settings/src/entry.rs
+++ b/components/settings/src/entry.rs
@@ -40,6 +40,10 @@
     #[serde(default = "default_connections")]
     #[garde(range(min = 1, max = 100_000))]
     pub max_connections: usize,
+    /// Memory for bodies of callers that are held until they are sent on, in bytes.
+    #[serde(default = "default_held_body_bytes")]
+    #[garde(range(min = 1_048_576, max = 4_294_967_296))]
+    pub held_body_bytes: u64,
     /// Share of requests that are traced when the caller asks for nothing, from 0 to 1.
     #[serde(default = "default_trace_ratio")]
     #[garde(range(min = 0.0, max = 1.0))]
@@ -69,6 +73,10 @@
     2_000
 }
 
+fn default_held_body_bytes() -> u64 {
+    64 << 20
+}
+
 fn default_trace_ratio() -> f64 {
     0.01
 }
--- a/components/utils/src/lib.rs
+++ b/components/utils/src/lib.rs
@@ -3,6 +3,7 @@
 mod backoff;
 mod clock;
 mod collections;
+mod drained;
 mod ewma;
 mod hop_headers;
 mod rendezvous;
@@ -10,6 +11,7 @@
 pub use backoff::Backoff;
 pub use clock::{Clock, wall_ms};
 pub use collections::{Map, Set};
+pub use drained::drained;
 pub use ewma::Ewma;
 pub use hop_headers::is_hop_header;
 pub use rendezvous::{hash64, rank};
--- a/tests/requests.rs
+++ b/tests/requests.rs
@@ -571,6 +571,60 @@
     );
 }
 
+/// Resident memory of a process, in bytes.
+fn resident_bytes(process: &common::Process) -> u64 {
+    const PAGE_BYTES: u64 = 4_096;
+    let path = format!("/proc/{}/statm", process.child.id());
+    let text = std::fs::read_to_string(path).unwrap();
+    let pages: u64 = text.split(' ').nth(1).unwrap().parse().unwrap();
+    pages * PAGE_BYTES
+}
+
+#[actix_rt::test]
+async fn a_flood_of_unfinished_bodies_takes_bounded_memory_and_leaves_room_for_others() {
+    const LIMIT_BYTES: u64 = 4 << 20;
+    const SENDERS: u64 = 300;
+    // What the HTTP library reads ahead of a connection before it stops: 128 KiB and 32 KiB.
+    const BUFFERS_BYTES: u64 = 160 << 10;
+    let fleet = Fleet::start(&Plan {
+        entry_extra: json!({ "held_body_bytes": LIMIT_BYTES }),
+        ..Plan::default()
+    })
+    .await;
+    let entry = fleet.entries[0].traffic;
+    let before = resident_bytes(&fleet.entries[0].process);
+    let senders = (0..SENDERS).map(|_| {
+        actix_rt::task::spawn_blocking(move || {
+            let mut stream = TcpStream::connect(entry).unwrap();
+            let head = b"POST /s/rooms/b HTTP/1.1\r\nhost: x\r\nx-mark: flood\r\ncontent-length: 250000\r\n\r\n";
+            stream.write_all(head).unwrap();
+            drop(stream.write_all(&vec![b'z'; 240_000]));
+            stream
+        })
+    });
+    let flood = join_all(senders).await;
+    pause(1_000).await;
+    let grown = resident_bytes(&fleet.entries[0].process).saturating_sub(before);
+    let bound = LIMIT_BYTES + SENDERS * BUFFERS_BYTES;
+    assert!(grown < bound, "{grown} bytes more, bound {bound}");
+    for number in 0..20 {
+        let told = fleet
+            .call(0, "POST", "/book", &format!("small{number}"))
+            .await;
+        assert!(told.is_whole(), "{told:?}");
+    }
+    drop(flood);
+    wait_until("a large body is taken again", async || {
+        let url = format!("http://{entry}/s/rooms/book");
+        let request = fleet.client.post(url).insert_header(("x-mark", "large"));
+        let sent = request.send_body("x".repeat(200_000)).await;
+        sent.is_ok_and(|answer| answer.status().is_success())
+    })
+    .await;
+    let ran = fleet.executions().await;
+    assert!(ran.iter().all(|execution| execution.mark != "flood"));
+}
+
 #[actix_rt::test]
 async fn a_lost_failure_domain_loses_and_doubles_nothing() {
     let mut fleet = Fleet::start(&Plan {
