Quotas of 35 teams at their limit, by the runtime's own record

35 teams with quotas of one and two processors, five tasks each, on 256 processors: by the stand-in runtime's record no team ever ran more than its quota, and all 175 tasks finished.

--- a/tests/work.rs
+++ b/tests/work.rs
@@ -584,3 +584,70 @@
     relay.set_mode(RelayMode::Pass);
     wait_until("readiness comes back", async || is_ready().await).await;
 }
+
+/// Most tasks of one team that ran at once, by the runtime's own record.
+fn most_at_once(runs: &[RunRecord], team: &str) -> usize {
+    let prefix = format!("{team}.");
+    let own = |run: &&RunRecord| run.attempt.task.job.as_str().starts_with(&prefix);
+    let own: Vec<&RunRecord> = runs.iter().filter(own).collect();
+    let runs_at = |at_ms: u64| {
+        let runs = own.iter().filter(|run| {
+            run.started_ms <= at_ms && run.ended_ms.is_none_or(|ended_ms| at_ms < ended_ms)
+        });
+        runs.count()
+    };
+    let starts = own.iter().map(|run| runs_at(run.started_ms));
+    starts.max().unwrap_or(0)
+}
+
+#[actix_rt::test]
+async fn thirty_five_teams_at_their_quotas_never_pass_them_and_all_finish() {
+    const TEAMS: usize = 35;
+    let fleet = Fleet::start(&Plan {
+        entries: 3,
+        agents: 4,
+        capacity: Resources::new(64_000, 200_000, 0),
+        ..Plan::default()
+    })
+    .await;
+    let quota = |team: usize| (1 + team % 2) as u32;
+    let teams: Vec<Value> = (0..TEAMS)
+        .map(|team| {
+            let processors = quota(team) * 1_000;
+            json!({ "name": format!("team{team}"), "quota": { "processors_milli": processors, "memory_mb": 100_000 } })
+        })
+        .collect();
+    fleet
+        .apply(&json!({ "number": 2, "author": "ann", "reason": "teams", "teams": teams }))
+        .await;
+    for entry in &fleet.entries {
+        wait_until("the ticket is in force", async || {
+            let status = fleet.get(entry.admin, "/v1/status").await;
+            status.is_ok_and(|status| status["config"] == 2)
+        })
+        .await;
+    }
+    let submitted = (0..TEAMS).map(|team| {
+        let fleet = &fleet;
+        async move {
+            let job = job(&format!("team{team}"), "build", 5, 400);
+            fleet.submit(team % 3, &job).await
+        }
+    });
+    for answer in join_all(submitted).await {
+        answer.unwrap();
+    }
+    for team in 0..TEAMS {
+        let status = fleet.job_end(0, &format!("team{team}.build")).await;
+        assert_eq!(status["succeeded"], 5, "{status}");
+    }
+    let runs = fleet.platform.runs();
+    for team in 0..TEAMS {
+        let most = most_at_once(&runs, &format!("team{team}"));
+        assert!(
+            (1..=quota(team) as usize).contains(&most),
+            "team{team}: {most}"
+        );
+    }
+    assert_eq!(fleet.platform.breaches(), Vec::<String>::new());
+}
