Bad pairs of service and kind are kept apart; cost of routing measured

Cause: the agent's throttle answered alone for a kind of work that slows a service down; placement put the next task of the kind beside the service again. The field for it stood in Worker, unused. Weighed: keeping a kind away for good, and letting it wait (docs/DESIGN.md). Change: heartbeats name the kinds that an agent has measured at full speed beside a slow service in the last ten minutes; placement takes a worker without the kind's name first, and one with it before the task waits.

--- a/components/agent/src/control.rs
+++ b/components/agent/src/control.rs
@@ -189,6 +189,7 @@
             capacity: self.settings.capacity,
             free: self.ledger.free(),
             config: self.config.number,
+            bad_kinds: self.controller.bad_kinds(self.clock.now_ms()),
         })
     }
 }
--- a/components/batch/src/place.rs
+++ b/components/batch/src/place.rs
@@ -1,7 +1,7 @@
 //! Placement of tasks on workers.
 
 use crate::{Kinds, Shard, TeamUsage, Worker, Workers};
-use model::{AgentId, Config, JobId, Resources, TeamName};
+use model::{AgentId, Config, JobId, KindName, Resources, TeamName};
 use rand::RngExt;
 
 /// Workers drawn at random for one placement before all are looked at.
@@ -38,6 +38,8 @@
     job: JobId,
     /// Its team.
     team: TeamName,
+    /// Its kind.
+    kind: KindName,
     /// Whether it may preempt.
     urgent: bool,
     /// Expected run time of a task.
@@ -128,6 +130,7 @@
                     shard: position,
                     job: state.job.id.clone(),
                     team: spec.team.clone(),
+                    kind: spec.kind.clone(),
                     urgent: spec.urgent,
                     run_ms: self.kinds.run_ms(spec),
                     accepted_wall_ms: state.job.accepted_wall_ms,
@@ -196,20 +199,19 @@
                 && (avoid.as_ref() != Some(&worker.agent) || list.len() == 1)
         };
         let fits = |worker: &Worker| is_open(worker) && candidate.need.fits_in(&worker.room());
+        let is_apart = |worker: &Worker| !worker.bad_kinds.contains(&candidate.kind);
         let drawn = (0..DRAWS).map(|_| &list[rng.random_range(0..list.len())]);
-        let best = drawn
-            .filter(|worker| fits(worker))
-            .max_by(|a, b| compare_room(a, b));
-        let best = best.or_else(|| {
-            list.iter()
-                .filter(|worker| fits(worker))
-                .max_by(|a, b| compare_room(a, b))
-        });
+        let best = roomiest(drawn.filter(|worker| fits(worker) && is_apart(worker)));
+        let all = || list.iter().filter(|worker| fits(worker));
+        let best = best.or_else(|| roomiest(all().filter(|worker| is_apart(worker))));
+        // Beside a service that it slows down, work is still better placed than waiting: the
+        // agent there holds it back.
+        let best = best.or_else(|| roomiest(all()));
         let preempted = || {
             let large = |worker: &&Worker| candidate.need.fits_in(&worker.capacity);
             let usable = list.iter().filter(|worker| is_open(worker)).filter(large);
             let usable = usable.filter(|worker| worker.on_the_way == Resources::default());
-            usable.max_by(|a, b| compare_room(a, b))
+            roomiest(usable)
         };
         let chosen = if candidate.urgent {
             best.or_else(preempted)
@@ -233,6 +235,10 @@
     view.avoid.clone()
 }
 
+fn roomiest<'w>(workers: impl Iterator<Item = &'w Worker>) -> Option<&'w Worker> {
+    workers.max_by(|left, right| compare_room(left, right))
+}
+
 fn compare_room(left: &Worker, right: &Worker) -> std::cmp::Ordering {
     let share = |worker: &Worker| {
         let used = worker.capacity.minus(&worker.room());
--- a/components/batch/src/workers.rs
+++ b/components/batch/src/workers.rs
@@ -28,8 +28,8 @@
     quarantines: u32,
     /// End of the present quarantine.
     quarantined_until_ms: u64,
-    /// Kinds that disturb a service there.
-    pub bad_kinds: Set<KindName>,
+    /// Kinds that slow the services there down.
+    pub bad_kinds: Vec<KindName>,
 }
 
 impl Worker {
@@ -83,6 +83,7 @@
         if let Some(worker) = self.get_mut(&beat.agent) {
             worker.capacity = beat.capacity;
             worker.free = beat.free;
+            worker.bad_kinds.clone_from(&beat.bad_kinds);
             return;
         }
         self.position.insert(beat.agent.clone(), self.list.len());
@@ -94,7 +95,7 @@
             failed_jobs: Set::default(),
             quarantines: 0,
             quarantined_until_ms: 0,
-            bad_kinds: Set::default(),
+            bad_kinds: beat.bad_kinds.clone(),
         });
     }
 
--- a/components/batch/tests/shard.rs
+++ b/components/batch/tests/shard.rs
@@ -174,6 +174,7 @@
         capacity: size,
         free: size,
         config: 1,
+        bad_kinds: Vec::new(),
     }
 }
 
--- a/components/bench/src/main.rs
+++ b/components/bench/src/main.rs
@@ -12,6 +12,7 @@
 mod report;
 mod requests;
 mod results;
+mod routes;
 mod starts;
 mod stats;
 mod takeover;
@@ -68,7 +69,7 @@
         )
         .subcommand(
             Command::new("work")
-                .about("Placement, starts, takeover, noisy neighbour, order of batch work")
+                .about("Placement, routing, starts, takeover, noisy neighbour, order of batch work")
                 .arg(only()),
         )
         .subcommand(Command::new("report").about("Write the last results as one HTML page"))
--- a/components/bench/src/order.rs
+++ b/components/bench/src/order.rs
@@ -49,6 +49,7 @@
         capacity,
         free,
         config: 1,
+        bad_kinds: Vec::new(),
     }
 }
 
--- a/components/bench/src/work.rs
+++ b/components/bench/src/work.rs
@@ -1,7 +1,7 @@
-//! Measurements of batch work.
+//! Measurements of batch work and of single decisions.
 
 use crate::results::Results;
-use crate::{neighbour, order, placement, starts, takeover};
+use crate::{neighbour, order, placement, routes, starts, takeover};
 
 /// Runs the cases; answers whether all bounds hold.
 pub fn run(only: &[String]) -> bool {
@@ -10,6 +10,9 @@
     if wanted("placement") {
         placement::run(&mut results);
     }
+    if wanted("routing") {
+        routes::run(&mut results);
+    }
     if wanted("neighbour") {
         neighbour::run(&mut results);
     }
--- a/components/ledger/src/controller.rs
+++ b/components/ledger/src/controller.rs
@@ -6,6 +6,8 @@
 
 /// Samples that a learnt slowdown remembers.
 const SPAN: f64 = 8.0;
+/// Time after which a kind is no longer kept away for old evidence.
+const BLAME_TTL_MS: u64 = 600_000;
 /// Steps of the throttle, in percent of an attempt's processors.
 const STEPS_PERCENT: [u32; 4] = [100, 50, 25, 10];
 
@@ -80,6 +82,8 @@
     start_step: Map<KindName, usize>,
     /// Learnt slowdown of services while a kind runs at full speed.
     blame: Map<KindName, Ewma>,
+    /// When each kind was last measured at full speed beside a slow service.
+    blamed_ms: Map<KindName, u64>,
     /// When the last measurement was taken that was below the upper limit.
     good_ms: Option<u64>,
     /// When the last action was taken.
@@ -96,6 +100,7 @@
             subjects: Map::default(),
             start_step: Map::default(),
             blame: Map::default(),
+            blamed_ms: Map::default(),
             good_ms: None,
             last_action_ms: None,
             vain: 0,
@@ -143,6 +148,23 @@
         self.blame.get(kind).and_then(Ewma::get)
     }
 
+    /// Kinds that slow services down here, in order of names. A kind is forgotten after a while
+    /// without new evidence, because work that is kept away can't clear itself.
+    ///
+    /// ```
+    /// use ledger::{Controller, ControllerLimits};
+    /// assert!(Controller::new(ControllerLimits::default()).bad_kinds(0).is_empty());
+    /// ```
+    pub fn bad_kinds(&self, now_ms: u64) -> Vec<KindName> {
+        let is_fresh = |blamed_ms: u64| now_ms.saturating_sub(blamed_ms) < BLAME_TTL_MS;
+        let blamed = self.blamed_ms.iter().filter(|(_, at)| is_fresh(**at));
+        let is_bad = |kind: &KindName| self.slowdown_by(kind) > Some(self.limits.high);
+        let bad = blamed.map(|(kind, _)| kind).filter(|kind| is_bad(kind));
+        let mut bad: Vec<KindName> = bad.cloned().collect();
+        bad.sort();
+        bad
+    }
+
     /// Decides by one measurement; what it decides counts as one action.
     pub fn decide(&mut self, now_ms: u64, measurement: Measurement) -> Vec<Action> {
         let is_high = measurement.slowdown > self.limits.high;
@@ -155,7 +177,7 @@
         if measurement.taken_ms < settled_ms {
             return Vec::new();
         }
-        self.learn(measurement.slowdown);
+        self.learn(now_ms, measurement.slowdown);
         let actions = if is_high {
             self.hold_back(measurement.taken_ms)
         } else if measurement.slowdown < self.limits.low {
@@ -170,13 +192,16 @@
         actions
     }
 
-    fn learn(&mut self, slowdown: f64) {
+    fn learn(&mut self, now_ms: u64, slowdown: f64) {
         for subject in self.subjects.values().filter(|subject| subject.step == 0) {
             let blame = self
                 .blame
                 .entry(subject.kind.clone())
                 .or_insert(Ewma::new(SPAN));
             blame.add(slowdown);
+            if slowdown > self.limits.high {
+                self.blamed_ms.insert(subject.kind.clone(), now_ms);
+            }
         }
     }
 
--- a/components/ledger/tests/ledger.rs
+++ b/components/ledger/tests/ledger.rs
@@ -184,3 +184,15 @@
         }]
     );
 }
+
+#[test]
+fn a_kind_that_slows_services_is_bad_until_the_evidence_is_old() {
+    let mut controller = Controller::new(ControllerLimits::default());
+    controller.decide(0, taken(0, 1.0));
+    observe(&mut controller, 10, &kinds(&[(1, "noisy")]));
+    controller.decide(1_000, taken(20, 2.0));
+    observe(&mut controller, 10_000, &kinds(&[(2, "quiet")]));
+    controller.decide(20_000, taken(15_000, 1.0));
+    assert_eq!(controller.bad_kinds(20_000), [KindName::from("noisy")]);
+    assert!(controller.bad_kinds(601_000).is_empty());
+}
--- a/components/membership/tests/members.rs
+++ b/components/membership/tests/members.rs
@@ -18,6 +18,7 @@
         capacity: model::Resources::default(),
         free: model::Resources::default(),
         config: 0,
+        bad_kinds: Vec::new(),
     }
 }
 
--- a/components/membership/tests/relayed.rs
+++ b/components/membership/tests/relayed.rs
@@ -31,6 +31,7 @@
         capacity: model::Resources::default(),
         free: model::Resources::default(),
         config: 0,
+        bad_kinds: Vec::new(),
     }
 }
 
--- a/components/routing/tests/dispatcher.rs
+++ b/components/routing/tests/dispatcher.rs
@@ -32,6 +32,7 @@
         capacity: model::Resources::default(),
         free: model::Resources::default(),
         config: 0,
+        bad_kinds: Vec::new(),
     }
 }
 
--- a/components/wire/src/heartbeat.rs
+++ b/components/wire/src/heartbeat.rs
@@ -1,6 +1,6 @@
 //! Heartbeats of agents.
 
-use model::{AgentId, DomainName, EntryId, Resources, ServiceName};
+use model::{AgentId, DomainName, EntryId, KindName, Resources, ServiceName};
 use serde::{Deserialize, Serialize};
 use std::hash::{Hash, Hasher};
 use std::net::SocketAddr;
@@ -30,6 +30,8 @@
     pub free: Resources,
     /// Number of the configuration in force here.
     pub config: u64,
+    /// Kinds of batch work that slow the VM's services down, in order of names.
+    pub bad_kinds: Vec<KindName>,
 }
 
 /// Load of one service on an agent.
@@ -108,7 +110,7 @@
     pub fn hash_stable(&self, hasher: &mut impl Hasher) {
         let addresses = (self.traffic, self.control);
         (&self.agent, self.incarnation, &self.domain, addresses).hash(hasher);
-        (self.draining, self.capacity).hash(hasher);
+        (self.draining, self.capacity, &self.bad_kinds).hash(hasher);
         for service in &self.services {
             (&service.service, service.slots).hash(hasher);
         }
--- a/tests/relayed.rs
+++ b/tests/relayed.rs
@@ -99,3 +99,28 @@
     fleet.entries.remove(home);
     fleet.wait_serving(6).await;
 }
+
+#[actix_rt::test]
+async fn a_frozen_agent_gets_no_new_work_from_any_entry_after_three_seconds() {
+    let fleet = Fleet::start(&plan()).await;
+    fleet.agents[1].process.signal("STOP");
+    pause(3_000).await;
+    let calls = (0..100).map(|number| {
+        let (fleet, mark) = (&fleet, format!("late{number}"));
+        async move { fleet.call(number % 5, "POST", "/book", &mark).await }
+    });
+    let told = join_all(calls).await;
+    assert!(told.iter().all(Told::is_whole), "{told:?}");
+    fleet.agents[1].process.signal("CONT");
+    pause(500).await;
+    let url = format!("http://{}/metrics", fleet.agents[1].local);
+    let body = fleet.client.get(url).send().await.unwrap().body().await;
+    let page = String::from_utf8_lossy(&body.unwrap()).into_owned();
+    let came = page.lines().filter(|line| {
+        line.starts_with("parsleythread_agent_requests_admitted_total ")
+            || line.starts_with("parsleythread_agent_requests_refused_total ")
+    });
+    let came: Vec<&str> = came.collect();
+    assert_eq!(came.len(), 2, "{page}");
+    assert!(came.iter().all(|line| line.ends_with(" 0")), "{came:?}");
+}
