--- a/components/agent/src/control_requests.rs
+++ b/components/agent/src/control_requests.rs
@@ -91,9 +91,9 @@
 }
 
 impl Handler<Announce> for Control {
-    type Result = ();
+    type Result = u32;
 
-    fn handle(&mut self, Announce(announcement): Announce, _: &mut Self::Context) {
+    fn handle(&mut self, Announce(announcement): Announce, _: &mut Self::Context) -> u32 {
         let expires_ms = self.clock.now_ms() + self.settings.announce_ttl_ms;
         let open_before = self
             .requests
@@ -111,6 +111,7 @@
             self.update_reserved();
             self.beat_soon.notify_one();
         }
+        self.requests.backends.running_on(&announcement)
     }
 }
 
--- a/components/agent/src/local.rs
+++ b/components/agent/src/local.rs
@@ -7,6 +7,7 @@
 use actix_web::web::{Data, Json, ServiceConfig};
 use actix_web::{HttpResponse, web};
 use fence::Announcement;
+use serde::Serialize;
 
 /// Slots that one backend server may announce.
 const MAX_SLOTS: u32 = 10_000;
@@ -20,6 +21,13 @@
     pub metrics: Metrics,
 }
 
+/// Answer to an announcement, once that is in force.
+#[derive(Debug, Serialize)]
+struct Announced {
+    /// Requests that run on the server or are on their way there.
+    in_flight: u32,
+}
+
 pub(crate) fn routes(config: &mut ServiceConfig) {
     config
         .route("/v1/announce", web::post().to(announce))
@@ -33,8 +41,14 @@
         let text = format!("slots: is 1 to {MAX_SLOTS}, not {}", announcement.slots);
         return HttpResponse::BadRequest().body(text);
     }
-    local.control.do_send(Announce(announcement.into_inner()));
-    HttpResponse::NoContent().finish()
+    match local
+        .control
+        .send(Announce(announcement.into_inner()))
+        .await
+    {
+        Ok(in_flight) => HttpResponse::Ok().json(Announced { in_flight }),
+        Err(_) => HttpResponse::ServiceUnavailable().body("the agent is stopping\n"),
+    }
 }
 
 async fn healthz() -> HttpResponse {
--- a/components/agent/src/messages.rs
+++ b/components/agent/src/messages.rs
@@ -1,10 +1,10 @@
 //! Messages to the agent's control thread.
 
 use actix::Message;
+use backing::{AttemptRef, AttemptReport, AttemptStatus, StopMode};
 use errors::Failure;
 use fence::{Admit, Admitted, Announcement, Grant, KeptAnswer, Outcome};
 use model::{Config, RequestId, ServiceName};
-use platform::{AttemptRef, AttemptReport, AttemptStatus, StopMode};
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use tokio::sync::oneshot;
@@ -67,9 +67,9 @@
 #[rtype(result = "Option<KeptAnswer>")]
 pub(crate) struct AskAnswer(pub RequestId);
 
-/// A backend server announces itself.
+/// A backend server announces itself; answered with the number of requests on their way there.
 #[derive(Message)]
-#[rtype(result = "()")]
+#[rtype(result = "u32")]
 pub(crate) struct Announce(pub Announcement);
 
 /// A fence from an entry.
--- a/components/agent/src/rpc.rs
+++ b/components/agent/src/rpc.rs
@@ -5,7 +5,7 @@
     Adopt, ConfirmEnds, Fence, MakeClaim, ReleaseClaim, StartOrders, StopOrders,
 };
 use actix::Addr;
-use platform::AttemptRef;
+use backing::AttemptRef;
 use tarpc::context::Context;
 use wire::{
     AdoptShard, AgentControl, Claim, ClaimAnswer, FenceAnswer, FenceRequest, StartOrder,
--- a/components/agent/src/runtime_driver.rs
+++ b/components/agent/src/runtime_driver.rs
@@ -3,11 +3,11 @@
 use crate::control::Control;
 use crate::messages::{Reports, StartDone, StartOutcome, StopDone};
 use actix::Addr;
-use model::AgentId;
-use platform::{
+use backing::{
     AttemptRef, HttpRuntime, LeaseList, RuntimeRefusal, StartAttempt, StopMode, ThrottleAttempt,
     WorkerRuntime,
 };
+use model::AgentId;
 use settings::AgentSettings;
 use std::cell::RefCell;
 use std::net::SocketAddr;
--- a/components/platform/src/error.rs
+++ b/components/backing/src/error.rs
@@ -26,7 +26,7 @@
     /// Whether the call may have taken effect.
     ///
     /// ```
-    /// assert!(platform::StoreError::Unknown("timeout".to_owned()).is_ambiguous());
+    /// assert!(backing::StoreError::Unknown("timeout".to_owned()).is_ambiguous());
     /// ```
     pub fn is_ambiguous(&self) -> bool {
         matches!(self, Self::Unknown(_))
@@ -35,7 +35,7 @@
     /// Whether the service, rather than the call, is at fault.
     ///
     /// ```
-    /// assert!(platform::StoreError::Unavailable("down".to_owned()).is_outage());
+    /// assert!(backing::StoreError::Unavailable("down".to_owned()).is_outage());
     /// ```
     pub fn is_outage(&self) -> bool {
         matches!(self, Self::Unavailable(_) | Self::Unknown(_))
--- a/components/platform/src/lib.rs
+++ b/components/backing/src/lib.rs
@@ -1,12 +1,14 @@
-//! The platform's services: table, object store and worker runtime, reached only through traits.
+//! Backing services: table, object store and worker runtime, reached only through traits.
 
 mod error;
+mod feed;
 mod http;
 mod objects;
 mod runtime;
 mod table;
 
 pub use error::StoreError;
+pub use feed::{ChangedRow, Changes, TableFeed};
 pub use http::{HttpObjects, HttpRuntime, HttpTable};
 pub use objects::ObjectStore;
 pub use runtime::{
--- a/components/platform/src/runtime.rs
+++ b/components/backing/src/runtime.rs
@@ -79,7 +79,7 @@
     /// Whether the attempt can't run any more.
     ///
     /// ```
-    /// assert!(!platform::AttemptStatus::Running.is_final());
+    /// assert!(!backing::AttemptStatus::Running.is_final());
     /// ```
     pub fn is_final(self) -> bool {
         self != Self::Running
--- a/components/platform/src/table.rs
+++ b/components/backing/src/table.rs
@@ -46,7 +46,7 @@
     /// Adds a condition on a row's version; absent if the row must not exist.
     ///
     /// ```
-    /// let txn = platform::Transaction::default().require("a", None).put("a", "1");
+    /// let txn = backing::Transaction::default().require("a", None).put("a", "1");
     /// assert_eq!(txn.writes.len(), 1);
     /// ```
     pub fn require(mut self, key: impl Into<String>, version: Option<u64>) -> Self {
@@ -60,7 +60,7 @@
     /// Adds a write.
     ///
     /// ```
-    /// assert_eq!(platform::Transaction::default().put("a", "1").writes[0].key, "a");
+    /// assert_eq!(backing::Transaction::default().put("a", "1").writes[0].key, "a");
     /// ```
     pub fn put(mut self, key: impl Into<String>, value: impl Into<String>) -> Self {
         self.writes.push(Write {
@@ -73,7 +73,7 @@
     /// Adds a deletion.
     ///
     /// ```
-    /// assert!(platform::Transaction::default().delete("a").writes[0].value.is_none());
+    /// assert!(backing::Transaction::default().delete("a").writes[0].value.is_none());
     /// ```
     pub fn delete(mut self, key: impl Into<String>) -> Self {
         self.writes.push(Write {
--- a/components/batch/src/commit.rs
+++ b/components/batch/src/commit.rs
@@ -2,8 +2,8 @@
 
 use crate::lease::ShardRow;
 use crate::rows::shard_key;
+use backing::{Row, Transaction};
 use model::TaskId;
-use platform::{Row, Transaction};
 
 /// One group commit; sent again unchanged until its outcome is known.
 #[derive(Debug, Clone)]
--- a/components/batch/src/effect.rs
+++ b/components/batch/src/effect.rs
@@ -1,7 +1,7 @@
 //! What a shard's owner has to do outside of the table.
 
+use backing::AttemptRef;
 use model::{AgentId, JobStatus};
-use platform::AttemptRef;
 use wire::{StartOrder, StopOrder};
 
 /// What a shard's owner has to do outside of the table.
--- a/components/batch/src/lease.rs
+++ b/components/batch/src/lease.rs
@@ -1,8 +1,8 @@
 //! Leases on shards.
 
 use crate::rows::shard_key;
+use backing::{Row, Transaction};
 use model::EntryId;
-use platform::{Row, Transaction};
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 use utils::Map;
--- a/components/batch/src/shard.rs
+++ b/components/batch/src/shard.rs
@@ -4,8 +4,8 @@
 use crate::lease::ShardRow;
 use crate::rows::{cancel_key, job_key, task_prefix};
 use crate::{JobState, TaskView, TeamUsage};
+use backing::Row;
 use model::{AgentId, Job, JobId, JobStatus, JobSummary, Resources, TaskId, TaskRecord, TaskState};
-use platform::Row;
 use std::collections::{BTreeMap, BTreeSet};
 
 /// A shard of batch work, as its owner keeps it.
--- a/components/batch/src/shard_commit.rs
+++ b/components/batch/src/shard_commit.rs
@@ -4,8 +4,8 @@
 use crate::rows::{cancel_key, done_key, job_key, shard_key, task_key};
 use crate::shard_orders::due_order;
 use crate::{Effect, JobState, Shard};
+use backing::{AttemptRef, Transaction};
 use model::{AgentId, JobPhase, JobSummary, TaskId, TaskState};
-use platform::{AttemptRef, Transaction};
 
 impl Shard {
     /// The next commit, if there is anything to write or the lease must be renewed; `wall_ms`
--- a/components/batch/src/shard_ends.rs
+++ b/components/batch/src/shard_ends.rs
@@ -1,8 +1,8 @@
 //! What agents tell of attempts: taken in, refused, ended.
 
 use crate::{Effect, Kinds, Shard, TeamUsage, Workers};
+use backing::AttemptRef;
 use model::{AgentId, EndReason, TaskState};
-use platform::AttemptRef;
 use wire::{AttemptEnd, EndKind};
 
 impl Shard {
--- a/components/batch/src/shard_orders.rs
+++ b/components/batch/src/shard_orders.rs
@@ -1,8 +1,8 @@
 //! Orders to agents about placed attempts.
 
 use crate::{Effect, JobState, Shard, TaskView};
+use backing::AttemptRef;
 use model::{AgentId, Job, TaskState};
-use platform::AttemptRef;
 use wire::{StartOrder, StopOrder};
 
 /// Time before an order that brought no answer is sent again.
--- a/components/batch/tests/kinds.rs
+++ b/components/batch/tests/kinds.rs
@@ -1,8 +1,8 @@
 //! What is learnt of kinds of work.
 
+use backing::AttemptRef;
 use batch::Kinds;
 use model::{JobSpec, Resources};
-use platform::AttemptRef;
 use wire::{AttemptEnd, EndKind};
 
 fn spec(declared: Resources) -> JobSpec {
--- a/components/batch/tests/shard.rs
+++ b/components/batch/tests/shard.rs
@@ -1,12 +1,12 @@
 //! Owners of one shard that crash, pause, lose answers and race, against a model of the table and
 //! of the platform's runtime.
 
+use backing::{AttemptRef, StoreError, TableStore, Transaction};
 use batch::{
     CommitPlan, Effect, Kinds, LeaseWatch, PlaceLimits, PlacementOrder, Placer, Settled, Shard,
     TeamUsage, Workers, claim_transaction, shard_key,
 };
 use model::{AgentId, Config, EntryId, Job, JobPhase, JobSpec, JobSummary, Resources, TeamSpec};
-use platform::{AttemptRef, StoreError, TableStore, Transaction};
 use proptest::prelude::*;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
--- a/components/bench/src/cost.rs
+++ b/components/bench/src/cost.rs
@@ -40,6 +40,9 @@
         Ok(Settings::Agent(settings)) => {
             actix_rt::System::new().block_on(agent::run(*settings, never))
         }
+        Ok(Settings::FlowEntry(_) | Settings::FlowAgent(_)) => {
+            Err(std::io::Error::other("settings of a process for flows"))
+        }
         Err(faults) => Err(std::io::Error::other(faults.to_string())),
     };
     ran.is_ok()
--- a/components/bench/src/order.rs
+++ b/components/bench/src/order.rs
@@ -3,11 +3,11 @@
 use crate::results::Results;
 use crate::stats::percentile_ms;
 use crate::trace::SEED;
+use backing::AttemptRef;
 use batch::{
     Effect, Kinds, PlaceLimits, PlacementOrder, Placer, Shard, ShardRow, TeamUsage, Workers,
 };
 use model::{Config, Job, JobSpec, Resources, TeamSpec};
-use platform::AttemptRef;
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use std::collections::BTreeMap;
--- a/components/entry/src/admin.rs
+++ b/components/entry/src/admin.rs
@@ -9,8 +9,8 @@
 use actix_web::web::{Data, JsonConfig, ServiceConfig};
 use actix_web::{HttpRequest, HttpResponse, web};
 use arc_swap::ArcSwap;
+use backing::HttpTable;
 use errors::{Code, Failure};
-use platform::HttpTable;
 use std::sync::Arc;
 
 /// Largest body of an admin call, in bytes.
--- a/components/entry/src/commits.rs
+++ b/components/entry/src/commits.rs
@@ -3,8 +3,8 @@
 use crate::control::Control;
 use crate::messages::StoreHealth;
 use actix::{Addr, AsyncContext, Context, Handler, Message};
+use backing::{Row, StoreError, TableStore, Transaction};
 use batch::{CommitPlan, Settled, Shard, shard_key};
-use platform::{Row, StoreError, TableStore, Transaction};
 use std::time::Duration;
 use telemetry::{Event, log_event};
 use utils::Backoff;
--- a/components/entry/src/config_watch.rs
+++ b/components/entry/src/config_watch.rs
@@ -5,7 +5,7 @@
 use crate::snapshot::Snapshot;
 use actix::Addr;
 use arc_swap::ArcSwap;
-use platform::HttpTable;
+use backing::HttpTable;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
--- a/components/entry/src/driver.rs
+++ b/components/entry/src/driver.rs
@@ -2,8 +2,8 @@
 
 use crate::control::Control;
 use actix::{AsyncContext, Context};
+use backing::{HttpRuntime, HttpTable};
 use batch::{Kinds, LeaseWatch, PlaceLimits, PlacementOrder, Placer, Shard, TeamUsage, Workers};
-use platform::{HttpRuntime, HttpTable};
 use settings::EntrySettings;
 use std::collections::BTreeMap;
 use std::rc::Rc;
--- a/components/entry/src/jobs.rs
+++ b/components/entry/src/jobs.rs
@@ -3,9 +3,9 @@
 use crate::control::Control;
 use crate::messages::{AskFits, AskJob, AskOwner, JobAccepted, JobChanged};
 use actix::{AsyncContext, Handler, Message, MessageResult};
+use backing::{Row, ScanRange, StoreError, TableStore};
 use batch::{cancel_key, done_prefix, job_key};
 use model::{Job, JobStatus, JobSummary};
-use platform::{Row, ScanRange, StoreError, TableStore};
 use std::net::SocketAddr;
 use std::time::Duration;
 use wire::EntryLink;
--- a/components/entry/src/run.rs
+++ b/components/entry/src/run.rs
@@ -13,7 +13,7 @@
 use actix_web::web::{self, Data};
 use actix_web::{App, HttpServer};
 use arc_swap::ArcSwap;
-use platform::HttpTable;
+use backing::HttpTable;
 use settings::EntrySettings;
 use std::future::Future;
 use std::rc::Rc;
--- a/components/entry/src/shard_leases.rs
+++ b/components/entry/src/shard_leases.rs
@@ -3,9 +3,9 @@
 use crate::control::Control;
 use crate::messages::StoreHealth;
 use actix::{AsyncContext, Context, Handler, Message};
+use backing::{HttpTable, Row, ScanRange, StoreError, TableStore};
 use batch::{Shard, ShardRow, claim_transaction, shard_key};
 use model::EntryId;
-use platform::{HttpTable, Row, ScanRange, StoreError, TableStore};
 use std::time::Duration;
 use telemetry::{Event, log_event};
 use utils::rank;
--- a/components/fence/src/backends.rs
+++ b/components/fence/src/backends.rs
@@ -152,6 +152,15 @@
         loads
     }
 
+    /// Requests that run on the server that announces itself, or are on their way there.
+    pub fn running_on(&self, announcement: &Announcement) -> u32 {
+        let servers = self.by_service.get(&announcement.service);
+        let mut servers = servers.into_iter().flatten();
+        servers
+            .find(|server| server.address == announcement.address)
+            .map_or(0, Backend::running)
+    }
+
     /// Requests that run on all servers together.
     pub fn running(&self) -> u32 {
         self.by_service
--- /dev/null
+++ b/components/flow/src/effect.rs
@@ -0,0 +1,82 @@
+//! What the scheduler wants done, and what it decided.
+
+use crate::{FlowPhase, Incarnation, TaskKey};
+use model::{AgentId, JobId};
+
+/// Something that the scheduler wants done.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Effect {
+    /// Start a run.
+    Start(RunRef, StartText),
+    /// Stop a run for good.
+    Stop(RunRef),
+    /// Change the share at which a run works.
+    Pace(RunRef, u32),
+    /// Ends of this agent's worker became durable.
+    Acknowledge(AgentId),
+    /// A flow is over and the table knows.
+    Ended(JobId, FlowPhase),
+    /// A newer scheduler exists.
+    StepDown,
+    /// Something was decided that belongs into the log.
+    Note(Note),
+}
+
+/// A run at a worker.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RunRef {
+    /// Agent of the worker.
+    pub agent: AgentId,
+    /// Life of the worker.
+    pub incarnation: Incarnation,
+    /// The task.
+    pub task: TaskKey,
+    /// Number of the run.
+    pub run: u32,
+}
+
+/// What a started run is given.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct StartText {
+    /// Text for the task.
+    pub payload: String,
+    /// Checkpoint to resume from.
+    pub checkpoint: Option<String>,
+}
+
+/// A decision, for the log.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Note {
+    /// What was decided.
+    pub kind: NoteKind,
+    /// The task.
+    pub task: TaskKey,
+    /// Number of the run.
+    pub run: u32,
+    /// Agent of the worker.
+    pub agent: AgentId,
+    /// What decided it.
+    pub detail: String,
+}
+
+/// Kinds of decisions.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, strum::Display, strum::IntoStaticStr)]
+#[strum(serialize_all = "kebab-case")]
+pub enum NoteKind {
+    /// A task was placed on a worker.
+    Placed,
+    /// A run ended.
+    Ended,
+    /// A run is surely gone without an end.
+    Gone,
+    /// A start was refused.
+    Refused,
+    /// A run that is placed nowhere is stopped.
+    Stray,
+    /// A run without progress is moved.
+    Stalled,
+    /// A worker is set aside.
+    Paused,
+    /// A flow failed for good.
+    Failed,
+}
--- /dev/null
+++ b/components/flow/src/lib.rs
@@ -0,0 +1,36 @@
+//! Flows: batch work of several steps that depend on each other, placed on workers by one
+//! scheduler. Everything here decides by its arguments alone; nothing reads a clock or a network.
+
+mod config;
+mod effect;
+mod health;
+mod job;
+mod lease;
+mod messages;
+mod orders;
+mod place;
+mod progress;
+mod protect;
+mod record;
+mod reports;
+mod scheduler;
+mod spec;
+mod state;
+mod task_key;
+mod view;
+mod worker;
+
+pub use config::{FlowConfig, Pool, Queue};
+pub use effect::{Effect, Note, NoteKind, RunRef, StartText};
+pub use health::Health;
+pub use job::{FlowEnd, FlowJob, FlowPhase, FlowRow, QueueKey};
+pub use lease::{ClockSample, LeaseTerms};
+pub use messages::{PaceOrder, PollReply, PollRequest, StartOrder, StartOutcome, StopOrder};
+pub use record::FlowRecord;
+pub use reports::ReportTimes;
+pub use scheduler::{RecordRow, Scheduler};
+pub use spec::{FlowSpec, Schedule, SpecFault, StepSpec};
+pub use state::{FlowState, OccurrenceState, Placement, Stage, StepState, TaskState};
+pub use task_key::TaskKey;
+pub use view::{Fleet, Held, PendingAck, Stray, WorkerView};
+pub use worker::{EndedRun, Incarnation, RunEnd, RunningTask, WorkerInfo, WorkerReport};
--- /dev/null
+++ b/components/flow/src/place.rs
@@ -0,0 +1,413 @@
+//! Placement: which task goes where, and in which order.
+
+use crate::view::WorkerView;
+use crate::{
+    FlowState, NoteKind, Placement, Queue, Scheduler, Stage, StepSpec, TaskKey, scheduler::held,
+};
+use model::{AgentId, JobId, Resources, ServiceName};
+
+/// Score of a worker far from the data or from the rest of its step.
+const FAR: f64 = 100.0;
+/// Score of a worker on which the task failed before.
+const AVOIDED: f64 = 50.0;
+/// Score of a filler beside a task that serves.
+const BESIDE_SERVICE: f64 = 0.4;
+/// Least share of its processors that a filler should find left over.
+const FILLER_SHARE: f64 = 0.5;
+/// Multiple of its objective after which a flow goes behind those that can still be in time.
+const HOPELESS_FACTOR: f64 = 3.0;
+
+/// Position of a flow in the order of placement; the least comes first.
+#[derive(Debug, Clone, Copy, PartialEq, PartialOrd)]
+struct Rank {
+    /// Urgency of the queue.
+    priority: u32,
+    /// Whether nothing can be in time any more.
+    hopeless: bool,
+    /// When it should have ended.
+    due_ms: f64,
+}
+
+/// A worker that could take a task now.
+struct Room {
+    /// Its agent.
+    agent: AgentId,
+    /// What is free.
+    free: Resources,
+    /// What it has.
+    capacity: Resources,
+    /// Processors that nobody uses, less those of fillers, in thousandths.
+    left_over_milli: i64,
+    /// Whether a task that serves runs there.
+    serves: bool,
+}
+
+impl Scheduler {
+    /// Places every task that can be placed now.
+    pub fn place(&mut self, now_ms: u64, wall_ms: u64) {
+        let due = self
+            .flows
+            .values_mut()
+            .filter(|state| state.job.spec.schedule.is_some());
+        for state in due {
+            state.activate(wall_ms);
+        }
+        let mut order: Vec<(Rank, JobId)> = self
+            .flows
+            .values()
+            .filter(|state| !state.is_closed())
+            .filter_map(|state| Some((self.rank(now_ms, state)?, state.job.id.clone())))
+            .collect();
+        if order.is_empty() {
+            return;
+        }
+        order.sort_by(|left, right| left.partial_cmp(right).unwrap_or(std::cmp::Ordering::Equal));
+        let mut rooms = self.rooms(now_ms);
+        for (_, job) in order {
+            self.place_flow(now_ms, &job, &mut rooms);
+        }
+    }
+
+    /// Where a flow stands in the order; nothing if none of its tasks waits.
+    fn rank(&self, now_ms: u64, state: &FlowState) -> Option<Rank> {
+        let waits = state
+            .occurrences
+            .iter()
+            .flat_map(|occurrence| &occurrence.steps)
+            .flat_map(|step| &step.tasks)
+            .any(|task| !task.done && task.placement.is_none());
+        if !waits {
+            return None;
+        }
+        let queue = self.config.queue(&state.job.queue);
+        let priority = queue.map_or(u32::MAX, |queue| queue.priority);
+        let objective_ms = queue.map_or(0.0, |queue| objective_ms(queue, state));
+        let known_ms = state.known_ms as f64;
+        let due_ms = if state.job.spec.is_long_running() {
+            0.0
+        } else {
+            known_ms + objective_ms
+        };
+        let hopeless = due_ms > 0.0 && (now_ms as f64) > known_ms + HOPELESS_FACTOR * objective_ms;
+        Some(Rank {
+            priority,
+            hopeless,
+            due_ms,
+        })
+    }
+
+    /// Workers that take work now.
+    fn rooms(&self, now_ms: u64) -> Vec<(ServiceName, Room)> {
+        let takes_work = |view: &&WorkerView| {
+            view.synced
+                && now_ms >= view.not_before_ms
+                && view.health.takes_work(now_ms, view.held.len())
+        };
+        let workers = self.fleet.workers.iter();
+        workers
+            .filter(|(_, view)| takes_work(view))
+            .filter_map(|(agent, view)| {
+                let info = view.info.as_ref().filter(|info| !info.draining)?;
+                Some((info.service.clone(), room(agent, view, info.capacity)))
+            })
+            .collect()
+    }
+
+    fn place_flow(&mut self, now_ms: u64, job: &JobId, rooms: &mut Vec<(ServiceName, Room)>) {
+        let Some(state) = self.flows.get(job) else {
+            return;
+        };
+        let Some(service) = self
+            .config
+            .queue(&state.job.queue)
+            .map(|queue| queue.service.clone())
+        else {
+            return;
+        };
+        let mut turns = Vec::new();
+        for (occurrence, steps) in state.occurrences.iter().enumerate() {
+            for (step, tasks) in steps.steps.iter().enumerate() {
+                if !tasks.is_done() && state.is_turn(occurrence, step) {
+                    turns.push((occurrence, step));
+                }
+            }
+        }
+        for (occurrence, step) in turns {
+            let is_gang = self
+                .flows
+                .get(job)
+                .and_then(|state| state.step_spec(step as u32))
+                .is_some_and(|spec| spec.gang);
+            if is_gang {
+                self.place_gang(now_ms, job, occurrence, step, &service, rooms);
+            } else {
+                self.place_step(now_ms, job, occurrence, step, &service, rooms);
+            }
+        }
+    }
+
+    fn waiting_in(&self, now_ms: u64, job: &JobId, occurrence: usize, step: usize) -> Vec<TaskKey> {
+        let Some(state) = self.flows.get(job) else {
+            return Vec::new();
+        };
+        let tasks = state
+            .occurrences
+            .get(occurrence)
+            .and_then(|occurrence| occurrence.steps.get(step))
+            .map(|step| step.tasks.iter().enumerate());
+        tasks
+            .into_iter()
+            .flatten()
+            .filter(|(_, task)| {
+                !task.done && task.placement.is_none() && now_ms >= task.not_before_ms
+            })
+            .map(|(index, _)| TaskKey {
+                job: job.clone(),
+                occurrence: occurrence as u32,
+                step: step as u32,
+                index: index as u32,
+            })
+            .collect()
+    }
+
+    fn place_step(
+        &mut self,
+        now_ms: u64,
+        job: &JobId,
+        occurrence: usize,
+        step: usize,
+        service: &ServiceName,
+        rooms: &mut [(ServiceName, Room)],
+    ) {
+        for key in self.waiting_in(now_ms, job, occurrence, step) {
+            if self.fleet.is_stray(&key) {
+                continue;
+            }
+            let Some(at) = self.best_room(&key, service, rooms, None) else {
+                return;
+            };
+            self.put(now_ms, &key, &mut rooms[at].1, None, None);
+        }
+    }
+
+    /// Places all members of a gang, or none.
+    fn place_gang(
+        &mut self,
+        now_ms: u64,
+        job: &JobId,
+        occurrence: usize,
+        step: usize,
+        service: &ServiceName,
+        rooms: &mut [(ServiceName, Room)],
+    ) {
+        let keys = self.waiting_in(now_ms, job, occurrence, step);
+        let Some(state) = self.flows.get(job) else {
+            return;
+        };
+        let Some(spec) = state.step_spec(step as u32).cloned() else {
+            return;
+        };
+        if keys.len() < spec.tasks as usize {
+            return;
+        }
+        let members = keys.iter().filter_map(|key| state.task(key));
+        let run = members.clone().map(|task| task.run).max().unwrap_or(0) + 1;
+        let checkpoint = members.filter_map(|task| task.checkpoint.clone()).next();
+        let racks: Vec<Option<String>> = if spec.same_rack {
+            self.racks(service, rooms).into_iter().map(Some).collect()
+        } else {
+            vec![None]
+        };
+        for rack in racks.iter().chain([&None]) {
+            let before: Vec<Resources> = rooms.iter().map(|(_, room)| room.free).collect();
+            let chosen = self.choose_all(&keys, &spec, service, rooms, rack.as_deref());
+            for ((_, room), free) in rooms.iter_mut().zip(before) {
+                room.free = free;
+            }
+            if let Some(chosen) = chosen {
+                for (key, at) in keys.iter().zip(chosen) {
+                    let given = Some(checkpoint.clone());
+                    self.put(now_ms, key, &mut rooms[at].1, Some(run), given);
+                }
+                return;
+            }
+        }
+    }
+
+    fn racks(&self, service: &ServiceName, rooms: &[(ServiceName, Room)]) -> Vec<String> {
+        let mut racks: Vec<String> = rooms
+            .iter()
+            .filter(|(pool, _)| pool == service)
+            .filter_map(|(_, room)| self.rack_of(&room.agent))
+            .map(str::to_owned)
+            .collect();
+        racks.sort();
+        racks.dedup();
+        racks
+    }
+
+    fn rack_of(&self, agent: &AgentId) -> Option<&str> {
+        self.worker(agent)?.info.as_ref()?.rack()
+    }
+
+    fn choose_all(
+        &self,
+        keys: &[TaskKey],
+        spec: &StepSpec,
+        service: &ServiceName,
+        rooms: &mut [(ServiceName, Room)],
+        rack: Option<&str>,
+    ) -> Option<Vec<usize>> {
+        let mut chosen = Vec::new();
+        for key in keys {
+            let at = self.best_room(key, service, rooms, rack)?;
+            rooms[at].1.free = rooms[at].1.free.minus(&spec.reserved());
+            chosen.push(at);
+        }
+        Some(chosen)
+    }
+
+    /// The worker that suits a task best, if any has room for it.
+    fn best_room(
+        &self,
+        key: &TaskKey,
+        service: &ServiceName,
+        rooms: &[(ServiceName, Room)],
+        rack: Option<&str>,
+    ) -> Option<usize> {
+        let state = self.flows.get(&key.job)?;
+        let spec = state.step_spec(key.step)?;
+        let task = state.task(key)?;
+        let need = spec.reserved();
+        let mut best: Option<(f64, usize)> = None;
+        for (at, (pool, room)) in rooms.iter().enumerate() {
+            if pool != service || !need.fits_in(&room.free) {
+                continue;
+            }
+            let Some(view) = self.fleet.workers.get(&room.agent) else {
+                continue;
+            };
+            if !may_run(view, key, spec, rack) {
+                continue;
+            }
+            let is_avoided = task.avoid.as_ref() == Some(&room.agent);
+            let score = score(view, room, spec) + if is_avoided { AVOIDED } else { 0.0 };
+            let leaves_enough = !spec.filler || suits_filler(room, spec);
+            if leaves_enough && best.is_none_or(|(least, _)| score < least) {
+                best = Some((score, at));
+            }
+        }
+        best.map(|(_, at)| at)
+    }
+
+    /// Places a task; it starts once the record of that is durable.
+    fn put(
+        &mut self,
+        now_ms: u64,
+        key: &TaskKey,
+        room: &mut Room,
+        run: Option<u32>,
+        checkpoint: Option<Option<String>>,
+    ) {
+        let Some(incarnation) = self
+            .worker(&room.agent)
+            .and_then(|view| view.incarnation.clone())
+        else {
+            return;
+        };
+        let revision = self.touch(&key.job);
+        let Some(state) = self.flows.get_mut(&key.job) else {
+            return;
+        };
+        let Some(spec) = state.step_spec(key.step).cloned() else {
+            return;
+        };
+        let Some(task) = state.task_mut(key) else {
+            return;
+        };
+        task.run = run.unwrap_or(task.run + 1);
+        if let Some(checkpoint) = checkpoint {
+            task.checkpoint = checkpoint;
+        }
+        task.placement = Some(Placement {
+            agent: room.agent.clone(),
+            incarnation,
+            stage: Stage::Unwritten,
+            revision,
+            percent: 0,
+            progress_ms: now_ms,
+            pace: 100,
+            paced_ms: 0,
+        });
+        let run = task.run;
+        self.unwritten.insert(key.job.clone());
+        let held = held(&spec, run);
+        room.free = room.free.minus(&held.reserved);
+        room.left_over_milli -= i64::from(held.processors_milli);
+        room.serves |= held.latency_target_ms.is_some();
+        let free = room.free;
+        let agent = room.agent.clone();
+        self.worker_mut(&agent).held.insert(key.clone(), held);
+        let detail = format!(
+            "free {} milli, {} MB",
+            free.processors_milli, free.memory_mb
+        );
+        self.note(NoteKind::Placed, key, run, &agent, detail);
+    }
+}
+
+/// Time from acceptance within which a flow should end.
+fn objective_ms(queue: &Queue, state: &FlowState) -> f64 {
+    queue.stretch * state.job.spec.chain_ms() as f64 + queue.latency_target_ms as f64
+}
+
+fn room(agent: &AgentId, view: &WorkerView, capacity: Resources) -> Room {
+    let free = capacity.minus(&view.reserved());
+    let left_over_milli = i64::from(free.processors_milli) - i64::from(view.filler_milli());
+    Room {
+        agent: agent.clone(),
+        free,
+        capacity,
+        left_over_milli,
+        serves: view.serves(),
+    }
+}
+
+/// Whether the rules let a task run on a worker, whatever is free there.
+fn may_run(view: &WorkerView, key: &TaskKey, spec: &StepSpec, rack: Option<&str>) -> bool {
+    let Some(info) = &view.info else {
+        return false;
+    };
+    let has_label = spec
+        .label
+        .as_ref()
+        .is_none_or(|label| info.labels.contains(label));
+    let in_rack = rack.is_none_or(|rack| info.rack() == Some(rack));
+    let spread = spec
+        .max_per_worker
+        .is_none_or(|limit| view.count_of(&key.job, key.occurrence, key.step) < limit);
+    has_label && in_rack && spread
+}
+
+/// Whether a filler finds enough processors left over.
+fn suits_filler(room: &Room, spec: &StepSpec) -> bool {
+    room.left_over_milli as f64 >= f64::from(spec.need.processors_milli) * FILLER_SHARE
+}
+
+/// How little a worker suits a task; the least is best.
+fn score(view: &WorkerView, room: &Room, spec: &StepSpec) -> f64 {
+    let total = f64::from(room.capacity.processors_milli.max(1));
+    let near = spec.data_rack.as_deref().is_none_or(|rack| {
+        view.info
+            .as_ref()
+            .is_some_and(|info| info.rack() == Some(rack))
+    });
+    let distance = if near { 0.0 } else { FAR };
+    let left_over = room.left_over_milli as f64 / total;
+    let company = if spec.filler && room.serves {
+        BESIDE_SERVICE
+    } else {
+        0.0
+    };
+    distance + company - left_over
+}
--- /dev/null
+++ b/components/flow/src/progress.rs
@@ -0,0 +1,77 @@
+//! Watches the progress of runs: a worker may run tasks that stand still.
+
+use crate::{NoteKind, RunningTask, Scheduler, Stage, TaskKey};
+use model::AgentId;
+use utils::Map;
+
+/// Shortest time without progress after which a run counts as standing still, in milliseconds.
+const STALL_MIN_MS: u64 = 1_500;
+/// Longest such time, in milliseconds.
+const STALL_MAX_MS: u64 = 6_000;
+/// Such time as a share of the declared run time, in percent: one hundredth of progress on a
+/// worker that is ten times slower than declared.
+const STALL_PERCENT: u64 = 10;
+/// Progress of a long-running task that is at work.
+const AT_WORK_PERCENT: u32 = 100;
+
+impl Scheduler {
+    /// Stops runs that stand still, so that they resume elsewhere, and sets their worker aside.
+    pub(crate) fn watch_progress(
+        &mut self,
+        now_ms: u64,
+        agent: &AgentId,
+        running: &Map<&TaskKey, &RunningTask>,
+    ) {
+        let stalled: Vec<TaskKey> = running
+            .keys()
+            .filter(|key| self.is_stalled(now_ms, agent, key))
+            .map(|key| (*key).clone())
+            .collect();
+        if stalled.is_empty() {
+            return;
+        }
+        self.worker_mut(agent).health.pause(now_ms);
+        for key in stalled {
+            let Some(task) = self
+                .flows
+                .get_mut(&key.job)
+                .and_then(|state| state.task_mut(&key))
+            else {
+                continue;
+            };
+            task.avoid = Some(agent.clone());
+            let run = task.run;
+            let Some(placement) = task.placement.clone() else {
+                continue;
+            };
+            let still_ms = now_ms.saturating_sub(placement.progress_ms);
+            let detail = format!("{}% for {still_ms} ms", placement.percent);
+            self.note(NoteKind::Stalled, &key, run, agent, detail);
+            self.stop(now_ms, &key, run, &placement);
+        }
+    }
+
+    fn is_stalled(&self, now_ms: u64, agent: &AgentId, key: &TaskKey) -> bool {
+        let Some(state) = self.flows.get(&key.job) else {
+            return false;
+        };
+        let (Some(spec), Some(task)) = (state.step_spec(key.step), state.task(key)) else {
+            return false;
+        };
+        let Some(placement) = task
+            .placement
+            .as_ref()
+            .filter(|placement| placement.agent == *agent)
+        else {
+            return false;
+        };
+        if !matches!(placement.stage, Stage::Running { .. }) || spec.filler || spec.gang {
+            return false;
+        }
+        if spec.long_running && placement.percent >= AT_WORK_PERCENT {
+            return false;
+        }
+        let limit_ms = (spec.estimate_ms * STALL_PERCENT / 100).clamp(STALL_MIN_MS, STALL_MAX_MS);
+        now_ms.saturating_sub(placement.progress_ms) >= limit_ms
+    }
+}
--- /dev/null
+++ b/components/flow/src/record.rs
@@ -0,0 +1,142 @@
+//! The record of a flow's progress, as the table keeps it.
+
+use crate::{FlowState, Incarnation, OccurrenceState, Placement, Stage, StepState, TaskState};
+use model::AgentId;
+use serde::{Deserialize, Serialize};
+
+/// Progress of one flow. Field names are short because the record is written with each change.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct FlowRecord {
+    /// Whether a task failed too often.
+    #[serde(rename = "f", default)]
+    failed: bool,
+    /// Lives of workers to which tasks refer by position: agent, worker, time of birth.
+    #[serde(rename = "w", default)]
+    workers: Vec<(AgentId, String, u64)>,
+    /// Tasks by occurrence, step and index; absent ones were never placed.
+    #[serde(rename = "o", default)]
+    occurrences: Vec<Vec<Vec<Option<TaskRecord>>>>,
+}
+
+/// Progress of one task.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+struct TaskRecord(
+    /// Number of the newest run.
+    u32,
+    /// Runs that failed.
+    u32,
+    /// Whether a run succeeded.
+    bool,
+    /// Newest checkpoint.
+    Option<String>,
+    /// Position of the worker that has the newest run.
+    Option<u32>,
+);
+
+impl FlowRecord {
+    /// The record of a flow as it is now.
+    pub fn of(state: &FlowState) -> Self {
+        let mut record = Self {
+            failed: state.failed,
+            ..Self::default()
+        };
+        for occurrence in &state.occurrences {
+            let steps = occurrence.steps.iter();
+            let steps = steps.map(|step| record.step(step)).collect();
+            record.occurrences.push(steps);
+        }
+        record
+    }
+
+    fn step(&mut self, step: &StepState) -> Vec<Option<TaskRecord>> {
+        step.tasks.iter().map(|task| self.task(task)).collect()
+    }
+
+    fn task(&mut self, task: &TaskState) -> Option<TaskRecord> {
+        if task.run == 0 {
+            return None;
+        }
+        let worker = task.placement.as_ref().map(|placement| {
+            let Incarnation { worker, born_ms } = &placement.incarnation;
+            self.worker(&placement.agent, worker, *born_ms)
+        });
+        let checkpoint = task.checkpoint.clone().filter(|_| !task.done);
+        Some(TaskRecord(
+            task.run,
+            task.failures,
+            task.done,
+            checkpoint,
+            worker,
+        ))
+    }
+
+    fn worker(&mut self, agent: &AgentId, worker: &str, born_ms: u64) -> u32 {
+        let is_it = |known: &(AgentId, String, u64)| {
+            known.0 == *agent && known.1 == worker && known.2 == born_ms
+        };
+        let found = self.workers.iter().position(is_it);
+        let at = found.unwrap_or_else(|| {
+            self.workers
+                .push((agent.clone(), worker.to_owned(), born_ms));
+            self.workers.len() - 1
+        });
+        at as u32
+    }
+
+    /// Puts what the table holds into a flow that was just read.
+    pub fn restore(&self, state: &mut FlowState, now_ms: u64) {
+        state.failed = self.failed;
+        for (number, steps) in self.occurrences.iter().enumerate() {
+            let shape = &state.job.spec.steps;
+            let fresh = |tasks: u32| vec![TaskState::default(); tasks as usize];
+            let mut occurrence = OccurrenceState {
+                steps: shape
+                    .iter()
+                    .map(|step| StepState {
+                        tasks: fresh(step.tasks),
+                    })
+                    .collect(),
+            };
+            for (step, tasks) in occurrence.steps.iter_mut().zip(steps) {
+                for (task, record) in step.tasks.iter_mut().zip(tasks) {
+                    if let Some(record) = record {
+                        *task = self.restored(record, now_ms);
+                        state.started = true;
+                    }
+                }
+            }
+            if number < state.occurrences.len() {
+                state.occurrences[number] = occurrence;
+            } else {
+                state.occurrences.push(occurrence);
+            }
+        }
+    }
+
+    fn restored(&self, record: &TaskRecord, now_ms: u64) -> TaskState {
+        let TaskRecord(run, failures, done, checkpoint, worker) = record;
+        let worker = worker.and_then(|at| self.workers.get(at as usize));
+        let placement = worker.map(|(agent, worker, born_ms)| Placement {
+            agent: agent.clone(),
+            incarnation: Incarnation {
+                worker: worker.clone(),
+                born_ms: *born_ms,
+            },
+            stage: Stage::Unsure,
+            revision: 0,
+            percent: 0,
+            progress_ms: now_ms,
+            pace: 100,
+            paced_ms: 0,
+        });
+        TaskState {
+            run: *run,
+            failures: *failures,
+            done: *done,
+            checkpoint: checkpoint.clone(),
+            placement,
+            avoid: None,
+            not_before_ms: 0,
+        }
+    }
+}
--- /dev/null
+++ b/components/flow/src/reports.rs
@@ -0,0 +1,470 @@
+//! What workers report: ends, runs that are there, and runs that are not.
+
+use crate::view::{PendingAck, Stray};
+use crate::{
+    ClockSample, Effect, EndedRun, Incarnation, NoteKind, RunEnd, RunRef, RunningTask, Scheduler,
+    Stage, TaskKey, WorkerInfo, WorkerReport,
+};
+use model::{AgentId, Resources};
+use utils::Map;
+
+/// Time before a stop that brought no end is ordered again, in milliseconds.
+const STOP_AGAIN_MS: u64 = 400;
+/// Time before a long-running task that failed starts again, in milliseconds.
+const RESTART_PAUSE_MS: u64 = 100;
+
+/// When a report was asked for and when it came, on the scheduler's clock.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ReportTimes {
+    /// When the request was sent.
+    pub asked_ms: u64,
+    /// When the answer arrived.
+    pub now_ms: u64,
+}
+
+impl Scheduler {
+    /// Takes in a worker's report.
+    pub fn on_report(
+        &mut self,
+        times: ReportTimes,
+        agent: &AgentId,
+        info: Option<WorkerInfo>,
+        report: &WorkerReport,
+    ) {
+        let info = info.filter(|info| info.incarnation.born_ms == report.born_ms);
+        let Some(life) = self.life_of(agent, info.as_ref(), report) else {
+            return;
+        };
+        let view = self.worker_mut(agent);
+        if view.incarnation.as_ref() != Some(&life) {
+            view.begin_life(Some(life.clone()));
+            self.lose_other_lives(times.now_ms, agent, &life);
+        }
+        let view = self.worker_mut(agent);
+        if info.is_some() {
+            view.info = info;
+        }
+        view.heard_ms = times.now_ms;
+        view.clock = Some(ClockSample {
+            clock_ms: report.clock_ms,
+            received_ms: times.now_ms,
+        });
+        let running: Map<&TaskKey, &RunningTask> =
+            report.running.iter().map(|run| (&run.task, run)).collect();
+        for end in &report.ended {
+            self.take_end(times.now_ms, agent, end);
+        }
+        self.compare(times, agent, &running, report.has_more_ends);
+        self.find_strays(times.now_ms, agent, &running);
+        self.worker_mut(agent).synced = !report.has_more_ends;
+        self.watch_progress(times.now_ms, agent, &running);
+        self.protect(times.now_ms, agent, &running);
+        self.acknowledge();
+    }
+
+    /// The life that a report is about, if it is known.
+    fn life_of(
+        &self,
+        agent: &AgentId,
+        info: Option<&WorkerInfo>,
+        report: &WorkerReport,
+    ) -> Option<Incarnation> {
+        if let Some(info) = info {
+            return Some(info.incarnation.clone());
+        }
+        let known = self
+            .worker(agent)
+            .and_then(|view| view.incarnation.clone())
+            .filter(|life| life.born_ms == report.born_ms);
+        known.or_else(|| {
+            let view = self.worker(agent)?;
+            let flows = view
+                .held
+                .keys()
+                .filter_map(|key| self.flows.get(&key.job)?.task(key));
+            let mut lives =
+                flows.filter_map(|task| Some(task.placement.as_ref()?.incarnation.clone()));
+            lives.find(|life| life.born_ms == report.born_ms)
+        })
+    }
+
+    /// Takes back what was placed on earlier lives of a worker.
+    fn lose_other_lives(&mut self, now_ms: u64, agent: &AgentId, life: &Incarnation) {
+        self.lose(now_ms, agent, "the worker began another life", |held| {
+            held != life
+        });
+    }
+
+    /// Takes back everything that was placed on a worker that surely runs nothing.
+    pub fn on_worker_gone(&mut self, now_ms: u64, agent: &AgentId, reason: &str) {
+        self.lose(now_ms, agent, reason, |_| true);
+        let view = self.worker_mut(agent);
+        view.begin_life(None);
+    }
+
+    /// Takes back everything on a worker whose lease is surely over, although its life may go on.
+    pub fn on_lease_over(&mut self, now_ms: u64, agent: &AgentId) {
+        self.lose(now_ms, agent, "the lease is over", |_| true);
+        self.worker_mut(agent).synced = false;
+    }
+
+    /// Marks a worker that can't be reached, so that it is given nothing.
+    pub fn on_unreachable(&mut self, agent: &AgentId) {
+        self.worker_mut(agent).synced = false;
+    }
+
+    fn lose(
+        &mut self,
+        now_ms: u64,
+        agent: &AgentId,
+        reason: &str,
+        is_lost: impl Fn(&Incarnation) -> bool,
+    ) {
+        let keys: Vec<TaskKey> = match self.worker(agent) {
+            Some(view) => view.held.keys().cloned().collect(),
+            None => return,
+        };
+        for key in keys {
+            let task = self.flows.get(&key.job).and_then(|state| state.task(&key));
+            let Some((run, placement)) =
+                task.and_then(|task| Some((task.run, task.placement.as_ref()?)))
+            else {
+                self.fleet.release(agent, &key);
+                continue;
+            };
+            if placement.agent != *agent {
+                self.fleet.release(agent, &key);
+            } else if is_lost(&placement.incarnation) {
+                self.note(NoteKind::Gone, &key, run, agent, reason);
+                self.unplace(&key, now_ms);
+            }
+        }
+    }
+
+    /// Takes in one end, once.
+    fn take_end(&mut self, now_ms: u64, agent: &AgentId, end: &EndedRun) {
+        let view = self.worker_mut(agent);
+        if end.number <= view.seen_end {
+            return;
+        }
+        view.seen_end = end.number;
+        view.strays.remove(&end.task);
+        let is_known = self.flows.contains_key(&end.task.job);
+        let record = is_known.then(|| {
+            self.end_task(now_ms, agent, end);
+            let revision = self
+                .flows
+                .get(&end.task.job)
+                .map_or(0, |state| state.revision);
+            (end.task.job.clone(), revision)
+        });
+        let number = end.number;
+        let view = self.worker_mut(agent);
+        view.pending_acks.push_back(PendingAck { number, record });
+    }
+
+    fn end_task(&mut self, now_ms: u64, agent: &AgentId, end: &EndedRun) {
+        let key = &end.task;
+        let Some(state) = self.flows.get_mut(&key.job) else {
+            return;
+        };
+        let limit = self
+            .config
+            .queue(&state.job.queue)
+            .map_or(u32::MAX, |queue| queue.max_attempts.max(1));
+        let (is_gang, lasts) = state
+            .step_spec(key.step)
+            .map_or((false, false), |spec| (spec.gang, spec.long_running));
+        let Some(task) = state.task_mut(key) else {
+            return;
+        };
+        let placed = task.placement.as_ref();
+        let is_current = placed.is_some_and(|placement| placement.agent == *agent);
+        let is_current = is_current && task.run == end.run;
+        if is_current {
+            task.placement = None;
+            self.fleet.release(agent, key);
+        } else if end.how != RunEnd::Done {
+            return;
+        }
+        if end.checkpoint.is_some() {
+            task.checkpoint.clone_from(&end.checkpoint);
+        }
+        match end.how {
+            RunEnd::Done if !lasts => task.done = true,
+            RunEnd::Failed => {
+                task.failures += 1;
+                task.avoid = Some(agent.clone());
+                if lasts {
+                    task.not_before_ms = now_ms + RESTART_PAUSE_MS;
+                }
+            }
+            RunEnd::Done | RunEnd::Stopped | RunEnd::Lapsed | RunEnd::Broken | RunEnd::Alone => {}
+        }
+        let failures = task.failures;
+        self.note(NoteKind::Ended, key, end.run, agent, end.how.to_string());
+        self.touch(&key.job);
+        self.judge(now_ms, agent, end);
+        if is_gang && end.how == RunEnd::Done {
+            self.end_gang(key);
+        }
+        let failures = if is_gang {
+            self.gang_failures(key)
+        } else {
+            failures
+        };
+        if end.how == RunEnd::Failed && !lasts && failures >= limit {
+            self.fail(now_ms, key, agent, failures);
+        }
+        if !is_current {
+            self.stop_copy(now_ms, key);
+        }
+        self.close_if_over(now_ms, key);
+    }
+
+    /// Judges the worker by the end of a run.
+    fn judge(&mut self, now_ms: u64, agent: &AgentId, end: &EndedRun) {
+        let view = self.worker_mut(agent);
+        match end.how {
+            RunEnd::Done => view.health.on_success(),
+            RunEnd::Failed => {
+                if view.health.on_failure(now_ms, &end.task.job) {
+                    self.note(
+                        NoteKind::Paused,
+                        &end.task,
+                        end.run,
+                        agent,
+                        "runs of several flows failed in a row",
+                    );
+                }
+            }
+            RunEnd::Stopped | RunEnd::Lapsed | RunEnd::Broken | RunEnd::Alone => {}
+        }
+    }
+
+    /// One member's success stands for the whole gang.
+    fn end_gang(&mut self, key: &TaskKey) {
+        let state = self.flows.get_mut(&key.job);
+        let step = state
+            .and_then(|state| state.occurrences.get_mut(key.occurrence as usize))
+            .and_then(|occurrence| occurrence.steps.get_mut(key.step as usize));
+        for task in step.into_iter().flat_map(|step| step.tasks.iter_mut()) {
+            task.done = true;
+        }
+    }
+
+    fn gang_failures(&self, key: &TaskKey) -> u32 {
+        let state = self.flows.get(&key.job);
+        let step = state
+            .and_then(|state| state.occurrences.get(key.occurrence as usize))
+            .and_then(|occurrence| occurrence.steps.get(key.step as usize));
+        step.map_or(0, crate::StepState::failures)
+    }
+
+    fn fail(&mut self, now_ms: u64, key: &TaskKey, agent: &AgentId, failures: u32) {
+        let Some(state) = self.flows.get_mut(&key.job) else {
+            return;
+        };
+        if state.end().is_some() {
+            return;
+        }
+        state.failed = true;
+        let detail = format!("{failures} runs failed");
+        self.note(NoteKind::Failed, key, 0, agent, detail);
+        self.close(now_ms, &key.job);
+    }
+
+    /// Stops a run whose task has already succeeded elsewhere.
+    fn stop_copy(&mut self, now_ms: u64, key: &TaskKey) {
+        let task = self.flows.get(&key.job).and_then(|state| state.task(key));
+        let copy = task.and_then(|task| Some((task.run, task.placement.clone()?)));
+        if let Some((run, placement)) = copy {
+            self.stop(now_ms, key, run, &placement);
+        }
+    }
+
+    fn close_if_over(&mut self, now_ms: u64, key: &TaskKey) {
+        let is_over = self
+            .flows
+            .get(&key.job)
+            .is_some_and(|state| state.end().is_some() && state.is_durable());
+        if is_over {
+            self.finish(now_ms, &key.job);
+        }
+    }
+
+    /// Compares what is placed on a worker with what it has.
+    fn compare(
+        &mut self,
+        times: ReportTimes,
+        agent: &AgentId,
+        running: &Map<&TaskKey, &RunningTask>,
+        has_more_ends: bool,
+    ) {
+        let keys: Vec<TaskKey> = match self.worker(agent) {
+            Some(view) => view.held.keys().cloned().collect(),
+            None => return,
+        };
+        for key in keys {
+            let found = running.get(&key).copied();
+            let task = self
+                .flows
+                .get_mut(&key.job)
+                .and_then(|state| state.task_mut(&key));
+            let Some(task) = task else {
+                self.fleet.release(agent, &key);
+                continue;
+            };
+            let run = task.run;
+            let Some(placement) = task.placement.as_mut() else {
+                self.fleet.release(agent, &key);
+                continue;
+            };
+            if placement.agent != *agent {
+                self.fleet.release(agent, &key);
+                continue;
+            }
+            if let Some(found) = found.filter(|found| found.run == run) {
+                if found.checkpoint.is_some() {
+                    task.checkpoint.clone_from(&found.checkpoint);
+                }
+                if found.percent > placement.percent {
+                    placement.percent = found.percent;
+                    placement.progress_ms = times.now_ms;
+                }
+                self.confirm(times.now_ms, &key);
+            } else if !has_more_ends {
+                self.missing(times, &key, run);
+            }
+        }
+    }
+
+    /// The worker has the run.
+    fn confirm(&mut self, now_ms: u64, key: &TaskKey) {
+        let Some(state) = self.flows.get_mut(&key.job) else {
+            return;
+        };
+        let is_closed = state.is_closed();
+        let Some(task) = state.task_mut(key) else {
+            return;
+        };
+        let (run, is_done) = (task.run, task.done);
+        let Some(placement) = task.placement.as_mut() else {
+            return;
+        };
+        let mut again = None;
+        match placement.stage {
+            Stage::Unwritten | Stage::Running { .. } => {}
+            Stage::Ordered | Stage::Unsure => {
+                placement.stage = Stage::Running { since_ms: now_ms };
+                placement.progress_ms = now_ms;
+                state.started = true;
+            }
+            Stage::Stopping { ordered_ms, .. } => {
+                if now_ms >= ordered_ms + STOP_AGAIN_MS {
+                    again = Some(placement.clone());
+                }
+            }
+        }
+        let placement = state.task(key).and_then(|task| task.placement.clone());
+        if let Some(placement) = again {
+            self.stop(now_ms, key, run, &placement);
+        } else if let Some(placement) = placement.filter(|_| is_closed || is_done) {
+            if matches!(placement.stage, Stage::Running { .. }) {
+                self.stop(now_ms, key, run, &placement);
+            }
+        }
+    }
+
+    /// The worker does not have the run.
+    fn missing(&mut self, times: ReportTimes, key: &TaskKey, run: u32) {
+        let task = self.flows.get(&key.job).and_then(|state| state.task(key));
+        let Some(placement) = task.and_then(|task| task.placement.clone()) else {
+            return;
+        };
+        let now_ms = times.now_ms;
+        match placement.stage {
+            Stage::Unwritten | Stage::Ordered => {}
+            Stage::Unsure => self.stop(now_ms, key, run, &placement),
+            Stage::Running { since_ms } => {
+                if times.asked_ms > since_ms {
+                    self.note(
+                        NoteKind::Gone,
+                        key,
+                        run,
+                        &placement.agent,
+                        "neither running nor ended",
+                    );
+                    self.unplace(key, now_ms);
+                    self.finish(now_ms, &key.job);
+                }
+            }
+            Stage::Stopping {
+                answered_ms: Some(answered_ms),
+                ..
+            } => {
+                if times.asked_ms >= answered_ms {
+                    self.note(
+                        NoteKind::Gone,
+                        key,
+                        run,
+                        &placement.agent,
+                        "stopped before it began",
+                    );
+                    self.unplace(key, now_ms);
+                    self.finish(now_ms, &key.job);
+                }
+            }
+            Stage::Stopping {
+                ordered_ms,
+                answered_ms: None,
+            } => {
+                if now_ms >= ordered_ms + STOP_AGAIN_MS {
+                    self.stop(now_ms, key, run, &placement);
+                }
+            }
+        }
+    }
+
+    /// Stops runs that are placed nowhere.
+    fn find_strays(&mut self, now_ms: u64, agent: &AgentId, running: &Map<&TaskKey, &RunningTask>) {
+        let Some(life) = self.worker(agent).and_then(|view| view.incarnation.clone()) else {
+            return;
+        };
+        let view = self.worker_mut(agent);
+        view.strays
+            .retain(|key, stray| running.get(key).is_some_and(|run| run.run == stray.run));
+        for (key, run) in running {
+            let view = self.worker_mut(agent);
+            if view.held.get(*key).is_some_and(|held| held.run == run.run) {
+                continue;
+            }
+            let stopped_ms = view.strays.get(*key).map(|stray| stray.stopped_ms);
+            if stopped_ms.is_some_and(|stopped_ms| now_ms < stopped_ms + STOP_AGAIN_MS) {
+                continue;
+            }
+            let reserved = self.reserved_by(key);
+            let stray = Stray {
+                run: run.run,
+                reserved,
+                stopped_ms: now_ms,
+            };
+            self.worker_mut(agent).strays.insert((*key).clone(), stray);
+            self.note(NoteKind::Stray, key, run.run, agent, "placed nowhere");
+            self.effects.push(Effect::Stop(RunRef {
+                agent: agent.clone(),
+                incarnation: life.clone(),
+                task: (*key).clone(),
+                run: run.run,
+            }));
+        }
+    }
+
+    fn reserved_by(&self, key: &TaskKey) -> Resources {
+        let spec = self
+            .flows
+            .get(&key.job)
+            .and_then(|state| state.step_spec(key.step));
+        spec.map_or(Resources::default(), crate::StepSpec::reserved)
+    }
+}
--- /dev/null
+++ b/components/flow/src/task_key.rs
@@ -0,0 +1,54 @@
+//! The name of one task of a flow.
+
+use model::JobId;
+use serde::{Deserialize, Serialize};
+use std::fmt;
+
+/// One task of a flow.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct TaskKey {
+    /// The flow.
+    pub job: JobId,
+    /// Occurrence of a recurring flow, from 0.
+    pub occurrence: u32,
+    /// Step within the flow, from 0.
+    pub step: u32,
+    /// Position within the step, from 0.
+    pub index: u32,
+}
+
+impl TaskKey {
+    /// Reads the form that [`fmt::Display`] writes.
+    ///
+    /// ```
+    /// let key = flow::TaskKey::parse("00ff.0.1.17").unwrap();
+    /// assert_eq!((key.step, key.index), (1, 17));
+    /// assert_eq!(key.to_string(), "00ff.0.1.17");
+    /// assert!(flow::TaskKey::parse("00ff.0.1").is_none());
+    /// ```
+    pub fn parse(text: &str) -> Option<Self> {
+        let mut parts = text.rsplitn(4, '.');
+        let index = parts.next()?.parse().ok()?;
+        let step = parts.next()?.parse().ok()?;
+        let occurrence = parts.next()?.parse().ok()?;
+        let job = parts.next().filter(|job| !job.is_empty())?;
+        Some(Self {
+            job: job.into(),
+            occurrence,
+            step,
+            index,
+        })
+    }
+}
+
+impl fmt::Display for TaskKey {
+    fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Self {
+            job,
+            occurrence,
+            step,
+            index,
+        } = self;
+        write!(out, "{job}.{occurrence}.{step}.{index}")
+    }
+}
--- /dev/null
+++ b/components/flow/src/view.rs
@@ -0,0 +1,138 @@
+//! A worker as the scheduler sees it.
+
+use crate::health::Health;
+use crate::{ClockSample, Incarnation, TaskKey, WorkerInfo};
+use model::{AgentId, JobId, Resources};
+use std::collections::{BTreeMap, VecDeque};
+
+/// What one run takes of a worker.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Held {
+    /// Number of the run.
+    pub run: u32,
+    /// What is set aside for it.
+    pub reserved: Resources,
+    /// Processors that it would use, in thousandths.
+    pub processors_milli: u32,
+    /// Whether it takes only what others leave over.
+    pub filler: bool,
+    /// Tail latency that it owes its callers, in milliseconds.
+    pub latency_target_ms: Option<u32>,
+}
+
+/// An end that waits for the record that it changed.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct PendingAck {
+    /// Number of the end.
+    pub number: u64,
+    /// Flow and revision of its record; absent if no record changed.
+    pub record: Option<(JobId, u64)>,
+}
+
+/// A worker as the scheduler sees it.
+#[derive(Debug, Default)]
+pub struct WorkerView {
+    /// What its heartbeats say.
+    pub info: Option<WorkerInfo>,
+    /// Life of the worker whose lists were read.
+    pub incarnation: Option<Incarnation>,
+    /// Whether its lists were read, so that it may be given work.
+    pub synced: bool,
+    /// Runs that are placed there.
+    pub held: BTreeMap<TaskKey, Held>,
+    /// Runs that it has although they are not placed there, with what they may take.
+    pub strays: BTreeMap<TaskKey, Stray>,
+    /// Newest end that was taken in.
+    pub seen_end: u64,
+    /// Newest end that is recorded for good.
+    pub acknowledged: u64,
+    /// Ends that wait for their records, oldest first.
+    pub pending_acks: VecDeque<PendingAck>,
+    /// Newest reading of its clock.
+    pub clock: Option<ClockSample>,
+    /// When every lease that was granted there is surely over.
+    pub lease_over_ms: u64,
+    /// When it was last heard.
+    pub heard_ms: u64,
+    /// Whether it does what it is told.
+    pub health: Health,
+    /// Time before which nothing is placed there.
+    pub not_before_ms: u64,
+}
+
+/// A run that is not placed where it runs.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Stray {
+    /// Number of the run.
+    pub run: u32,
+    /// What it may take.
+    pub reserved: Resources,
+    /// When its stop was last ordered.
+    pub stopped_ms: u64,
+}
+
+impl WorkerView {
+    /// What is set aside for runs.
+    pub fn reserved(&self) -> Resources {
+        let placed = self.held.values().map(|held| held.reserved);
+        let strays = self.strays.values().map(|stray| stray.reserved);
+        placed
+            .chain(strays)
+            .fold(Resources::default(), |sum, need| sum.plus(&need))
+    }
+
+    /// Processors that fillers would use, in thousandths.
+    pub fn filler_milli(&self) -> u32 {
+        let fillers = self.held.values().filter(|held| held.filler);
+        fillers.map(|held| held.processors_milli).sum()
+    }
+
+    /// Whether a task that serves callers runs there.
+    pub fn serves(&self) -> bool {
+        let mut held = self.held.values();
+        held.any(|held| held.latency_target_ms.is_some())
+    }
+
+    /// Runs of one step there.
+    pub fn count_of(&self, job: &JobId, occurrence: u32, step: u32) -> u32 {
+        let is_of =
+            |key: &&TaskKey| key.job == *job && key.occurrence == occurrence && key.step == step;
+        self.held.keys().filter(is_of).count() as u32
+    }
+
+    /// Forgets what belonged to an earlier life.
+    pub fn begin_life(&mut self, incarnation: Option<Incarnation>) {
+        self.incarnation = incarnation;
+        self.synced = false;
+        self.strays.clear();
+        self.seen_end = 0;
+        self.acknowledged = 0;
+        self.pending_acks.clear();
+        self.clock = None;
+        self.lease_over_ms = 0;
+        self.health = Health::default();
+    }
+}
+
+/// All workers, by their agents.
+#[derive(Debug, Default)]
+pub struct Fleet {
+    /// Workers by agent.
+    pub workers: BTreeMap<AgentId, WorkerView>,
+}
+
+impl Fleet {
+    /// Whether a run of the task exists that is not placed.
+    pub fn is_stray(&self, task: &TaskKey) -> bool {
+        self.workers
+            .values()
+            .any(|view| view.strays.contains_key(task))
+    }
+
+    /// Gives back what a run held.
+    pub fn release(&mut self, agent: &AgentId, task: &TaskKey) {
+        if let Some(view) = self.workers.get_mut(agent) {
+            view.held.remove(task);
+        }
+    }
+}
--- /dev/null
+++ b/components/flow_agent/src/lib.rs
@@ -0,0 +1,13 @@
+//! The agent of a worker that runs tasks of flows: passes the scheduler's orders on, and refuses
+//! what is out of date. It keeps nothing that can't be learnt again from the worker.
+
+mod metrics;
+mod registration;
+mod relay;
+mod rpc;
+mod run;
+mod worker_calls;
+
+pub use metrics::Metrics;
+pub use run::{AgentHandle, start};
+pub use worker_calls::{HoldCall, WorkerCalls, WorkerError};
--- /dev/null
+++ b/components/flow_entry/src/metrics.rs
@@ -0,0 +1,114 @@
+//! Metrics of an entry that takes flows.
+
+use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::encoding::text::encode;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
+use prometheus_client::registry::Registry;
+
+/// Label of counted outcomes.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct OutcomeLabel {
+    /// What happened.
+    pub outcome: String,
+}
+
+/// Metrics of an entry that takes flows.
+#[derive(Debug, Clone)]
+pub struct Metrics {
+    /// Submissions by outcome.
+    pub(crate) submissions: Family<OutcomeLabel, Counter>,
+    /// Decisions of the scheduler by kind.
+    pub(crate) decisions: Family<OutcomeLabel, Counter>,
+    /// Flows that ended, by state.
+    pub(crate) ends: Family<OutcomeLabel, Counter>,
+    /// Group commits.
+    pub(crate) commits: Counter,
+    /// Whether this entry is the scheduler.
+    pub(crate) is_scheduler: Gauge,
+    /// Flows that are not over.
+    pub(crate) flows: Gauge,
+    /// Number of the configuration in force.
+    pub(crate) config: Gauge,
+    /// Time from a submission's arrival to its answer, in seconds.
+    pub(crate) submit_seconds: Histogram,
+    /// Time of a group commit, in seconds.
+    pub(crate) commit_seconds: Histogram,
+    /// Time from a flow's acceptance to its end, in seconds.
+    pub(crate) flow_seconds: Histogram,
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        let buckets = || Histogram::new(exponential_buckets(0.001, 2.0, 16));
+        Self {
+            submissions: Family::default(),
+            decisions: Family::default(),
+            ends: Family::default(),
+            commits: Counter::default(),
+            is_scheduler: Gauge::default(),
+            flows: Gauge::default(),
+            config: Gauge::default(),
+            submit_seconds: buckets(),
+            commit_seconds: buckets(),
+            flow_seconds: buckets(),
+        }
+    }
+}
+
+impl Metrics {
+    /// Counts one outcome.
+    pub(crate) fn count(family: &Family<OutcomeLabel, Counter>, outcome: impl ToString) {
+        let outcome = outcome.to_string();
+        family.get_or_create(&OutcomeLabel { outcome }).inc();
+    }
+
+    /// The metrics as text.
+    pub fn text(&self) -> String {
+        let mut registry = Registry::with_prefix("parsleythread");
+        registry.register(
+            "flow_submissions",
+            "Submissions by outcome",
+            self.submissions.clone(),
+        );
+        registry.register(
+            "flow_decisions",
+            "Decisions by kind",
+            self.decisions.clone(),
+        );
+        registry.register("flow_ends", "Flows that ended, by state", self.ends.clone());
+        registry.register("flow_commits", "Group commits", self.commits.clone());
+        registry.register(
+            "flow_is_scheduler",
+            "Whether this entry is the scheduler",
+            self.is_scheduler.clone(),
+        );
+        registry.register("flows", "Flows that are not over", self.flows.clone());
+        registry.register(
+            "flow_config",
+            "Number of the configuration in force",
+            self.config.clone(),
+        );
+        registry.register(
+            "flow_submit_seconds",
+            "Time of a submission",
+            self.submit_seconds.clone(),
+        );
+        registry.register(
+            "flow_commit_seconds",
+            "Time of a group commit",
+            self.commit_seconds.clone(),
+        );
+        registry.register(
+            "flow_seconds",
+            "Time from acceptance to end",
+            self.flow_seconds.clone(),
+        );
+        let mut text = String::new();
+        // Writing into a string can't fail.
+        let _ = encode(&mut text, &registry);
+        text
+    }
+}
--- /dev/null
+++ b/components/flow_entry/src/rpc.rs
@@ -0,0 +1,68 @@
+//! Calls of other entries.
+
+use crate::coordinator::Coordinator;
+use crate::messages::{Accepted, Cancel, Cancelled, HearHello, PeerPhase, PeerWaiting, Submit};
+use actix::Addr;
+use flow::{FlowJob, QueueKey};
+use model::JobId;
+use tarpc::context::Context;
+use utils::boot_ms;
+use wire::{
+    CancelOutcome, Hello, HelloReply, PhaseReply, SchedulerControl, SubmitOutcome, WaitingReply,
+};
+
+/// Time for what another entry asks on behalf of its caller, in milliseconds.
+const RELAY_LIMIT_MS: u64 = 1_000;
+
+/// Answers calls of other entries by asking the control thread.
+#[derive(Clone)]
+pub(crate) struct Rpc(pub Addr<Coordinator>);
+
+impl SchedulerControl for Rpc {
+    async fn hello(self, _: Context, hello: Hello) -> HelloReply {
+        let gone = HelloReply {
+            epoch: None,
+            proof_age_ms: u64::MAX,
+            config: None,
+        };
+        self.0.send(HearHello(hello)).await.unwrap_or(gone)
+    }
+
+    async fn accepted(self, _: Context, job: FlowJob) -> bool {
+        let accepted = Accepted {
+            job,
+            from_peer: true,
+        };
+        self.0.send(accepted).await.unwrap_or(false)
+    }
+
+    async fn cancelled(self, _: Context, job: JobId) -> bool {
+        let cancelled = Cancelled {
+            job,
+            from_peer: true,
+        };
+        self.0.send(cancelled).await.unwrap_or(false)
+    }
+
+    async fn phase(self, _: Context, job: JobId) -> PhaseReply {
+        let sent = self.0.send(PeerPhase(job)).await;
+        sent.unwrap_or(PhaseReply::NotScheduler)
+    }
+
+    async fn waiting(self, _: Context, queue: QueueKey) -> WaitingReply {
+        let sent = self.0.send(PeerWaiting(queue)).await;
+        sent.unwrap_or(WaitingReply::NotScheduler)
+    }
+
+    async fn submit(self, _: Context, job: FlowJob) -> SubmitOutcome {
+        let until_ms = boot_ms() + RELAY_LIMIT_MS;
+        let sent = self.0.send(Submit { job, until_ms }).await;
+        sent.unwrap_or(SubmitOutcome::Refused)
+    }
+
+    async fn cancel(self, _: Context, job: JobId) -> CancelOutcome {
+        let until_ms = boot_ms() + RELAY_LIMIT_MS;
+        let sent = self.0.send(Cancel { job, until_ms }).await;
+        sent.unwrap_or(CancelOutcome::Unavailable)
+    }
+}
--- /dev/null
+++ b/components/flow_entry/src/run.rs
@@ -0,0 +1,54 @@
+//! Starts and ends an entry that takes flows.
+
+use crate::coordinator::{Coordinator, Edges};
+use crate::gate::Gate;
+use crate::messages::Drain;
+use crate::metrics::Metrics;
+use crate::rpc::Rpc;
+use actix::Actor;
+use arc_swap::ArcSwap;
+use flow::FlowConfig;
+use rand::RngExt;
+use settings::FlowEntrySettings;
+use std::sync::Arc;
+use std::time::Duration;
+use telemetry::{Event, log_event};
+use wire::serve_scheduler;
+
+/// Share of the time to the forced end for which an ending entry still answers, in percent.
+const LINGER_PERCENT: u64 = 40;
+
+/// Starts the control thread's state and answers other entries.
+///
+/// # Errors
+/// The control address can't be bound.
+pub async fn start(settings: &FlowEntrySettings, edges: Edges) -> std::io::Result<Gate> {
+    let incarnation = rand::rng().random();
+    let metrics = Metrics::default();
+    let config = Arc::new(ArcSwap::from_pointee(FlowConfig::default()));
+    let control = Coordinator::new(
+        settings.clone(),
+        incarnation,
+        edges,
+        config.clone(),
+        metrics.clone(),
+    )
+    .start();
+    serve_scheduler(settings.control_listen, Rpc(control.clone())).await?;
+    log_event!(info, Event::Started, role = "flow-entry", id = %settings.id, incarnation,
+        listen = %settings.listen, control = %settings.control_listen);
+    Ok(Gate {
+        control,
+        config,
+        metrics,
+    })
+}
+
+impl Gate {
+    /// Turns readiness off, gives the lease up, and goes on answering for a while.
+    pub async fn drain(&self, grace_ms: u64) {
+        self.control.do_send(Drain);
+        let linger_ms = grace_ms * LINGER_PERCENT / 100;
+        actix_rt::time::sleep(Duration::from_millis(linger_ms)).await;
+    }
+}
--- a/components/ledger/src/book.rs
+++ b/components/ledger/src/book.rs
@@ -1,8 +1,8 @@
 //! The ledger.
 
 use crate::{Held, HeldState, OrderDecision};
+use backing::{AttemptRef, AttemptReport, AttemptStatus};
 use model::{Attempt, Resources, ServiceName, TaskId};
-use platform::{AttemptRef, AttemptReport, AttemptStatus};
 use std::collections::{BTreeMap, VecDeque};
 use utils::Map;
 use wire::{AttemptEnd, EndKind, StartOrder};
--- a/components/ledger/src/controller.rs
+++ b/components/ledger/src/controller.rs
@@ -1,7 +1,7 @@
 //! Control of batch work beside latency-critical services.
 
+use backing::AttemptRef;
 use model::KindName;
-use platform::AttemptRef;
 use utils::{Ewma, Map};
 
 /// Samples that a learnt slowdown remembers.
--- a/components/ledger/src/order.rs
+++ b/components/ledger/src/order.rs
@@ -1,6 +1,6 @@
 //! Decisions about start orders.
 
-use platform::AttemptRef;
+use backing::AttemptRef;
 
 /// Decision about a start order.
 #[derive(Debug, Clone, PartialEq, Eq)]
--- a/components/ledger/tests/ledger.rs
+++ b/components/ledger/tests/ledger.rs
@@ -1,8 +1,8 @@
 //! The ledger and the controller.
 
+use backing::{AttemptRef, AttemptReport, AttemptStatus};
 use ledger::{Action, Controller, ControllerLimits, HeldState, Ledger, Measurement, OrderDecision};
 use model::{KindName, Resources, TaskId};
-use platform::{AttemptRef, AttemptReport, AttemptStatus};
 use proptest::prelude::*;
 use wire::{EndKind, StartOrder};
 
--- a/components/settings/src/load.rs
+++ b/components/settings/src/load.rs
@@ -1,7 +1,7 @@
 //! Reads and checks a settings file.
 
 use crate::locate::line_of;
-use crate::{AgentSettings, EntrySettings, Fault, Faults};
+use crate::{AgentSettings, EntrySettings, Fault, Faults, FlowAgentSettings, FlowEntrySettings};
 use garde::Validate;
 use jsonc_parser::{CollectOptions, ParseOptions, ast, parse_to_ast, parse_to_serde_value};
 use serde::de::DeserializeOwned;
@@ -18,6 +18,10 @@
     Entry(Box<EntrySettings>),
     /// An agent process.
     Agent(Box<AgentSettings>),
+    /// An entry that schedules flows.
+    FlowEntry(Box<FlowEntrySettings>),
+    /// The agent of a worker that runs tasks of flows.
+    FlowAgent(Box<FlowAgentSettings>),
 }
 
 /// Reads and checks a settings file.
@@ -44,7 +48,7 @@
 ///
 /// ```
 /// let faults = settings::parse("x.json", "{\n  \"role\": \"cook\"\n}").unwrap_err();
-/// assert_eq!(faults.to_string(), "x.json:2: role: is \"entry\" or \"agent\", not \"cook\"");
+/// assert_eq!(faults.to_string(), "x.json:2: role: is \"entry\", \"agent\", \"flow-entry\" or \"flow-agent\", not \"cook\"");
 /// ```
 pub fn parse(file: &str, text: &str) -> Result<Settings, Faults> {
     let parsed = parse_to_ast(text, &CollectOptions::default(), &ParseOptions::default()).map_err(
@@ -82,9 +86,16 @@
         Some("agent") => document
             .read(value)
             .map(|agent| Settings::Agent(Box::new(agent))),
+        Some("flow-entry") => document
+            .read(value)
+            .map(|entry| Settings::FlowEntry(Box::new(entry))),
+        Some("flow-agent") => document
+            .read(value)
+            .map(|agent| Settings::FlowAgent(Box::new(agent))),
         _ => {
             let given = role.map_or("nothing".to_owned(), |role| role.to_string());
-            let message = format!("is \"entry\" or \"agent\", not {given}");
+            let message =
+                format!("is \"entry\", \"agent\", \"flow-entry\" or \"flow-agent\", not {given}");
             Err(single(
                 file,
                 line_of(text, root.as_ref(), "role"),
--- a/components/standin/src/memory_table.rs
+++ b/components/standin/src/memory_table.rs
@@ -2,7 +2,7 @@
 
 use crate::platform::Table;
 use async_trait::async_trait;
-use platform::{Row, ScanRange, StoreError, TableStore, Transaction};
+use backing::{Row, ScanRange, StoreError, TableStore, Transaction};
 use std::cell::RefCell;
 use std::collections::VecDeque;
 
--- a/components/standin/src/platform/http.rs
+++ b/components/standin/src/platform/http.rs
@@ -5,11 +5,11 @@
 use actix_web::dev::ServerHandle;
 use actix_web::web::{Bytes, Data, Json, JsonConfig, Path, PayloadConfig};
 use actix_web::{App, HttpResponse, HttpServer, web};
-use model::{AgentId, Resources};
-use platform::{
+use backing::{
     AttemptRef, KeyList, LeaseList, ScanRange, StartAttempt, StopMode, StoreError, ThrottleAttempt,
     Transaction,
 };
+use model::{AgentId, Resources};
 use serde::Serialize;
 use std::net::SocketAddr;
 use std::sync::Arc;
--- a/components/standin/src/platform/runtime.rs
+++ b/components/standin/src/platform/runtime.rs
@@ -1,8 +1,8 @@
 //! Stand-in for the worker runtime. It keeps its own record of what ran where and when.
 
 use crate::TaskScript;
+use backing::{AttemptRef, AttemptReport, AttemptStatus, LeaseList, StartAttempt, StopMode};
 use model::{AgentId, Attempt, Resources, TaskId};
-use platform::{AttemptRef, AttemptReport, AttemptStatus, LeaseList, StartAttempt, StopMode};
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, HashMap};
 
--- a/components/standin/src/platform/state.rs
+++ b/components/standin/src/platform/state.rs
@@ -3,11 +3,11 @@
 use super::runtime::{RunRecord, Runtime};
 use super::table::Table;
 use crate::Faults;
-use model::{AgentId, Resources};
-use platform::{
+use backing::{
     AttemptReport, AttemptStatus, LeaseList, Row, ScanRange, StartAttempt, StopMode, StoreError,
     Transaction,
 };
+use model::{AgentId, Resources};
 use std::collections::HashMap;
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use utils::Clock;
@@ -214,7 +214,7 @@
     pub(crate) fn stop(
         &self,
         worker: &AgentId,
-        attempt: &platform::AttemptRef,
+        attempt: &backing::AttemptRef,
         mode: StopMode,
     ) -> AttemptStatus {
         let now_ms = self.clock.now_ms();
@@ -227,7 +227,7 @@
         status
     }
 
-    pub(crate) fn throttle(&self, worker: &AgentId, attempt: &platform::AttemptRef, percent: u32) {
+    pub(crate) fn throttle(&self, worker: &AgentId, attempt: &backing::AttemptRef, percent: u32) {
         let now_ms = self.clock.now_ms();
         self.lock()
             .runtime
--- a/components/standin/src/platform/table.rs
+++ b/components/standin/src/platform/table.rs
@@ -1,6 +1,6 @@
 //! Stand-in for the table service.
 
-use platform::{Row, ScanRange, StoreError, Transaction};
+use backing::{Row, ScanRange, StoreError, Transaction};
 use std::collections::BTreeMap;
 
 /// Rows that one transaction may touch.
--- a/components/telemetry/src/event.rs
+++ b/components/telemetry/src/event.rs
@@ -69,6 +69,80 @@
     WorkerQuarantined = 620,
     /// A worker's quarantine ended.
     WorkerReleased = 621,
+    /// An agent's row is in the table.
+    AgentRegistered = 204,
+    /// A worker began a life, or said that it drains.
+    WorkerHeard = 220,
+    /// A worker said that it ends.
+    WorkerLeft = 221,
+    /// A worker answers its agent again.
+    WorkerUp = 222,
+    /// A worker refuses connections of its agent.
+    WorkerDown = 223,
+    /// The scheduler read a worker's lists and may give it work.
+    WorkerReached = 224,
+    /// The scheduler can't reach a worker; its leases go on.
+    WorkerUnreachable = 225,
+    /// A worker runs nothing any more.
+    WorkerGone = 226,
+    /// The leases of a worker that can't be reached are over.
+    WorkerLapsed = 227,
+    /// A worker is set aside for its failures.
+    WorkerPaused = 228,
+    /// A process's settings file changed or was read again.
+    SettingsSeen = 104,
+    /// A row of the table can't be read.
+    RowUnreadable = 503,
+    /// The store refused a commit that it can never take.
+    CommitRefused = 504,
+    /// Another scheduler, or another epoch, was seen.
+    SchedulerSeen = 520,
+    /// This entry tries to become the scheduler.
+    SchedulerClaimed = 521,
+    /// This entry did not become the scheduler.
+    SchedulerClaimFailed = 522,
+    /// This entry became the scheduler.
+    SchedulerTaken = 523,
+    /// This entry read everything that a former scheduler left.
+    SchedulerLoaded = 524,
+    /// What a former scheduler left could not be read.
+    SchedulerLoadFailed = 525,
+    /// This entry is no longer the scheduler.
+    SchedulerLost = 526,
+    /// The scheduler could not be told of a flow; it will find it in the table.
+    SchedulerNotTold = 527,
+    /// A flow was submitted.
+    FlowSubmitted = 700,
+    /// A flow was cancelled.
+    FlowCancelled = 701,
+    /// A flow was asked for that is not known, or nobody could tell.
+    FlowUnknown = 702,
+    /// A flow is over.
+    FlowEnded = 703,
+    /// A flow failed for good.
+    FlowFailed = 704,
+    /// A caller's request was refused before anything was stored.
+    CallerRefused = 705,
+    /// A task was placed on a worker.
+    TaskPlaced = 710,
+    /// A run ended.
+    RunEnded = 711,
+    /// A run is surely gone without an end.
+    RunGone = 712,
+    /// A start was refused.
+    StartRefused = 713,
+    /// A run that is placed nowhere is stopped.
+    RunStray = 714,
+    /// A run stands still and is moved.
+    RunStalled = 715,
+    /// The pace of a run was changed.
+    RunPaced = 716,
+    /// An agent passed a start on to its worker.
+    RunOrdered = 717,
+    /// An agent passed a stop on to its worker.
+    RunStopped = 718,
+    /// An agent refused an order that is out of date.
+    OrderRefused = 719,
     /// A span ended.
     Span = 900,
 }
--- a/components/telemetry/src/init.rs
+++ b/components/telemetry/src/init.rs
@@ -1,16 +1,27 @@
 //! Starts logging and tracing.
 
-use crate::LogFormat;
 use crate::exporter::LogExporter;
+use crate::{LogFormat, LogGuard};
 use opentelemetry::trace::TracerProvider;
 use opentelemetry_sdk::trace::{Sampler, SdkTracerProvider};
+use tracing_appender::non_blocking::NonBlockingBuilder;
 use tracing_subscriber::filter::{EnvFilter, LevelFilter, Targets};
 use tracing_subscriber::prelude::*;
 
-/// Starts logging to standard error and tracing of `trace_ratio` of all requests.
+/// Lines that wait to be written; further ones are dropped and counted.
+const MAX_WAITING_LINES: usize = 8_192;
+
+/// Starts logging to standard output and tracing of `trace_ratio` of all requests.
 ///
-/// The variable `PARSLEYTHREAD_LOG` sets the levels, `info` by default.
-pub fn init(format: LogFormat, trace_ratio: f64) {
+/// Lines are written by a thread of their own; where that falls behind, lines are dropped and the
+/// next one that is written counts them. The variable `PARSLEYTHREAD_LOG` sets the levels, `info`
+/// by default. The result writes what is left when it is dropped.
+#[must_use]
+pub fn init(format: LogFormat, trace_ratio: f64) -> LogGuard {
+    let (writer, guard) = NonBlockingBuilder::default()
+        .buffered_lines_limit(MAX_WAITING_LINES)
+        .lossy(true)
+        .finish(std::io::stdout());
     let sampler = Sampler::ParentBased(Box::new(Sampler::TraceIdRatioBased(trace_ratio)));
     let provider = SdkTracerProvider::builder()
         .with_simple_exporter(LogExporter)
@@ -23,14 +34,24 @@
     let levels = EnvFilter::try_from_env("PARSLEYTHREAD_LOG")
         .unwrap_or_else(|_| EnvFilter::new("info,tarpc=error,actix_server=warn"));
     let lines = tracing_subscriber::fmt::layer()
-        .with_writer(std::io::stderr)
+        .with_writer(writer)
         .with_target(false);
     let registry = tracing_subscriber::registry().with(spans);
     let started = match format {
         LogFormat::Text => registry.with(lines.with_filter(levels)).try_init(),
-        LogFormat::Json => registry.with(lines.json().with_filter(levels)).try_init(),
+        LogFormat::Json => registry
+            .with(
+                lines
+                    .json()
+                    .flatten_event(true)
+                    .with_current_span(false)
+                    .with_span_list(false)
+                    .with_filter(levels),
+            )
+            .try_init(),
     };
     drop(started);
+    guard
 }
 
 /// Starts logging of warnings only, for programs that print results.
--- a/components/tickets/src/accept.rs
+++ b/components/tickets/src/accept.rs
@@ -3,8 +3,8 @@
 use crate::load::{HeadRow, load, read_head, read_ticket};
 use crate::rows::{HEAD, Head, SERVICES, TEAMS, encode, is_same, ticket_key};
 use crate::{Conflict, Refusal};
+use backing::{StoreError, TableStore, Transaction};
 use model::{Config, Ticket};
-use platform::{StoreError, TableStore, Transaction};
 
 /// Tries of one acceptance, each after another ticket won or an answer was lost.
 const MAX_TRIES: usize = 8;
--- a/components/tickets/src/load.rs
+++ b/components/tickets/src/load.rs
@@ -1,8 +1,8 @@
 //! Reading the configuration.
 
 use crate::rows::{HEAD, Head, SERVICES, TEAMS, decode, ticket_key};
+use backing::{Row, ScanRange, StoreError, TableStore};
 use model::{Config, ServiceSpec, TeamSpec, Ticket};
-use platform::{Row, ScanRange, StoreError, TableStore};
 use serde::de::DeserializeOwned;
 
 /// Rows in one page of a scan.
--- a/components/tickets/src/refusal.rs
+++ b/components/tickets/src/refusal.rs
@@ -1,7 +1,7 @@
 //! Why a ticket was not accepted.
 
+use backing::StoreError;
 use model::TicketError;
-use platform::StoreError;
 use serde::{Deserialize, Serialize};
 
 /// Another ticket stands in the way.
--- a/components/tickets/src/rows.rs
+++ b/components/tickets/src/rows.rs
@@ -1,7 +1,7 @@
 //! Rows of the configuration.
 
+use backing::{Row, StoreError};
 use model::Ticket;
-use platform::{Row, StoreError};
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 
--- a/components/utils/src/lib.rs
+++ b/components/utils/src/lib.rs
@@ -1,6 +1,8 @@
 //! Small helpers that several crates share.
 
+mod adaptive_timeout;
 mod backoff;
+mod boot_clock;
 mod clock;
 mod collections;
 mod drained;
@@ -8,7 +10,9 @@
 mod hop_headers;
 mod rendezvous;
 
+pub use adaptive_timeout::AdaptiveTimeout;
 pub use backoff::Backoff;
+pub use boot_clock::boot_ms;
 pub use clock::{Clock, wall_ms};
 pub use collections::{Map, Set};
 pub use drained::drained;
--- a/components/wire/src/agent_control.rs
+++ b/components/wire/src/agent_control.rs
@@ -3,7 +3,7 @@
 use crate::{
     AdoptShard, Claim, ClaimAnswer, FenceAnswer, FenceRequest, StartOrder, StartResult, StopOrder,
 };
-use platform::AttemptRef;
+use backing::AttemptRef;
 
 /// Control calls that an agent answers.
 #[tarpc::service]
--- a/components/wire/src/attempts.rs
+++ b/components/wire/src/attempts.rs
@@ -1,7 +1,7 @@
 //! Orders and reports about attempts at tasks.
 
+use backing::AttemptRef;
 use model::{Attempt, KindName, Resources};
-use platform::AttemptRef;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 
--- a/components/wire/src/lib.rs
+++ b/components/wire/src/lib.rs
@@ -11,6 +11,8 @@
 mod link;
 mod meter;
 mod peer;
+mod scheduler_control;
+mod worker_control;
 
 pub use agent_control::{AgentControl, AgentControlClient};
 pub use attempts::{AdoptShard, AttemptEnd, EndKind, StartOrder, StartResult, StopOrder};
@@ -20,6 +22,14 @@
 pub use fence::{FenceAnswer, FenceRequest};
 pub use headers::{Headers, IDEMPOTENCY_KEY, REQUEST_ID, SERVICE, TEAM, VERDICT};
 pub use heartbeat::{BackendLoad, Heartbeat, HeartbeatAck, Pulse, PulseAck, ServiceLoad};
-pub use link::{AgentLink, EntryLink, LinkError, serve_agent, serve_entry};
+pub use link::{
+    AgentLink, EntryLink, LinkError, SchedulerLink, WorkerLink, serve_agent, serve_entry,
+    serve_scheduler, serve_worker,
+};
 pub use meter::Meter;
 pub use peer::{Digest, PeerState, PeerView};
+pub use scheduler_control::{
+    CancelOutcome, Hello, HelloReply, PhaseReply, SchedulerControl, SchedulerControlClient,
+    SubmitOutcome, WaitingReply,
+};
+pub use worker_control::{AGENT_ROW_PREFIX, WorkerControl, WorkerControlClient};
--- a/components/wire/src/link.rs
+++ b/components/wire/src/link.rs
@@ -1,9 +1,13 @@
 //! Connections for control calls, made anew after a failure.
 
-use crate::{AgentControl, AgentControlClient, EntryControl, EntryControlClient};
+use crate::{
+    AgentControl, AgentControlClient, EntryControl, EntryControlClient, SchedulerControl,
+    SchedulerControlClient, WorkerControl, WorkerControlClient,
+};
 use futures::StreamExt;
 use std::cell::{Cell, RefCell};
 use std::future::Future;
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -27,6 +31,9 @@
     /// The connection could not be made; the call had no effect.
     #[error("can't connect to {0}")]
     Connect(SocketAddr),
+    /// Nothing listens at the address; the call had no effect.
+    #[error("{0} refuses connections")]
+    Refused(SocketAddr),
     /// The call was not answered in time, or its connection broke.
     #[error("no answer from {0}")]
     NoAnswer(SocketAddr),
@@ -70,9 +77,12 @@
                 }
                 let mut connect = tcp::connect(self.address, Bincode::default);
                 connect.config_mut().max_frame_length(MAX_FRAME_BYTES);
-                let connected = timeout(CONNECT_TIMEOUT, connect).await;
-                let Ok(Ok(transport)) = connected else {
-                    return Err(LinkError::Connect(self.address));
+                let transport = match timeout(CONNECT_TIMEOUT, connect).await {
+                    Ok(Ok(transport)) => transport,
+                    Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused => {
+                        return Err(LinkError::Refused(self.address));
+                    }
+                    Ok(Err(_)) | Err(_) => return Err(LinkError::Connect(self.address)),
                 };
                 let client = $client::new(client::Config::default(), transport).spawn();
                 *self.open.borrow_mut() = Some(client.clone());
@@ -115,6 +125,14 @@
     /// Link to an entry.
     EntryLink, EntryControlClient
 }
+link_type! {
+    /// Link to the agent of a worker.
+    WorkerLink, WorkerControlClient
+}
+link_type! {
+    /// Link to an entry that may be the scheduler of flows.
+    SchedulerLink, SchedulerControlClient
+}
 
 macro_rules! serve_function {
     ($(#[$doc:meta])* $name:ident, $service:ident) => {
@@ -156,3 +174,17 @@
     /// The address can't be bound.
     serve_entry, EntryControl
 }
+serve_function! {
+    /// Answers calls about a worker; returns the bound address.
+    ///
+    /// # Errors
+    /// The address can't be bound.
+    serve_worker, WorkerControl
+}
+serve_function! {
+    /// Answers calls between entries about flows; returns the bound address.
+    ///
+    /// # Errors
+    /// The address can't be bound.
+    serve_scheduler, SchedulerControl
+}
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -57,7 +57,7 @@
             .value_name("FORMAT")
             .value_parser(["text", "json"])
             .default_value("text")
-            .help("Form of the log on standard error"),
+            .help("Form of the log on standard output"),
     )
 }
 
@@ -65,6 +65,7 @@
     Arg::new("settings")
         .long("settings")
         .value_name("FILE")
+        .env("PARSLEYTHREAD_SETTINGS")
         .required(true)
         .value_parser(value_parser!(PathBuf))
         .help("Settings file: JSON with comments")
--- a/src/cmd/agent.rs
+++ b/src/cmd/agent.rs
@@ -10,10 +10,14 @@
     match read_settings(args) {
         Ok(Settings::Agent(settings)) => {
             // Entries decide which requests are traced; an agent follows them.
-            telemetry::init(log_format(args), 0.0);
+            let _guard = telemetry::init(log_format(args), 0.0);
             run(async move { agent::run(*settings, stop_signal()).await })
         }
-        Ok(Settings::Entry(_)) => {
+        Ok(Settings::FlowAgent(settings)) => {
+            let _guard = telemetry::init(log_format(args), 0.0);
+            run(async move { platform::run_agent(*settings, stop_signal()).await })
+        }
+        Ok(Settings::Entry(_) | Settings::FlowEntry(_)) => {
             eprintln!("the file has the settings of an entry; run 'parsleythread entry' with it");
             ExitStatus::BadSettings
         }
--- a/src/cmd/check.rs
+++ b/src/cmd/check.rs
@@ -10,6 +10,8 @@
     match read_settings(args) {
         Ok(Settings::Entry(settings)) => println!("entry {}: settings are good", settings.id),
         Ok(Settings::Agent(settings)) => println!("agent {}: settings are good", settings.id),
+        Ok(Settings::FlowEntry(settings)) => println!("entry {}: settings are good", settings.id),
+        Ok(Settings::FlowAgent(settings)) => println!("agent {}: settings are good", settings.id),
         Err(status) => return status,
     }
     ExitStatus::Success
--- a/src/cmd/entry.rs
+++ b/src/cmd/entry.rs
@@ -9,10 +9,14 @@
 pub fn entry(args: &ArgMatches) -> ExitStatus {
     match read_settings(args) {
         Ok(Settings::Entry(settings)) => {
-            telemetry::init(log_format(args), settings.trace_ratio);
+            let _guard = telemetry::init(log_format(args), settings.trace_ratio);
             run(async move { entry::run(*settings, stop_signal()).await })
         }
-        Ok(Settings::Agent(_)) => {
+        Ok(Settings::FlowEntry(settings)) => {
+            let _guard = telemetry::init(log_format(args), 0.0);
+            run(async move { platform::run_entry(*settings, stop_signal()).await })
+        }
+        Ok(Settings::Agent(_) | Settings::FlowAgent(_)) => {
             eprintln!("the file has the settings of an agent; run 'parsleythread agent' with it");
             ExitStatus::BadSettings
         }
--- a/src/cmd/standin.rs
+++ b/src/cmd/standin.rs
@@ -42,7 +42,7 @@
     let backend = serve_backend(&options, Arc::new(BackendRecord::default()))?;
     println!("backend server stand-in on http://{}", backend.address);
     stop_signal().await;
-    backend.leave();
+    backend.leave().await;
     backend.server.stop(true).await;
     Ok(())
 }
--- a/tests/work.rs
+++ b/tests/work.rs
@@ -2,10 +2,10 @@
 
 mod common;
 
+use backing::AttemptStatus;
 use common::{Fleet, Plan, first_ticket, job, pause, wait_until};
 use futures::future::join_all;
 use model::Resources;
-use platform::AttemptStatus;
 use serde_json::{Value, json};
 use standin::{Faults, Relay, RelayMode, RunRecord};
 use std::collections::{HashMap, HashSet};
