--- a/components/flow/src/effect.rs
+++ b/components/flow/src/effect.rs
@@ -79,4 +79,6 @@
     Paused,
     /// A flow failed for good.
     Failed,
+    /// What the tasks on a worker do to each other.
+    Measured,
 }
--- a/components/flow/src/place.rs
+++ b/components/flow/src/place.rs
@@ -10,8 +10,10 @@
 const FAR: f64 = 100.0;
 /// Score of a worker on which the task failed before.
 const AVOIDED: f64 = 50.0;
-/// Score of a filler beside a task that serves.
-const BESIDE_SERVICE: f64 = 0.4;
+/// Score of a filler beside a task that serves, and of such a task beside fillers.
+const BESIDE_SERVICE: f64 = 2.0;
+/// Share of a latency target from which no further filler comes to a worker, in percent.
+const CROWDED_PERCENT: u32 = 80;
 /// Least share of its processors that a filler should find left over.
 const FILLER_SHARE: f64 = 0.5;
 /// Multiple of its objective after which a flow goes behind those that can still be in time.
@@ -292,7 +294,7 @@
             }
             let is_avoided = task.avoid.as_ref() == Some(&room.agent);
             let score = score(view, room, spec) + if is_avoided { AVOIDED } else { 0.0 };
-            let leaves_enough = !spec.filler || suits_filler(room, spec);
+            let leaves_enough = !spec.filler || suits_filler(view, room, spec);
             if leaves_enough && best.is_none_or(|(least, _)| score < least) {
                 best = Some((score, at));
             }
@@ -343,7 +345,7 @@
         self.unwritten.insert(key.job.clone());
         let held = held(&spec, run);
         room.free = room.free.minus(&held.reserved);
-        room.left_over_milli -= i64::from(held.processors_milli);
+        room.left_over_milli -= held.expected_milli();
         room.serves |= held.latency_target_ms.is_some();
         let free = room.free;
         let agent = room.agent.clone();
@@ -363,7 +365,7 @@
 
 fn room(agent: &AgentId, view: &WorkerView, capacity: Resources) -> Room {
     let free = capacity.minus(&view.reserved());
-    let left_over_milli = i64::from(free.processors_milli) - i64::from(view.filler_milli());
+    let left_over_milli = view.left_over_milli(capacity.processors_milli);
     Room {
         agent: agent.clone(),
         free,
@@ -390,11 +392,15 @@
 }
 
 /// Whether a filler finds enough processors left over.
-fn suits_filler(room: &Room, spec: &StepSpec) -> bool {
+fn suits_filler(view: &WorkerView, room: &Room, spec: &StepSpec) -> bool {
+    if room.serves && view.worst_percent >= CROWDED_PERCENT {
+        return false;
+    }
     room.left_over_milli as f64 >= f64::from(spec.need.processors_milli) * FILLER_SHARE
 }
 
-/// How little a worker suits a task; the least is best.
+/// How little a worker suits a task; the least is best. Tasks that serve are packed together, so
+/// that fillers find workers on which they disturb nobody; other tasks are spread.
 fn score(view: &WorkerView, room: &Room, spec: &StepSpec) -> f64 {
     let total = f64::from(room.capacity.processors_milli.max(1));
     let near = spec.data_rack.as_deref().is_none_or(|rack| {
@@ -403,11 +409,16 @@
             .is_some_and(|info| info.rack() == Some(rack))
     });
     let distance = if near { 0.0 } else { FAR };
-    let left_over = room.left_over_milli as f64 / total;
-    let company = if spec.filler && room.serves {
-        BESIDE_SERVICE
-    } else {
-        0.0
-    };
-    distance + company - left_over
+    let free = f64::from(room.free.processors_milli) / total;
+    if spec.latency_target_ms.is_some() {
+        let company = if room.serves { 0.0 } else { BESIDE_SERVICE };
+        return distance + company + free;
+    }
+    if spec.filler {
+        let left_over = room.left_over_milli as f64 / total;
+        let company = if room.serves { BESIDE_SERVICE } else { 0.0 };
+        return distance + company - left_over;
+    }
+    let company = if room.serves { 0.0 } else { BESIDE_SERVICE };
+    distance + company - free
 }
--- a/components/flow/src/scheduler.rs
+++ b/components/flow/src/scheduler.rs
@@ -407,5 +407,6 @@
         processors_milli: spec.need.processors_milli,
         filler: spec.filler,
         latency_target_ms: spec.latency_target_ms,
+        image: spec.image.clone(),
     }
 }
--- a/components/flow/src/spec.rs
+++ b/components/flow/src/spec.rs
@@ -2,6 +2,7 @@
 
 use model::Resources;
 use serde::{Deserialize, Serialize};
+use std::fmt;
 
 /// What a caller states of a flow.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -159,6 +160,38 @@
     }
 }
 
+/// The steps in short: number of tasks, processors in thousandths, declared run time, flags.
+impl fmt::Display for FlowSpec {
+    fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for (number, step) in self.steps.iter().enumerate() {
+            let space = if number == 0 { "" } else { " " };
+            let flags = [
+                (step.filler, "filler"),
+                (step.long_running, "long-running"),
+                (step.gang, "gang"),
+                (step.saves_progress, "saves"),
+                (step.duplicates_allowed, "duplicates"),
+            ];
+            let set = flags.iter().filter(|(is_set, _)| *is_set);
+            let set: Vec<&str> = set.map(|(_, name)| *name).collect();
+            let (tasks, milli) = (step.tasks, step.need.processors_milli);
+            let estimate_ms = step.estimate_ms;
+            write!(
+                out,
+                "{space}{tasks}x{milli}m~{estimate_ms}ms[{}]",
+                set.join(",")
+            )?;
+            if let Some(limit) = step.max_per_worker {
+                write!(out, "^{limit}")?;
+            }
+            if let Some(image) = &step.image {
+                write!(out, "@{image}")?;
+            }
+        }
+        Ok(())
+    }
+}
+
 /// Why a flow can't be run as stated.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
 pub enum SpecFault {
--- a/components/flow/src/view.rs
+++ b/components/flow/src/view.rs
@@ -5,6 +5,10 @@
 use model::{AgentId, JobId, Resources};
 use std::collections::{BTreeMap, VecDeque};
 
+/// Share of the processors set aside for a task that serves callers that it is expected to use, in
+/// percent.
+const SERVING_USE_PERCENT: i64 = 60;
+
 /// What one run takes of a worker.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Held {
@@ -18,6 +22,20 @@
     pub filler: bool,
     /// Tail latency that it owes its callers, in milliseconds.
     pub latency_target_ms: Option<u32>,
+    /// What it runs.
+    pub image: Option<String>,
+}
+
+impl Held {
+    /// Processors that the run is expected to use, in thousandths.
+    pub fn expected_milli(&self) -> i64 {
+        let milli = i64::from(self.processors_milli);
+        if self.latency_target_ms.is_some() {
+            milli * SERVING_USE_PERCENT / 100
+        } else {
+            milli
+        }
+    }
 }
 
 /// An end that waits for the record that it changed.
@@ -58,6 +76,10 @@
     pub health: Health,
     /// Time before which nothing is placed there.
     pub not_before_ms: u64,
+    /// Latency of the most troubled task that serves there, as a share of its target in percent.
+    pub worst_percent: u32,
+    /// Since when a latency target there is missed.
+    pub over_since_ms: Option<u64>,
 }
 
 /// A run that is not placed where it runs.
@@ -81,10 +103,16 @@
             .fold(Resources::default(), |sum, need| sum.plus(&need))
     }
 
-    /// Processors that fillers would use, in thousandths.
-    pub fn filler_milli(&self) -> u32 {
-        let fillers = self.held.values().filter(|held| held.filler);
-        fillers.map(|held| held.processors_milli).sum()
+    /// Processors that nobody is expected to use, in thousandths; below zero when fillers compete.
+    ///
+    /// Tasks that serve callers use part of what is set aside for them.
+    pub fn left_over_milli(&self, capacity_milli: u32) -> i64 {
+        let used = self.held.values().map(Held::expected_milli);
+        let strays = self.strays.values();
+        let stray_milli: i64 = strays
+            .map(|stray| i64::from(stray.reserved.processors_milli))
+            .sum();
+        i64::from(capacity_milli) - used.sum::<i64>() - stray_milli
     }
 
     /// Whether a task that serves callers runs there.
--- a/components/flow_entry/src/commits.rs
+++ b/components/flow_entry/src/commits.rs
@@ -228,6 +228,7 @@
             NoteKind::Stalled => Event::RunStalled,
             NoteKind::Paused => Event::WorkerPaused,
             NoteKind::Failed => Event::FlowFailed,
+            NoteKind::Measured => Event::WorkerMeasured,
         };
         log_event!(info, event, job = %note.task.job, task = %note.task, run = note.run,
             agent = %note.agent, detail = %note.detail);
--- a/components/flow_entry/src/requests.rs
+++ b/components/flow_entry/src/requests.rs
@@ -152,7 +152,7 @@
             metrics.submit_seconds.observe(spent_ms as f64 / 1_000.0);
             Metrics::count(&metrics.submissions, outcome);
             log_event!(info, Event::FlowSubmitted, job = %job.id, prefix = %job.queue.prefix, by,
-                store_away = is_away, outcome = %outcome, spent_ms);
+                steps = %job.spec, store_away = is_away, outcome = %outcome, spent_ms);
             if outcome == SubmitOutcome::Accepted && by == "table" {
                 control.do_send(Accepted {
                     job,
--- a/components/telemetry/src/event.rs
+++ b/components/telemetry/src/event.rs
@@ -89,6 +89,8 @@
     WorkerLapsed = 227,
     /// A worker is set aside for its failures.
     WorkerPaused = 228,
+    /// What the tasks on a worker do to each other was measured.
+    WorkerMeasured = 229,
     /// A process's settings file changed or was read again.
     SettingsSeen = 104,
     /// A row of the table can't be read.
