Which fillers disturb which serving tasks is learnt by pairs of images

Change: evidence by pair from rises and calm, kept in a row of the table; fillers go where they are known to be harmless, are moved by checkpoint from where they are not; serving tasks of one image stand together.

--- a/components/flow/src/effect.rs
+++ b/components/flow/src/effect.rs
@@ -79,6 +79,6 @@
     Paused,
     /// A flow failed for good.
     Failed,
-    /// What the tasks on a worker do to each other.
-    Measured,
+    /// A filler is moved away from tasks that it disturbs.
+    Moved,
 }
--- a/components/flow/src/place.rs
+++ b/components/flow/src/place.rs
@@ -2,7 +2,8 @@
 
 use crate::view::WorkerView;
 use crate::{
-    FlowState, NoteKind, Placement, Queue, Scheduler, Stage, StepSpec, TaskKey, scheduler::held,
+    FlowState, NoteKind, PairVerdict, Placement, Queue, Scheduler, Stage, StepSpec, TaskKey,
+    scheduler::held,
 };
 use model::{AgentId, JobId, Resources, ServiceName};
 
@@ -12,6 +13,10 @@
 const AVOIDED: f64 = 50.0;
 /// Score of a filler beside a task that serves, and of such a task beside fillers.
 const BESIDE_SERVICE: f64 = 2.0;
+/// Score of each image that serves and that a filler may disturb for all that is known.
+const UNKNOWN_PAIR: f64 = 0.3;
+/// Score of each other image that serves on the worker of a task that serves.
+const OTHER_IMAGE: f64 = 0.7;
 /// Share of a latency target from which no further filler comes to a worker, in percent.
 const CROWDED_PERCENT: u32 = 80;
 /// Least share of its processors that a filler should find left over.
@@ -294,7 +299,8 @@
             }
             let is_avoided = task.avoid.as_ref() == Some(&room.agent);
             let score = score(view, room, spec) + if is_avoided { AVOIDED } else { 0.0 };
-            let leaves_enough = !spec.filler || suits_filler(view, room, spec);
+            let score = score + self.company(view, spec);
+            let leaves_enough = !spec.filler || self.suits_filler(view, room, spec);
             if leaves_enough && best.is_none_or(|(least, _)| score < least) {
                 best = Some((score, at));
             }
@@ -302,6 +308,62 @@
         best.map(|(_, at)| at)
     }
 
+    /// Whether a filler finds enough processors left over and disturbs nobody.
+    fn suits_filler(&self, view: &WorkerView, room: &Room, spec: &StepSpec) -> bool {
+        let image = spec.image.as_deref().unwrap_or_default();
+        let mut all_good = true;
+        for serving in serving_images(view) {
+            match self.pairs.verdict(image, serving) {
+                PairVerdict::Bad => return false,
+                PairVerdict::Unknown => all_good = false,
+                PairVerdict::Good => {}
+            }
+        }
+        if !all_good && view.worst_percent >= CROWDED_PERCENT {
+            return false;
+        }
+        room.left_over_milli as f64 >= f64::from(spec.need.processors_milli) * FILLER_SHARE
+    }
+
+    /// How little the tasks on a worker suit one more: a filler is tried first where it is known to
+    /// be harmless, and tasks that serve are kept with those of their own image.
+    fn company(&self, view: &WorkerView, spec: &StepSpec) -> f64 {
+        let image = spec.image.as_deref().unwrap_or_default();
+        let images = serving_images(view);
+        if spec.filler {
+            let is_open =
+                |serving: &&&str| self.pairs.verdict(image, serving) == PairVerdict::Unknown;
+            return images.iter().filter(is_open).count() as f64 * UNKNOWN_PAIR;
+        }
+        if spec.latency_target_ms.is_some() {
+            let others = images.iter().filter(|serving| **serving != image).count();
+            return others as f64 * OTHER_IMAGE;
+        }
+        0.0
+    }
+
+    /// Whether another worker has room for a filler and nothing that it disturbs.
+    pub(crate) fn has_quiet_room(&self, now_ms: u64, agent: &AgentId, key: &TaskKey) -> bool {
+        let Some(state) = self.flows.get(&key.job) else {
+            return false;
+        };
+        let Some(spec) = state.step_spec(key.step) else {
+            return false;
+        };
+        let queue = self.config.queue(&state.job.queue);
+        let rooms = self.rooms(now_ms);
+        rooms.iter().any(|(pool, room)| {
+            let Some(view) = self.fleet.workers.get(&room.agent) else {
+                return false;
+            };
+            room.agent != *agent
+                && queue.is_some_and(|queue| queue.service == *pool)
+                && spec.reserved().fits_in(&room.free)
+                && may_run(view, key, spec, None)
+                && self.suits_filler(view, room, spec)
+        })
+    }
+
     /// Places a task; it starts once the record of that is durable.
     fn put(
         &mut self,
@@ -343,7 +405,7 @@
         });
         let run = task.run;
         self.unwritten.insert(key.job.clone());
-        let held = held(&spec, run);
+        let held = held(now_ms, &spec, run);
         room.free = room.free.minus(&held.reserved);
         room.left_over_milli -= held.expected_milli();
         room.serves |= held.latency_target_ms.is_some();
@@ -363,6 +425,20 @@
     queue.stretch * state.job.spec.chain_ms() as f64 + queue.latency_target_ms as f64
 }
 
+/// Images of the tasks that serve on a worker, once each.
+fn serving_images(view: &WorkerView) -> Vec<&str> {
+    let serving = view
+        .held
+        .values()
+        .filter(|held| held.latency_target_ms.is_some());
+    let mut images: Vec<&str> = serving
+        .map(|held| held.image.as_deref().unwrap_or_default())
+        .collect();
+    images.sort_unstable();
+    images.dedup();
+    images
+}
+
 fn room(agent: &AgentId, view: &WorkerView, capacity: Resources) -> Room {
     let free = capacity.minus(&view.reserved());
     let left_over_milli = view.left_over_milli(capacity.processors_milli);
@@ -391,14 +467,6 @@
     has_label && in_rack && spread
 }
 
-/// Whether a filler finds enough processors left over.
-fn suits_filler(view: &WorkerView, room: &Room, spec: &StepSpec) -> bool {
-    if room.serves && view.worst_percent >= CROWDED_PERCENT {
-        return false;
-    }
-    room.left_over_milli as f64 >= f64::from(spec.need.processors_milli) * FILLER_SHARE
-}
-
 /// How little a worker suits a task; the least is best. Tasks that serve are packed together, so
 /// that fillers find workers on which they disturb nobody; other tasks are spread.
 fn score(view: &WorkerView, room: &Room, spec: &StepSpec) -> f64 {
@@ -416,8 +484,7 @@
     }
     if spec.filler {
         let left_over = room.left_over_milli as f64 / total;
-        let company = if room.serves { BESIDE_SERVICE } else { 0.0 };
-        return distance + company - left_over;
+        return distance - left_over;
     }
     let company = if room.serves { 0.0 } else { BESIDE_SERVICE };
     distance + company - free
--- a/components/flow/src/protect.rs
+++ b/components/flow/src/protect.rs
@@ -1,7 +1,9 @@
-//! Protects tasks that serve callers from the fillers beside them.
+//! Protects tasks that serve callers from the fillers beside them: learns which ones disturb,
+//! moves those elsewhere, and slows them down where there is no elsewhere.
 
 use crate::scheduler::run_ref;
-use crate::{Effect, RunningTask, Scheduler, Stage, TaskKey};
+use crate::view::Held;
+use crate::{Effect, NoteKind, PairVerdict, RunningTask, Scheduler, Stage, TaskKey};
 use model::AgentId;
 use utils::Map;
 
@@ -16,17 +18,52 @@
 const SETTLE_MS: u64 = 500;
 /// Paces at which fillers may work, in percent.
 const PACES: [u32; 4] = [0, 25, 50, 100];
+/// Processors in use from which a filler counts as working, in thousandths.
+const WORKING_MILLI: u32 = 1_000;
+/// Age from which a filler may be to blame for a latency, in milliseconds.
+const BLAME_AGE_MS: u64 = 150;
+/// Age from which a calm latency speaks for a filler, in milliseconds.
+const CALM_AGE_MS: u64 = 900;
+/// Multiple of the latency without fillers from which it counts as raised, in percent.
+const RAISED_PERCENT: u32 = 170;
+/// Multiple of the last latency from which it counts as rising, in percent.
+const RISING_PERCENT: u32 = 120;
+/// Share of its target below which a latency is never held against anyone, in percent.
+const HARMLESS_PERCENT: u32 = 50;
+/// Share of its target that a latency is taken to have before it was measured, in percent.
+const FIRST_BASE_PERCENT: u32 = 35;
+/// Progress of a task that is at work.
+const AT_WORK_PERCENT: u32 = 100;
+/// Progress up to which a filler that saves nothing is moved, in percent.
+const CHEAP_MOVE_PERCENT: u32 = 30;
 
-/// How the most troubled serving task on a worker does, as a share of its target.
-fn worst_percent(
-    targets: &Map<TaskKey, u32>,
-    running: &Map<&TaskKey, &RunningTask>,
-) -> Option<u32> {
-    let share = |(key, target_ms): (&TaskKey, &u32)| {
-        let run = running.get(key)?;
-        Some(run.load.saturating_mul(100) / (*target_ms).max(1))
-    };
-    targets.iter().filter_map(share).max()
+/// Latency of a task that serves, as followed over time.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct LatencyTrace {
+    /// Latency without working fillers, in milliseconds.
+    pub base_ms: u32,
+    /// Last latency, in milliseconds.
+    pub last_ms: u32,
+}
+
+/// A task that serves, as measured now.
+struct Serving {
+    /// The task.
+    key: TaskKey,
+    /// What it runs.
+    image: String,
+    /// Its target, in milliseconds.
+    target_ms: u32,
+    /// Its latency, in milliseconds.
+    latency_ms: u32,
+}
+
+/// A filler that works.
+struct Working {
+    /// What it runs.
+    image: String,
+    /// How long it has been placed, in milliseconds.
+    age_ms: u64,
 }
 
 /// The next pace of a filler: a step down while a target is missed, none at all if that does not
@@ -44,39 +81,158 @@
     }
 }
 
+fn image_of(held: &Held) -> String {
+    held.image.clone().unwrap_or_default()
+}
+
 impl Scheduler {
-    /// Changes the pace of fillers by the latencies of the tasks that serve beside them.
+    /// Learns from the latencies of a worker, and changes what its fillers may do.
     pub(crate) fn protect(
         &mut self,
         now_ms: u64,
         agent: &AgentId,
         running: &Map<&TaskKey, &RunningTask>,
     ) {
-        let Some(view) = self.worker(agent) else {
-            return;
-        };
-        let fillers: Vec<TaskKey> = view
-            .held
-            .iter()
-            .filter(|(key, held)| held.filler && running.contains_key(key))
-            .map(|(key, _)| key.clone())
-            .collect();
-        if fillers.is_empty() {
-            return;
-        }
-        let targets: Map<TaskKey, u32> = view
-            .held
-            .iter()
-            .filter_map(|(key, held)| Some((key.clone(), held.latency_target_ms?)))
-            .collect();
-        let worst = worst_percent(&targets, running).unwrap_or(0);
+        let serving = self.serving(agent, running);
+        let fillers = self.fillers(agent, running);
+        let share = |task: &Serving| task.latency_ms.saturating_mul(100) / task.target_ms.max(1);
+        let worst = serving.iter().map(share).max().unwrap_or(0);
         let over_ms = self.time_over(now_ms, agent, worst);
-        self.note_load(agent, running);
+        self.learn(now_ms, agent, &serving, running);
         for key in fillers {
+            if self.is_misplaced(&key, &serving) && self.move_away(now_ms, agent, &key) {
+                continue;
+            }
             self.pace_one(now_ms, &key, worst, over_ms);
         }
     }
 
+    /// Tasks of a worker that serve and are at work.
+    fn serving(&self, agent: &AgentId, running: &Map<&TaskKey, &RunningTask>) -> Vec<Serving> {
+        let held = self.worker(agent).into_iter().flat_map(|view| &view.held);
+        held.filter_map(|(key, held)| {
+            let target_ms = held.latency_target_ms?;
+            let run = running
+                .get(key)
+                .filter(|run| run.percent >= AT_WORK_PERCENT)?;
+            Some(Serving {
+                key: key.clone(),
+                image: image_of(held),
+                target_ms,
+                latency_ms: run.load,
+            })
+        })
+        .collect()
+    }
+
+    /// Fillers of a worker.
+    fn fillers(&self, agent: &AgentId, running: &Map<&TaskKey, &RunningTask>) -> Vec<TaskKey> {
+        let held = self.worker(agent).into_iter().flat_map(|view| &view.held);
+        held.filter(|(key, held)| held.filler && running.contains_key(key))
+            .map(|(key, _)| key.clone())
+            .collect()
+    }
+
+    /// Fillers of a worker that use processors.
+    fn working(
+        &self,
+        now_ms: u64,
+        agent: &AgentId,
+        running: &Map<&TaskKey, &RunningTask>,
+    ) -> Vec<Working> {
+        let held = self.worker(agent).into_iter().flat_map(|view| &view.held);
+        held.filter(|(_, held)| held.filler)
+            .filter(|(key, _)| {
+                let run = running.get(key);
+                run.is_some_and(|run| run.load >= WORKING_MILLI)
+            })
+            .map(|(_, held)| Working {
+                image: image_of(held),
+                age_ms: now_ms.saturating_sub(held.since_ms),
+            })
+            .collect()
+    }
+
+    /// Learns which fillers disturb which tasks.
+    fn learn(
+        &mut self,
+        now_ms: u64,
+        agent: &AgentId,
+        serving: &[Serving],
+        running: &Map<&TaskKey, &RunningTask>,
+    ) {
+        let working = self.working(now_ms, agent, running);
+        let suspects: Vec<&str> = working
+            .iter()
+            .filter(|filler| filler.age_ms >= BLAME_AGE_MS)
+            .map(|filler| filler.image.as_str())
+            .collect();
+        for task in serving.iter().filter(|task| task.latency_ms > 0) {
+            let first = LatencyTrace {
+                base_ms: task.target_ms * FIRST_BASE_PERCENT / 100,
+                last_ms: task.latency_ms,
+            };
+            let view = self.fleet.workers.entry(agent.clone()).or_default();
+            let trace = view.latencies.entry(task.key.clone()).or_insert(first);
+            let (base_ms, last_ms) = (trace.base_ms, trace.last_ms);
+            trace.last_ms = task.latency_ms;
+            if working.is_empty() {
+                trace.base_ms = (base_ms + task.latency_ms) / 2;
+                continue;
+            }
+            let is_raised = task.latency_ms * 100 >= base_ms * RAISED_PERCENT
+                && task.latency_ms * 100 >= task.target_ms * HARMLESS_PERCENT;
+            let is_rising = task.latency_ms * 100 >= last_ms * RISING_PERCENT;
+            if is_raised && is_rising && !suspects.is_empty() {
+                self.pairs.on_rise(&suspects, &task.image);
+            } else if !is_raised {
+                trace.base_ms = (base_ms * 9 + task.latency_ms) / 10;
+                let calm = working.iter().filter(|filler| filler.age_ms >= CALM_AGE_MS);
+                for filler in calm {
+                    self.pairs.on_calm(&filler.image, &task.image);
+                }
+            }
+        }
+        let view = self.fleet.workers.entry(agent.clone()).or_default();
+        let held = &view.held;
+        view.latencies.retain(|key, _| held.contains_key(key));
+    }
+
+    /// Whether a filler disturbs a task beside it.
+    fn is_misplaced(&self, key: &TaskKey, serving: &[Serving]) -> bool {
+        let image = self
+            .flows
+            .get(&key.job)
+            .and_then(|state| state.step_spec(key.step)?.image.as_deref());
+        let image = image.unwrap_or_default();
+        let is_bad = |task: &Serving| self.pairs.verdict(image, &task.image) == PairVerdict::Bad;
+        serving.iter().any(is_bad)
+    }
+
+    /// Moves a filler to a worker on which it disturbs nobody, if there is one with room and the
+    /// move costs little.
+    fn move_away(&mut self, now_ms: u64, agent: &AgentId, key: &TaskKey) -> bool {
+        let Some(state) = self.flows.get(&key.job) else {
+            return false;
+        };
+        let (Some(spec), Some(task)) = (state.step_spec(key.step), state.task(key)) else {
+            return false;
+        };
+        let Some(placement) = task.placement.clone() else {
+            return false;
+        };
+        let is_cheap = spec.saves_progress || placement.percent <= CHEAP_MOVE_PERCENT;
+        let is_running = matches!(placement.stage, Stage::Running { .. });
+        if !is_cheap || !is_running || !self.has_quiet_room(now_ms, agent, key) {
+            return false;
+        }
+        let run = task.run;
+        let detail = format!("disturbs its neighbours at {}%", placement.percent);
+        self.note(NoteKind::Moved, key, run, agent, detail);
+        self.stop(now_ms, key, run, &placement);
+        true
+    }
+
     /// For how long a target on the worker has been missed.
     fn time_over(&mut self, now_ms: u64, agent: &AgentId, worst_percent: u32) -> u64 {
         let view = self.worker_mut(agent);
@@ -89,35 +245,6 @@
         now_ms.saturating_sub(since_ms)
     }
 
-    /// Logs what the tasks on a worker do to each other.
-    fn note_load(&mut self, agent: &AgentId, running: &Map<&TaskKey, &RunningTask>) {
-        let Some(view) = self.worker(agent) else {
-            return;
-        };
-        let mut words = Vec::new();
-        for (key, held) in &view.held {
-            let Some(run) = running.get(key) else {
-                continue;
-            };
-            let pace = self
-                .flows
-                .get(&key.job)
-                .and_then(|state| state.task(key)?.placement.as_ref())
-                .map_or(0, |placement| placement.pace);
-            let image = held.image.as_deref().unwrap_or("-");
-            let target = held.latency_target_ms.unwrap_or(0);
-            words.push(format!(
-                "{image}:{}:{target}:{}:{pace}:{}",
-                held.processors_milli, run.load, run.percent
-            ));
-        }
-        let detail = words.join(" ");
-        if let Some((key, held)) = view.held.first_key_value() {
-            let (key, run) = (key.clone(), held.run);
-            self.note(crate::NoteKind::Measured, &key, run, agent, detail);
-        }
-    }
-
     fn pace_one(&mut self, now_ms: u64, key: &TaskKey, worst_percent: u32, over_ms: u64) {
         let task = self
             .flows
--- a/components/flow/src/scheduler.rs
+++ b/components/flow/src/scheduler.rs
@@ -2,8 +2,8 @@
 
 use crate::view::{Fleet, Held, WorkerView};
 use crate::{
-    Effect, FlowConfig, FlowJob, FlowPhase, FlowRecord, FlowState, Note, NoteKind, Placement,
-    QueueKey, RunRef, Stage, StartText, StepSpec, TaskKey,
+    Effect, FlowConfig, FlowJob, FlowPhase, FlowRecord, FlowState, Note, NoteKind, Pairs,
+    Placement, QueueKey, RunRef, Stage, StartText, StepSpec, TaskKey,
 };
 use model::{AgentId, JobId};
 use std::collections::{BTreeMap, BTreeSet};
@@ -34,6 +34,8 @@
     pub(crate) dirty: BTreeSet<JobId>,
     /// Flows with placements whose start waits for the record.
     pub(crate) unwritten: BTreeSet<JobId>,
+    /// Which fillers disturb which tasks that serve.
+    pub(crate) pairs: Pairs,
     /// Decisions and orders since the last call of [`Scheduler::take_effects`].
     pub(crate) effects: Vec<Effect>,
 }
@@ -279,6 +281,16 @@
         self.touch(job);
     }
 
+    /// What was learnt of pairs, if anything was since the last call.
+    pub fn take_learnt(&mut self) -> Option<String> {
+        self.pairs.take_changed().then(|| self.pairs.text())
+    }
+
+    /// Goes on from what a former scheduler learnt of pairs.
+    pub fn set_learnt(&mut self, pairs: Pairs) {
+        self.pairs = pairs;
+    }
+
     /// Drops what was kept of a flow that is over.
     pub fn forget(&mut self, job: &JobId) {
         self.ended.remove(job);
@@ -303,7 +315,7 @@
         else {
             return;
         };
-        let held = held(spec, run);
+        let held = held(0, spec, run);
         let view = self.fleet.workers.entry(agent.clone()).or_default();
         view.held.insert(key.clone(), held);
     }
@@ -400,9 +412,10 @@
 }
 
 /// What a run of a step takes.
-pub(crate) fn held(spec: &StepSpec, run: u32) -> Held {
+pub(crate) fn held(now_ms: u64, spec: &StepSpec, run: u32) -> Held {
     Held {
         run,
+        since_ms: now_ms,
         reserved: spec.reserved(),
         processors_milli: spec.need.processors_milli,
         filler: spec.filler,
--- a/components/flow/src/view.rs
+++ b/components/flow/src/view.rs
@@ -1,6 +1,7 @@
 //! A worker as the scheduler sees it.
 
 use crate::health::Health;
+use crate::protect::LatencyTrace;
 use crate::{ClockSample, Incarnation, TaskKey, WorkerInfo};
 use model::{AgentId, JobId, Resources};
 use std::collections::{BTreeMap, VecDeque};
@@ -24,6 +25,8 @@
     pub latency_target_ms: Option<u32>,
     /// What it runs.
     pub image: Option<String>,
+    /// When it was placed.
+    pub since_ms: u64,
 }
 
 impl Held {
@@ -78,6 +81,8 @@
     pub not_before_ms: u64,
     /// Latency of the most troubled task that serves there, as a share of its target in percent.
     pub worst_percent: u32,
+    /// Latencies of the tasks that serve there.
+    pub latencies: BTreeMap<TaskKey, LatencyTrace>,
     /// Since when a latency target there is missed.
     pub over_since_ms: Option<u64>,
 }
--- a/components/flow_entry/src/commits.rs
+++ b/components/flow_entry/src/commits.rs
@@ -5,7 +5,7 @@
 use crate::messages::{CommitAgain, CommitDone, InFlight, SettleCommit, Tidied};
 use crate::metrics::Metrics;
 use crate::reads::read_row;
-use crate::rows::{LEASE_KEY, LeaseRow, cancel_key, flow_key, record_key};
+use crate::rows::{LEARNT_KEY, LEASE_KEY, LeaseRow, cancel_key, flow_key, record_key};
 use actix::{AsyncContext, Context, Handler};
 use backing::{StoreError, Transaction};
 use flow::{Effect, FlowEnd, FlowPhase, FlowRow, Note, NoteKind};
@@ -25,6 +25,8 @@
 const AGAIN_PAUSE: Duration = Duration::from_millis(40);
 /// Tries that lengthen the pause.
 const AGAIN_TRIES: u32 = 6;
+/// Time between two writes of what was learnt, in milliseconds.
+const LEARNT_EVERY_MS: u64 = 1_000;
 /// Time between two reads of the agents, in milliseconds.
 const AGENTS_EVERY_MS: u64 = 1_000;
 /// Time between two transactions that tidy up after ended flows, in milliseconds.
@@ -100,6 +102,9 @@
         let mut txn = Transaction::default()
             .require(LEASE_KEY, Some(version))
             .put(LEASE_KEY, encode(&lease));
+        if let Some(learnt) = self.learnt_to_write(now_ms) {
+            txn = txn.put(LEARNT_KEY, learnt);
+        }
         for row in &rows {
             txn = txn.put(record_key(&row.job), row.text.clone());
         }
@@ -110,6 +115,7 @@
                 txn,
                 rows,
                 sequence,
+                released,
                 first_sent_ms: now_ms,
                 tries: 0,
             });
@@ -117,6 +123,16 @@
         self.send_commit(context);
     }
 
+    /// What was learnt, when it is time to write it.
+    fn learnt_to_write(&mut self, now_ms: u64) -> Option<String> {
+        let lead = self.lead.as_mut()?;
+        if now_ms < lead.learnt_ms + LEARNT_EVERY_MS {
+            return None;
+        }
+        lead.learnt_ms = now_ms;
+        lead.scheduler.take_learnt()
+    }
+
     fn send_commit(&mut self, context: &mut Context<Self>) {
         let Some(lead) = self.lead.as_mut() else {
             return;
@@ -228,7 +244,7 @@
             NoteKind::Stalled => Event::RunStalled,
             NoteKind::Paused => Event::WorkerPaused,
             NoteKind::Failed => Event::FlowFailed,
-            NoteKind::Measured => Event::WorkerMeasured,
+            NoteKind::Moved => Event::RunMoved,
         };
         log_event!(info, event, job = %note.task.job, task = %note.task, run = note.run,
             agent = %note.agent, detail = %note.detail);
--- a/components/flow_entry/src/lead.rs
+++ b/components/flow_entry/src/lead.rs
@@ -2,13 +2,13 @@
 
 use crate::coordinator::Coordinator;
 use crate::feed_watch;
-use crate::messages::{ClaimDone, InFlight, Loaded};
+use crate::messages::{ClaimDone, InFlight, LeftRows, Loaded};
 use crate::node::Node;
 use crate::reads::{read_all, read_flows, read_row};
-use crate::rows::{FlowKey, LEASE_KEY, LeaseRow, RECORD_PREFIX};
+use crate::rows::{FlowKey, LEARNT_KEY, LEASE_KEY, LeaseRow, RECORD_PREFIX};
 use actix::{AsyncContext, Context, Handler};
 use backing::{Row, StoreError, TableStore, Transaction};
-use flow::{FlowEnd, FlowJob, FlowPhase, FlowRecord, FlowRow, LeaseTerms, Scheduler};
+use flow::{FlowEnd, FlowJob, FlowPhase, FlowRecord, FlowRow, LeaseTerms, Pairs, Scheduler};
 use model::{AgentId, JobId};
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
@@ -57,6 +57,8 @@
     pub tidying: bool,
     /// When rows were last tidied.
     pub tidied_ms: u64,
+    /// When what was learnt was last written.
+    pub learnt_ms: u64,
     /// Whether a look at what can be placed is planned.
     pub pump_planned: bool,
 }
@@ -146,6 +148,7 @@
             untidied: VecDeque::new(),
             tidying: false,
             tidied_ms: now_ms,
+            learnt_ms: now_ms,
             pump_planned: false,
         });
         self.load(epoch, context);
@@ -186,10 +189,15 @@
     serde_json::to_string(row).unwrap_or_default()
 }
 
-async fn load_rows(table: &dyn TableStore) -> Result<(Vec<Row>, Vec<Row>), StoreError> {
+async fn load_rows(table: &dyn TableStore) -> Result<LeftRows, StoreError> {
+    let learnt = read_row(table, LEARNT_KEY).await?;
     let records = read_all(table, RECORD_PREFIX).await?;
     let flows = read_flows(table).await?;
-    Ok((records, flows))
+    Ok(LeftRows {
+        learnt,
+        records,
+        flows,
+    })
 }
 
 impl Handler<ClaimDone> for Coordinator {
@@ -233,7 +241,11 @@
         if lead.loaded {
             return;
         }
-        let (records, flows) = match loaded.rows {
+        let LeftRows {
+            learnt,
+            records,
+            flows,
+        } = match loaded.rows {
             Ok(rows) => rows,
             Err(error) => {
                 log_event!(warn, Event::SchedulerLoadFailed, epoch = lead.epoch, reason = %error);
@@ -249,6 +261,13 @@
         for row in &records {
             restore(lead, now_ms, row);
         }
+        match learnt.map(|row| Pairs::parse(&row.value)) {
+            Some(Ok(pairs)) => lead.scheduler.set_learnt(pairs),
+            Some(Err(error)) => {
+                log_event!(error, Event::RowUnreadable, key = LEARNT_KEY, reason = %error);
+            }
+            None => {}
+        }
         let wait_ms = lead.terms.takeover_wait_ms();
         let agents: Vec<AgentId> = lead
             .scheduler
--- a/components/flow_entry/src/messages.rs
+++ b/components/flow_entry/src/messages.rs
@@ -124,14 +124,24 @@
     pub result: Result<u64, StoreError>,
 }
 
+/// Rows that a former scheduler left, read in this order.
+pub(crate) struct LeftRows {
+    /// What it learnt.
+    pub learnt: Option<Row>,
+    /// Records of progress.
+    pub records: Vec<Row>,
+    /// Flows and cancellations.
+    pub flows: Vec<Row>,
+}
+
 /// Everything that a former scheduler left.
 #[derive(Message)]
 #[rtype(result = "()")]
 pub(crate) struct Loaded {
     /// Epoch for which it was read.
     pub epoch: u64,
-    /// Records of progress and then flows, read in this order.
-    pub rows: Result<(Vec<Row>, Vec<Row>), StoreError>,
+    /// The rows.
+    pub rows: Result<LeftRows, StoreError>,
 }
 
 /// Rows of flows that changed; answers whether to go on watching.
@@ -257,6 +267,8 @@
     pub rows: Vec<RecordRow>,
     /// Its number.
     pub sequence: u64,
+    /// Whether it gives the lease up.
+    pub released: bool,
     /// When it was first sent.
     pub first_sent_ms: u64,
     /// How often it was sent.
--- a/components/flow_entry/src/rows.rs
+++ b/components/flow_entry/src/rows.rs
@@ -9,6 +9,8 @@
 pub(crate) const LEASE_KEY: &str = "lease/scheduler/owner";
 /// Key before the records of progress; they stand in the part of the lease.
 pub(crate) const RECORD_PREFIX: &str = "progress/scheduler/";
+/// Row of what the scheduler learnt; it stands in the part of the lease.
+pub(crate) const LEARNT_KEY: &str = "learnt/scheduler/pairs";
 /// Key before all flows, whatever their part.
 pub(crate) const FLOW_PREFIX: &str = "flows/";
 /// Parts over which flows are spread, so that submissions do not wait for each other.
--- a/components/telemetry/src/event.rs
+++ b/components/telemetry/src/event.rs
@@ -89,8 +89,6 @@
     WorkerLapsed = 227,
     /// A worker is set aside for its failures.
     WorkerPaused = 228,
-    /// What the tasks on a worker do to each other was measured.
-    WorkerMeasured = 229,
     /// A process's settings file changed or was read again.
     SettingsSeen = 104,
     /// A row of the table can't be read.
@@ -143,6 +141,8 @@
     RunOrdered = 717,
     /// An agent passed a stop on to its worker.
     RunStopped = 718,
+    /// A filler is moved away from tasks that it disturbs.
+    RunMoved = 720,
     /// An agent refused an order that is out of date.
     OrderRefused = 719,
     /// A span ended.
