--- a/components/flow/src/effect.rs
+++ b/components/flow/src/effect.rs
@@ -1,6 +1,6 @@
 //! What the scheduler wants done, and what it decided.
 
-use crate::{FlowPhase, Incarnation, TaskKey};
+use crate::{FlowPhase, Incarnation, PairVerdict, TaskKey};
 use model::{AgentId, JobId};
 
 /// Something that the scheduler wants done.
@@ -18,6 +18,9 @@
     Ended(JobId, FlowPhase),
     /// A newer scheduler exists.
     StepDown,
+    /// By what this agent's worker reported, a filler's image and the image of a task that serves
+    /// get on like this.
+    Judged(AgentId, String, String, PairVerdict),
     /// Something was decided that belongs into the log.
     Note(Note),
 }
--- a/components/flow/src/orders.rs
+++ b/components/flow/src/orders.rs
@@ -39,6 +39,9 @@
                     placement.progress_ms = now_ms;
                 }
                 state.started = true;
+                if is_ordered {
+                    self.start_gently(now_ms, key);
+                }
             }
             StartOutcome::Unknown => {
                 if is_ordered {
--- a/components/flow/src/pairs.rs
+++ b/components/flow/src/pairs.rs
@@ -17,7 +17,8 @@
 const MOST: f64 = 12.0;
 
 /// What is known of a pair.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, strum::Display)]
+#[strum(serialize_all = "kebab-case")]
 pub enum PairVerdict {
     /// The filler disturbs the task that serves.
     Bad,
@@ -43,6 +44,8 @@
     by_pair: Map<(String, String), Evidence>,
     /// Whether anything changed since [`Pairs::take_changed`].
     changed: bool,
+    /// Verdicts that changed since [`Pairs::take_verdicts`].
+    verdicts: Vec<(String, String, PairVerdict)>,
 }
 
 /// One pair as the table keeps it: filler, task that serves, evidence for and against.
@@ -78,8 +81,7 @@
     /// assert_eq!(pairs.verdict("filler", "service"), flow::PairVerdict::Good);
     /// ```
     pub fn on_calm(&mut self, filler: &str, serving: &str) {
-        let evidence = self.evidence(filler, serving);
-        evidence.good = (evidence.good + 1.0).min(MOST);
+        self.add(filler, serving, 1.0, 0.0);
     }
 
     /// A latency rose while these fillers worked beside it; those known as harmless are not to
@@ -108,15 +110,27 @@
         };
         let share = 1.0 / blamed.len().max(1) as f64;
         for filler in blamed {
-            let evidence = self.evidence(filler, serving);
-            evidence.bad = (evidence.bad + share).min(MOST);
+            self.add(filler, serving, 0.0, share);
         }
     }
 
-    fn evidence(&mut self, filler: &str, serving: &str) -> &mut Evidence {
+    fn add(&mut self, filler: &str, serving: &str, good: f64, bad: f64) {
+        let before = self.verdict(filler, serving);
         self.changed = true;
         let key = (filler.to_owned(), serving.to_owned());
-        self.by_pair.entry(key).or_default()
+        let evidence = self.by_pair.entry(key).or_default();
+        evidence.good = (evidence.good + good).min(MOST);
+        evidence.bad = (evidence.bad + bad).min(MOST);
+        let after = self.verdict(filler, serving);
+        if after != before {
+            let change = (filler.to_owned(), serving.to_owned(), after);
+            self.verdicts.push(change);
+        }
+    }
+
+    /// Verdicts that changed since the last call: filler, task that serves, new verdict.
+    pub fn take_verdicts(&mut self) -> Vec<(String, String, PairVerdict)> {
+        std::mem::take(&mut self.verdicts)
     }
 
     /// Whether anything was learnt since the last call.
@@ -153,7 +167,7 @@
             .collect();
         Ok(Self {
             by_pair,
-            changed: false,
+            ..Self::default()
         })
     }
 }
--- a/components/flow/src/place.rs
+++ b/components/flow/src/place.rs
@@ -24,6 +24,18 @@
 /// Multiple of its objective after which a flow goes behind those that can still be in time.
 const HOPELESS_FACTOR: f64 = 3.0;
 
+/// Time for which a filler waits for a worker on which it disturbs nobody, in milliseconds.
+const PATIENCE_MS: u64 = 8_000;
+
+/// How much a filler's neighbours count when it is placed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Care {
+    /// It goes only where it disturbs nobody, as far as is known.
+    Full,
+    /// It goes where it disturbs least, and is slowed down there.
+    Little,
+}
+
 /// Position of a flow in the order of placement; the least comes first.
 #[derive(Debug, Clone, Copy, PartialEq, PartialOrd)]
 struct Rank {
@@ -186,15 +198,55 @@
         service: &ServiceName,
         rooms: &mut [(ServiceName, Room)],
     ) {
-        for key in self.waiting_in(now_ms, job, occurrence, step) {
+        let waiting = self.waiting_in(now_ms, job, occurrence, step);
+        let waited_ms = self.waited(now_ms, job, occurrence, step, waiting.is_empty());
+        let is_idle = self
+            .flows
+            .get(job)
+            .is_some_and(|state| !state.has_placements());
+        let care = if is_idle && waited_ms >= PATIENCE_MS {
+            Care::Little
+        } else {
+            Care::Full
+        };
+        for key in waiting {
             if self.fleet.is_stray(&key) {
                 continue;
             }
-            let Some(at) = self.best_room(&key, service, rooms, None) else {
+            let quiet = self.best_room(&key, service, rooms, None, Care::Full);
+            let Some(at) = quiet.or_else(|| self.best_room(&key, service, rooms, None, care))
+            else {
                 return;
             };
             self.put(now_ms, &key, &mut rooms[at].1, None, None);
+            if quiet.is_none() {
+                return;
+            }
+        }
+    }
+
+    /// How long tasks of a step have waited for a place.
+    fn waited(
+        &mut self,
+        now_ms: u64,
+        job: &JobId,
+        occurrence: usize,
+        step: usize,
+        is_over: bool,
+    ) -> u64 {
+        let state = self.flows.get_mut(job);
+        let step = state
+            .and_then(|state| state.occurrences.get_mut(occurrence))
+            .and_then(|occurrence| occurrence.steps.get_mut(step));
+        let Some(step) = step else {
+            return 0;
+        };
+        if is_over {
+            step.waits_since_ms = None;
+            return 0;
         }
+        let since_ms = *step.waits_since_ms.get_or_insert(now_ms);
+        now_ms.saturating_sub(since_ms)
     }
 
     /// Places all members of a gang, or none.
@@ -267,7 +319,7 @@
     ) -> Option<Vec<usize>> {
         let mut chosen = Vec::new();
         for key in keys {
-            let at = self.best_room(key, service, rooms, rack)?;
+            let at = self.best_room(key, service, rooms, rack, Care::Full)?;
             rooms[at].1.free = rooms[at].1.free.minus(&spec.reserved());
             chosen.push(at);
         }
@@ -281,6 +333,7 @@
         service: &ServiceName,
         rooms: &[(ServiceName, Room)],
         rack: Option<&str>,
+        care: Care,
     ) -> Option<usize> {
         let state = self.flows.get(&key.job)?;
         let spec = state.step_spec(key.step)?;
@@ -299,9 +352,18 @@
             }
             let is_avoided = task.avoid.as_ref() == Some(&room.agent);
             let score = score(view, room, spec) + if is_avoided { AVOIDED } else { 0.0 };
-            let score = score + self.company(view, spec);
-            let leaves_enough = !spec.filler || self.suits_filler(view, room, spec);
-            if leaves_enough && best.is_none_or(|(least, _)| score < least) {
+            let (is_fit, company) = match care {
+                Care::Full => (
+                    !spec.filler || self.suits_filler(view, room, spec),
+                    self.company(view, spec),
+                ),
+                Care::Little => (
+                    !spec.filler || leaves_enough(room, spec),
+                    f64::from(view.worst_percent) / 100.0,
+                ),
+            };
+            let score = score + company;
+            if is_fit && best.is_none_or(|(least, _)| score < least) {
                 best = Some((score, at));
             }
         }
@@ -322,7 +384,7 @@
         if !all_good && view.worst_percent >= CROWDED_PERCENT {
             return false;
         }
-        room.left_over_milli as f64 >= f64::from(spec.need.processors_milli) * FILLER_SHARE
+        leaves_enough(room, spec)
     }
 
     /// How little the tasks on a worker suit one more: a filler is tried first where it is known to
@@ -467,6 +529,11 @@
     has_label && in_rack && spread
 }
 
+/// Whether a filler finds enough processors left over.
+fn leaves_enough(room: &Room, spec: &StepSpec) -> bool {
+    room.left_over_milli as f64 >= f64::from(spec.need.processors_milli) * FILLER_SHARE
+}
+
 /// How little a worker suits a task; the least is best. Tasks that serve are packed together, so
 /// that fillers find workers on which they disturb nobody; other tasks are spread.
 fn score(view: &WorkerView, room: &Room, spec: &StepSpec) -> f64 {
--- a/components/flow/src/protect.rs
+++ b/components/flow/src/protect.rs
@@ -62,8 +62,10 @@
 struct Working {
     /// What it runs.
     image: String,
-    /// How long it has been placed, in milliseconds.
+    /// How long it has worked as it does now, in milliseconds.
     age_ms: u64,
+    /// Whether it works at its full pace.
+    is_full: bool,
 }
 
 /// The next pace of a filler: a step down while a target is missed, none at all if that does not
@@ -146,9 +148,18 @@
                 let run = running.get(key);
                 run.is_some_and(|run| run.load >= WORKING_MILLI)
             })
-            .map(|(_, held)| Working {
-                image: image_of(held),
-                age_ms: now_ms.saturating_sub(held.since_ms),
+            .map(|(key, held)| {
+                let placement = self
+                    .flows
+                    .get(&key.job)
+                    .and_then(|state| state.task(key)?.placement.as_ref());
+                let paced_ms = placement.map_or(0, |placement| placement.paced_ms);
+                let pace = placement.map_or(0, |placement| placement.pace);
+                Working {
+                    image: image_of(held),
+                    age_ms: now_ms.saturating_sub(held.since_ms.max(paced_ms)),
+                    is_full: pace == PACES[PACES.len() - 1],
+                }
             })
             .collect()
     }
@@ -187,7 +198,9 @@
                 self.pairs.on_rise(&suspects, &task.image);
             } else if !is_raised {
                 trace.base_ms = (base_ms * 9 + task.latency_ms) / 10;
-                let calm = working.iter().filter(|filler| filler.age_ms >= CALM_AGE_MS);
+                let calm = working
+                    .iter()
+                    .filter(|filler| filler.is_full && filler.age_ms >= CALM_AGE_MS);
                 for filler in calm {
                     self.pairs.on_calm(&filler.image, &task.image);
                 }
@@ -196,6 +209,11 @@
         let view = self.fleet.workers.entry(agent.clone()).or_default();
         let held = &view.held;
         view.latencies.retain(|key, _| held.contains_key(key));
+        for (filler, serving, verdict) in self.pairs.take_verdicts() {
+            let agent = agent.clone();
+            self.effects
+                .push(Effect::Judged(agent, filler, serving, verdict));
+        }
     }
 
     /// Whether a filler disturbs a task beside it.
@@ -233,6 +251,51 @@
         true
     }
 
+    /// Slows a filler down that has just started beside a task that it disturbs.
+    pub(crate) fn start_gently(&mut self, now_ms: u64, key: &TaskKey) {
+        let Some(state) = self.flows.get(&key.job) else {
+            return;
+        };
+        let is_filler = state.step_spec(key.step).is_some_and(|spec| spec.filler);
+        let agent = state
+            .task(key)
+            .and_then(|task| Some(task.placement.as_ref()?.agent.clone()));
+        let Some(agent) = agent.filter(|_| is_filler) else {
+            return;
+        };
+        let held = self.worker(&agent).into_iter().flat_map(|view| &view.held);
+        let serving: Vec<Serving> = held
+            .filter_map(|(key, held)| {
+                Some(Serving {
+                    key: key.clone(),
+                    image: image_of(held),
+                    target_ms: held.latency_target_ms?,
+                    latency_ms: 0,
+                })
+            })
+            .collect();
+        if self.is_misplaced(key, &serving) {
+            self.set_pace(now_ms, key, PACES[1]);
+        }
+    }
+
+    fn set_pace(&mut self, now_ms: u64, key: &TaskKey, pace: u32) {
+        let task = self
+            .flows
+            .get_mut(&key.job)
+            .and_then(|state| state.task_mut(key));
+        let Some(task) = task else {
+            return;
+        };
+        let run = task.run;
+        if let Some(placement) = task.placement.as_mut() {
+            placement.pace = pace;
+            placement.paced_ms = now_ms;
+            let run = run_ref(key, run, placement);
+            self.effects.push(Effect::Pace(run, pace));
+        }
+    }
+
     /// For how long a target on the worker has been missed.
     fn time_over(&mut self, now_ms: u64, agent: &AgentId, worst_percent: u32) -> u64 {
         let view = self.worker_mut(agent);
@@ -250,11 +313,7 @@
             .flows
             .get_mut(&key.job)
             .and_then(|state| state.task_mut(key));
-        let Some(task) = task else {
-            return;
-        };
-        let run = task.run;
-        let Some(placement) = task.placement.as_mut() else {
+        let Some(placement) = task.and_then(|task| task.placement.as_mut()) else {
             return;
         };
         if !matches!(placement.stage, Stage::Running { .. }) {
@@ -265,9 +324,6 @@
         if next == placement.pace || !is_settled {
             return;
         }
-        placement.pace = next;
-        placement.paced_ms = now_ms;
-        let run = run_ref(key, run, placement);
-        self.effects.push(Effect::Pace(run, next));
+        self.set_pace(now_ms, key, next);
     }
 }
--- a/components/flow/src/record.rs
+++ b/components/flow/src/record.rs
@@ -94,6 +94,7 @@
                     .iter()
                     .map(|step| StepState {
                         tasks: fresh(step.tasks),
+                        waits_since_ms: None,
                     })
                     .collect(),
             };
--- a/components/flow/src/state.rs
+++ b/components/flow/src/state.rs
@@ -72,6 +72,8 @@
 pub struct StepState {
     /// Tasks, by index.
     pub tasks: Vec<TaskState>,
+    /// Since when tasks of the step may run and some wait.
+    pub waits_since_ms: Option<u64>,
 }
 
 impl StepState {
@@ -256,6 +258,7 @@
 fn fresh_occurrence(job: &FlowJob) -> OccurrenceState {
     let fresh_step = |step: &StepSpec| StepState {
         tasks: vec![TaskState::default(); step.tasks as usize],
+        waits_since_ms: None,
     };
     OccurrenceState {
         steps: job.spec.steps.iter().map(fresh_step).collect(),
--- a/components/flow_entry/src/commits.rs
+++ b/components/flow_entry/src/commits.rs
@@ -215,6 +215,9 @@
                 }
                 Effect::Ended(job, phase) => self.on_ended(job, phase),
                 Effect::StepDown => self.step_down("a start was fenced off", context),
+                Effect::Judged(agent, filler, serving, verdict) => {
+                    log_event!(info, Event::PairJudged, agent = %agent, filler, serving, verdict = %verdict);
+                }
                 Effect::Note(note) => self.log_note(&note),
             }
         }
--- a/components/telemetry/src/event.rs
+++ b/components/telemetry/src/event.rs
@@ -143,6 +143,8 @@
     RunStopped = 718,
     /// A filler is moved away from tasks that it disturbs.
     RunMoved = 720,
+    /// A filler's image was found to disturb the image of a task that serves, or not to.
+    PairJudged = 721,
     /// An agent refused an order that is out of date.
     OrderRefused = 719,
     /// A span ended.
