--- a/components/flow/src/place.rs
+++ b/components/flow/src/place.rs
@@ -24,8 +24,13 @@
 /// Multiple of its objective after which a flow goes behind those that can still be in time.
 const HOPELESS_FACTOR: f64 = 3.0;
 
-/// Time for which a filler waits for a worker on which it disturbs nobody, in milliseconds.
+/// Time for which an idle flow waits for a worker on which its filler disturbs nobody, in
+/// milliseconds.
 const PATIENCE_MS: u64 = 8_000;
+/// The same while most of the pool is free.
+const FREE_PATIENCE_MS: u64 = 1_500;
+/// Share of a pool's processors in use up to which it counts as mostly free, in percent.
+const FREE_POOL_PERCENT: u64 = 60;
 
 /// How much a filler's neighbours count when it is placed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -204,7 +209,12 @@
             .flows
             .get(job)
             .is_some_and(|state| !state.has_placements());
-        let care = if is_idle && waited_ms >= PATIENCE_MS {
+        let patience_ms = if is_mostly_free(service, rooms) {
+            FREE_PATIENCE_MS
+        } else {
+            PATIENCE_MS
+        };
+        let care = if is_idle && waited_ms >= patience_ms {
             Care::Little
         } else {
             Care::Full
@@ -529,6 +539,17 @@
     has_label && in_rack && spread
 }
 
+/// Whether most of a pool's processors are set aside for nothing.
+fn is_mostly_free(service: &ServiceName, rooms: &[(ServiceName, Room)]) -> bool {
+    let pool = rooms.iter().filter(|(pool, _)| pool == service);
+    let (mut free, mut total) = (0, 0);
+    for (_, room) in pool {
+        free += u64::from(room.free.processors_milli);
+        total += u64::from(room.capacity.processors_milli);
+    }
+    (total - free.min(total)) * 100 <= total * FREE_POOL_PERCENT
+}
+
 /// Whether a filler finds enough processors left over.
 fn leaves_enough(room: &Room, spec: &StepSpec) -> bool {
     room.left_over_milli as f64 >= f64::from(spec.need.processors_milli) * FILLER_SHARE
--- /dev/null
+++ b/components/flow/tests/common/mod.rs
@@ -0,0 +1,621 @@
+//! Model workers and a model table around a scheduler, in virtual time, with the invariants that
+//! must hold whatever happens.
+#![allow(dead_code)]
+
+use flow::{
+    Effect, EndedRun, FlowConfig, FlowJob, FlowPhase, FlowRecord, FlowSpec, Incarnation, Pool,
+    Queue, QueueKey, RecordRow, ReportTimes, RunEnd, RunRef, RunningTask, Scheduler, StartOutcome,
+    StepSpec, TaskKey, WorkerInfo, WorkerReport,
+};
+use model::{AgentId, JobId, Resources};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// Length of one step of virtual time, in milliseconds.
+pub const STEP_MS: u64 = 20;
+/// Time between two reports of a worker, in milliseconds.
+const REPORT_MS: u64 = 100;
+/// Time of a commit, in milliseconds.
+const COMMIT_MS: u64 = 20;
+/// Latency of a serving task that nobody disturbs, in milliseconds.
+const QUIET_LATENCY_MS: u32 = 15;
+
+/// How a worker behaves.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Mode {
+    /// As it should.
+    Sound,
+    /// Every run fails after 100 ms.
+    FailsAll,
+    /// Runs make no progress.
+    Hangs,
+    /// Nobody reaches it; its runs go on until their lease is over.
+    CutOff,
+}
+
+/// A run on a model worker.
+#[derive(Debug, Clone)]
+struct ModelRun {
+    run: u32,
+    begun_ms: u64,
+    done_milli: u64,
+    pace: u32,
+}
+
+/// A model worker.
+pub struct ModelWorker {
+    pub mode: Mode,
+    pub life: Incarnation,
+    pub capacity: Resources,
+    running: BTreeMap<TaskKey, ModelRun>,
+    ended: Vec<EndedRun>,
+    barred: BTreeMap<TaskKey, u32>,
+    next_end: u64,
+    reported_ms: u64,
+    /// Latency of serving tasks, which follows what disturbs them.
+    latency_ms: BTreeMap<TaskKey, f64>,
+}
+
+/// A scheduler among model workers.
+pub struct Sim {
+    pub now_ms: u64,
+    pub scheduler: Scheduler,
+    pub workers: BTreeMap<AgentId, ModelWorker>,
+    /// Flows as they were accepted.
+    pub jobs: BTreeMap<JobId, FlowJob>,
+    /// Records that are durable.
+    records: BTreeMap<JobId, String>,
+    commit: Option<(u64, Vec<RecordRow>)>,
+    /// True run time of a task, by image; the declared one otherwise.
+    pub run_ms: BTreeMap<String, u64>,
+    /// Flows that can never succeed.
+    pub hopeless: BTreeSet<JobId>,
+    /// Pairs of images of which the first disturbs the second.
+    pub disturbs: BTreeSet<(String, String)>,
+    /// Starts whose answers are lost: executed or not.
+    pub lose_starts: Vec<bool>,
+    /// Whether the table answers.
+    pub table_up: bool,
+    cancelled: BTreeSet<JobId>,
+    acknowledged_done: BTreeSet<TaskKey>,
+    /// When each flow ended.
+    pub ended_ms: BTreeMap<JobId, (u64, FlowPhase)>,
+    /// Starts, by flow.
+    pub starts: BTreeMap<JobId, u32>,
+    /// Milliseconds during which a serving task was beyond its target.
+    pub harmed_ms: u64,
+}
+
+/// The only queue.
+pub fn queue() -> QueueKey {
+    QueueKey {
+        host: "a.example".to_owned(),
+        prefix: "/q/".to_owned(),
+    }
+}
+
+pub fn config() -> FlowConfig {
+    FlowConfig {
+        version: 1,
+        queues: vec![Queue {
+            key: queue(),
+            service: "pool".into(),
+            priority: 0,
+            max_attempts: 3,
+            stretch: 2.0,
+            latency_target_ms: 500,
+        }],
+        pools: vec![Pool {
+            name: "pool".into(),
+            guards_capacity: true,
+            spare: false,
+        }],
+    }
+}
+
+/// A step of plain tasks.
+pub fn step(tasks: u32, processors_milli: u32, estimate_ms: u64) -> StepSpec {
+    StepSpec {
+        tasks,
+        need: Resources::new(processors_milli, 1_000, 0),
+        estimate_ms,
+        ..StepSpec::default()
+    }
+}
+
+fn life(name: &str, born_ms: u64) -> Incarnation {
+    Incarnation {
+        worker: name.to_owned(),
+        born_ms,
+    }
+}
+
+impl Sim {
+    /// A scheduler among so many workers of 16 processors, two to a rack.
+    pub fn new(workers: usize) -> Self {
+        let mut scheduler = Scheduler::default();
+        scheduler.set_config(config());
+        let workers = (0..workers).map(|number| {
+            let name = format!("w{number}");
+            let worker = ModelWorker {
+                mode: Mode::Sound,
+                life: life(&name, 1),
+                capacity: Resources::new(16_000, 64_000, 0),
+                running: BTreeMap::new(),
+                ended: Vec::new(),
+                barred: BTreeMap::new(),
+                next_end: 1,
+                reported_ms: 0,
+                latency_ms: BTreeMap::new(),
+            };
+            (AgentId::from(name), worker)
+        });
+        Self {
+            now_ms: 1_000,
+            scheduler,
+            workers: workers.collect(),
+            jobs: BTreeMap::new(),
+            records: BTreeMap::new(),
+            commit: None,
+            run_ms: BTreeMap::new(),
+            hopeless: BTreeSet::new(),
+            disturbs: BTreeSet::new(),
+            lose_starts: Vec::new(),
+            table_up: true,
+            cancelled: BTreeSet::new(),
+            acknowledged_done: BTreeSet::new(),
+            ended_ms: BTreeMap::new(),
+            starts: BTreeMap::new(),
+            harmed_ms: 0,
+        }
+    }
+
+    /// Accepts a flow.
+    pub fn submit(&mut self, id: &str, steps: Vec<StepSpec>) -> JobId {
+        let job = FlowJob {
+            id: id.into(),
+            queue: queue(),
+            spec: FlowSpec {
+                payload: "p".to_owned(),
+                steps,
+                schedule: None,
+            },
+            accepted_wall_ms: 0,
+        };
+        self.jobs.insert(job.id.clone(), job.clone());
+        self.scheduler.add(self.now_ms, 0, job);
+        id.into()
+    }
+
+    /// Cancels a flow.
+    pub fn cancel(&mut self, job: &JobId) {
+        self.cancelled.insert(job.clone());
+        self.scheduler.cancel(self.now_ms, job);
+    }
+
+    /// Another scheduler takes over and reads what lasts.
+    pub fn take_over(&mut self) {
+        self.commit = None;
+        let mut scheduler = Scheduler::default();
+        scheduler.set_config(config());
+        for job in self.jobs.values() {
+            match self.ended_ms.get(&job.id) {
+                Some((_, phase)) => scheduler.add_ended(job.id.clone(), *phase),
+                None => {
+                    scheduler.add(self.now_ms, 0, job.clone());
+                }
+            }
+        }
+        for (job, text) in &self.records {
+            let record: FlowRecord = serde_json::from_str(text).unwrap();
+            scheduler.restore(self.now_ms, job, &record);
+            if scheduler.flow(job).is_some_and(|flow| flow.end().is_some()) {
+                scheduler.rewrite(job);
+            }
+        }
+        for job in &self.cancelled {
+            scheduler.cancel(self.now_ms, job);
+        }
+        self.scheduler = scheduler;
+    }
+
+    /// A worker crashes and begins another life.
+    pub fn crash(&mut self, agent: &AgentId) {
+        let worker = self.workers.get_mut(agent).unwrap();
+        worker.life.born_ms += 1;
+        worker.running.clear();
+        worker.ended.clear();
+        worker.barred.clear();
+        worker.next_end = 1;
+        worker.latency_ms.clear();
+    }
+
+    /// The lease of a worker that nobody reaches is over: its runs are killed.
+    pub fn lapse(&mut self, agent: &AgentId) {
+        let worker = self.workers.get_mut(agent).unwrap();
+        let keys: Vec<TaskKey> = worker.running.keys().cloned().collect();
+        for key in keys {
+            worker.end(&key, RunEnd::Lapsed);
+        }
+        self.scheduler.on_unreachable(agent);
+        self.scheduler.on_lease_over(self.now_ms, agent);
+    }
+
+    /// Lets time pass.
+    pub fn run_for(&mut self, span_ms: u64) {
+        let until_ms = self.now_ms + span_ms;
+        while self.now_ms < until_ms {
+            self.step();
+        }
+    }
+
+    /// Lets time pass until every flow is over; answers whether that came within `limit_ms`.
+    pub fn run_until_over(&mut self, limit_ms: u64) -> bool {
+        let until_ms = self.now_ms + limit_ms;
+        while self.now_ms < until_ms {
+            if self.ended_ms.len() == self.jobs.len() {
+                return true;
+            }
+            self.step();
+        }
+        self.ended_ms.len() == self.jobs.len()
+    }
+
+    pub fn step(&mut self) {
+        self.now_ms += STEP_MS;
+        self.advance();
+        self.report();
+        self.commit();
+        self.effects();
+        self.check();
+    }
+
+    fn spec(&self, key: &TaskKey) -> StepSpec {
+        self.jobs[&key.job].spec.steps[key.step as usize].clone()
+    }
+
+    fn advance(&mut self) {
+        let agents: Vec<AgentId> = self.workers.keys().cloned().collect();
+        for agent in agents {
+            let keys: Vec<TaskKey> = self.workers[&agent].running.keys().cloned().collect();
+            let images: Vec<(String, u32)> = keys
+                .iter()
+                .filter(|key| self.spec(key).filler)
+                .map(|key| {
+                    let pace = self.workers[&agent].running[key].pace;
+                    (self.spec(key).image.unwrap_or_default(), pace)
+                })
+                .collect();
+            for key in keys {
+                let spec = self.spec(&key);
+                let image = spec.image.clone().unwrap_or_default();
+                if let Some(target_ms) = spec.latency_target_ms {
+                    self.serve(&agent, &key, &image, target_ms, &images);
+                }
+                let run_ms = *self
+                    .run_ms
+                    .get(&image)
+                    .unwrap_or(&spec.estimate_ms.max(100));
+                self.work(&agent, &key, &spec, run_ms);
+            }
+        }
+    }
+
+    fn serve(
+        &mut self,
+        agent: &AgentId,
+        key: &TaskKey,
+        image: &str,
+        target_ms: u32,
+        fillers: &[(String, u32)],
+    ) {
+        let pressure: u32 = fillers
+            .iter()
+            .filter(|(filler, _)| self.disturbs.contains(&(filler.clone(), image.to_owned())))
+            .map(|(_, pace)| *pace)
+            .sum();
+        let aim = f64::from(QUIET_LATENCY_MS) * (1.0 + f64::from(pressure) / 20.0);
+        let worker = self.workers.get_mut(agent).unwrap();
+        let latency = worker
+            .latency_ms
+            .entry(key.clone())
+            .or_insert(f64::from(QUIET_LATENCY_MS));
+        *latency += (aim - *latency) * 0.1;
+        if *latency > f64::from(target_ms) {
+            self.harmed_ms += STEP_MS;
+        }
+    }
+
+    fn work(&mut self, agent: &AgentId, key: &TaskKey, spec: &StepSpec, run_ms: u64) {
+        let is_hopeless = self.hopeless.contains(&key.job);
+        let now_ms = self.now_ms;
+        let worker = self.workers.get_mut(agent).unwrap();
+        if worker.mode == Mode::Hangs {
+            return;
+        }
+        let fails = worker.mode == Mode::FailsAll || is_hopeless;
+        let run = worker.running.get_mut(key).unwrap();
+        run.done_milli += STEP_MS * 1_000 * u64::from(run.pace) / 100 / run_ms;
+        if fails && now_ms >= run.begun_ms + 100 {
+            worker.end(key, RunEnd::Failed);
+        } else if run.done_milli >= 1_000 && !spec.long_running {
+            worker.end(key, RunEnd::Done);
+        }
+    }
+
+    fn report(&mut self) {
+        let agents: Vec<AgentId> = self.workers.keys().cloned().collect();
+        for agent in agents {
+            let worker = &self.workers[&agent];
+            let is_due = self.now_ms >= worker.reported_ms + REPORT_MS;
+            if !is_due || worker.mode == Mode::CutOff {
+                continue;
+            }
+            self.report_one(&agent);
+        }
+    }
+
+    fn report_one(&mut self, agent: &AgentId) {
+        let view = self.scheduler.worker(agent);
+        let acknowledged = view.map_or(0, |view| {
+            let same = view.incarnation.as_ref() == Some(&self.workers[agent].life);
+            if same { view.acknowledged } else { 0 }
+        });
+        let specs: BTreeMap<TaskKey, StepSpec> = self.workers[agent]
+            .running
+            .keys()
+            .map(|key| (key.clone(), self.spec(key)))
+            .collect();
+        let worker = self.workers.get_mut(agent).unwrap();
+        worker.reported_ms = self.now_ms;
+        for end in worker.ended.iter().filter(|end| end.number <= acknowledged) {
+            if end.how == RunEnd::Done {
+                self.acknowledged_done.insert(end.task.clone());
+            }
+        }
+        worker.ended.retain(|end| end.number > acknowledged);
+        let info = WorkerInfo {
+            incarnation: worker.life.clone(),
+            service: "pool".into(),
+            domain: "d".into(),
+            capacity: worker.capacity,
+            labels: vec!["a".to_owned(), "r1".to_owned()],
+            draining: false,
+            drain_remaining_ms: None,
+        };
+        let running = worker.running.iter().map(|(key, run)| {
+            let spec = &specs[key];
+            let latency = worker.latency_ms.get(key).copied().unwrap_or(0.0) as u32;
+            let used = spec.need.processors_milli * run.pace / 100;
+            let is_at_work = spec.long_running;
+            RunningTask {
+                task: key.clone(),
+                run: run.run,
+                checkpoint: None,
+                percent: if is_at_work {
+                    100
+                } else {
+                    (run.done_milli / 10).min(99) as u32
+                },
+                load: if spec.latency_target_ms.is_some() {
+                    latency
+                } else {
+                    used
+                },
+            }
+        });
+        let report = WorkerReport {
+            born_ms: worker.life.born_ms,
+            clock_ms: self.now_ms,
+            running: running.collect(),
+            ended: worker.ended.clone(),
+            has_more_ends: false,
+        };
+        let times = ReportTimes {
+            asked_ms: self.now_ms,
+            now_ms: self.now_ms,
+        };
+        self.scheduler.on_report(times, agent, Some(info), &report);
+    }
+
+    fn commit(&mut self) {
+        if !self.table_up {
+            return;
+        }
+        if let Some((due_ms, rows)) = self.commit.take() {
+            if self.now_ms < due_ms {
+                self.commit = Some((due_ms, rows));
+                return;
+            }
+            for row in &rows {
+                self.records.insert(row.job.clone(), row.text.clone());
+            }
+            self.scheduler.on_committed(self.now_ms, &rows);
+        }
+        self.scheduler.place(self.now_ms, 0);
+        let rows = self.scheduler.take_commit(90);
+        if !rows.is_empty() {
+            self.commit = Some((self.now_ms + COMMIT_MS, rows));
+        }
+    }
+
+    fn effects(&mut self) {
+        for effect in self.scheduler.take_effects() {
+            match effect {
+                Effect::Start(run, _) => self.start(run),
+                Effect::Stop(run) => self.stop(&run),
+                Effect::Pace(run, percent) => self.pace(&run, percent),
+                Effect::Ended(job, phase) => {
+                    self.ended_ms.insert(job, (self.now_ms, phase));
+                }
+                Effect::Acknowledge(_)
+                | Effect::StepDown
+                | Effect::Judged(..)
+                | Effect::Note(_) => {}
+            }
+        }
+    }
+
+    fn start(&mut self, run: RunRef) {
+        let outcome = match self.lose_starts.pop() {
+            Some(true) => {
+                self.execute(&run);
+                StartOutcome::Unknown
+            }
+            Some(false) => StartOutcome::Unknown,
+            None => self.execute(&run),
+        };
+        let now_ms = self.now_ms;
+        self.scheduler
+            .on_start(now_ms, &run.agent, &run.task, run.run, outcome);
+    }
+
+    /// What a worker does with a start.
+    fn execute(&mut self, run: &RunRef) -> StartOutcome {
+        let need = self.spec(&run.task).reserved();
+        let used = self.used(&run.agent);
+        let now_ms = self.now_ms;
+        let worker = self.workers.get_mut(&run.agent).unwrap();
+        if worker.mode == Mode::CutOff || worker.life != run.incarnation {
+            return StartOutcome::Unavailable;
+        }
+        if worker
+            .barred
+            .get(&run.task)
+            .is_some_and(|barred| *barred >= run.run)
+        {
+            return StartOutcome::Superseded;
+        }
+        assert!(
+            used.plus(&need).fits_in(&worker.capacity),
+            "{run:?} does not fit"
+        );
+        *self.starts.entry(run.task.job.clone()).or_default() += 1;
+        assert!(
+            !self.acknowledged_done.contains(&run.task),
+            "{} starts after its success was acknowledged",
+            run.task
+        );
+        let began = ModelRun {
+            run: run.run,
+            begun_ms: now_ms,
+            done_milli: 0,
+            pace: 100,
+        };
+        worker.running.insert(run.task.clone(), began);
+        StartOutcome::Started
+    }
+
+    fn used(&self, agent: &AgentId) -> Resources {
+        let running = self.workers[agent].running.keys();
+        running
+            .map(|key| self.spec(key).reserved())
+            .fold(Resources::default(), |sum, need| sum.plus(&need))
+    }
+
+    fn stop(&mut self, run: &RunRef) {
+        let worker = self.workers.get_mut(&run.agent).unwrap();
+        if worker.mode == Mode::CutOff || worker.life != run.incarnation {
+            return;
+        }
+        let barred = worker.barred.entry(run.task.clone()).or_default();
+        *barred = (*barred).max(run.run);
+        let is_it = worker
+            .running
+            .get(&run.task)
+            .is_some_and(|own| own.run == run.run);
+        if is_it {
+            worker.end(&run.task, RunEnd::Stopped);
+        }
+        let now_ms = self.now_ms;
+        self.scheduler
+            .on_stopped(now_ms, &run.agent, &run.task, run.run);
+    }
+
+    fn pace(&mut self, run: &RunRef, percent: u32) {
+        let worker = self.workers.get_mut(&run.agent).unwrap();
+        if let Some(own) = worker.running.get_mut(&run.task) {
+            own.pace = percent;
+        }
+    }
+
+    /// What must hold at every moment.
+    fn check(&self) {
+        let mut seen: BTreeMap<&TaskKey, &AgentId> = BTreeMap::new();
+        for (agent, worker) in &self.workers {
+            for key in worker.running.keys() {
+                let other = seen.insert(key, agent);
+                assert!(other.is_none(), "{key} runs on {agent} and {other:?}");
+                self.check_order(key);
+                self.check_spread(key, worker);
+            }
+        }
+        for (job, starts) in &self.starts {
+            if self.hopeless.contains(job) {
+                let tasks: u32 = self.jobs[job]
+                    .spec
+                    .steps
+                    .iter()
+                    .map(|step| step.tasks)
+                    .sum();
+                assert!(*starts <= tasks * 3, "{job} was started {starts} times");
+            }
+        }
+    }
+
+    fn check_order(&self, key: &TaskKey) {
+        let Some(flow) = self.scheduler.flow(&key.job) else {
+            return;
+        };
+        let is_turn = flow.is_turn(key.occurrence as usize, key.step as usize);
+        assert!(is_turn, "{key} runs before its turn");
+    }
+
+    fn check_spread(&self, key: &TaskKey, worker: &ModelWorker) {
+        let spec = self.spec(key);
+        let siblings = worker.running.keys();
+        let siblings = siblings.filter(|other| other.job == key.job && other.step == key.step);
+        let limit = spec.max_per_worker.unwrap_or(u32::MAX);
+        assert!(siblings.count() as u32 <= limit, "{key} stands too close");
+    }
+
+    /// Runs of a flow that exist now.
+    pub fn running(&self, job: &JobId) -> usize {
+        let workers = self.workers.values();
+        workers
+            .flat_map(|worker| worker.running.keys())
+            .filter(|key| key.job == *job)
+            .count()
+    }
+
+    /// Runs on one worker.
+    pub fn load(&self, agent: &str) -> usize {
+        self.workers[&AgentId::from(agent)].running.len()
+    }
+
+    /// Time from acceptance to completion of each flow that completed, in milliseconds.
+    pub fn completed(&self) -> usize {
+        let ended = self.ended_ms.values();
+        ended
+            .filter(|(_, phase)| *phase == FlowPhase::Completed)
+            .count()
+    }
+}
+
+impl ModelWorker {
+    fn end(&mut self, key: &TaskKey, how: RunEnd) {
+        let Some(run) = self.running.remove(key) else {
+            return;
+        };
+        let barred = self.barred.entry(key.clone()).or_default();
+        *barred = (*barred).max(run.run);
+        self.ended.push(EndedRun {
+            number: self.next_end,
+            task: key.clone(),
+            run: run.run,
+            how,
+            checkpoint: None,
+        });
+        self.next_end += 1;
+        self.latency_ms.remove(key);
+    }
+}
--- a/components/flow_entry/src/commits.rs
+++ b/components/flow_entry/src/commits.rs
@@ -78,7 +78,7 @@
         self.metrics
             .flows
             .set(lead.scheduler.flows().count() as i64);
-        if lead.in_flight.is_none() {
+        if lead.in_flight.is_none() && !self.stopping {
             let rows = lead.scheduler.take_commit(MAX_RECORDS);
             if !rows.is_empty() || now_ms >= lead.committed_ms + RENEW_MS {
                 self.commit(now_ms, rows, false, context);
@@ -186,10 +186,11 @@
             );
         }
         lead.scheduler.on_committed(now_ms, &done.rows);
-        if self.stopping {
-            return;
+        if done.released {
+            self.step_down("released", context);
+        } else if !self.stopping {
+            self.pump(context);
         }
-        self.pump(context);
     }
 
     /// Does what the scheduler wants done.
@@ -323,9 +324,6 @@
         match done.result {
             Ok(version) => {
                 self.on_committed(done.sent_ms, version, context);
-                if self.stopping {
-                    self.step_down("released", context);
-                }
             }
             Err(StoreError::Conflict { .. }) => {
                 let (table, control) = (self.table.clone(), context.address());
@@ -388,9 +386,6 @@
         });
         if is_mine {
             self.on_committed(settle.sent_ms, version, context);
-            if self.stopping {
-                self.step_down("released", context);
-            }
         } else {
             self.step_down("the lease has another owner", context);
         }
--- a/components/flow_entry/src/coordinator.rs
+++ b/components/flow_entry/src/coordinator.rs
@@ -217,7 +217,8 @@
                 version = self.election.version);
             self.hello_ms = 0;
         }
-        if self.lead.is_none() && self.election.is_mine(self.me(), self.incarnation) {
+        let is_mine = self.election.is_mine(self.me(), self.incarnation);
+        if self.lead.is_none() && is_mine && !self.stopping {
             self.adopt_claim(now_ms, context);
         }
     }
--- /dev/null
+++ b/components/flow_entry/tests/common/mod.rs
@@ -0,0 +1,143 @@
+//! Entries in the test's own process, over a table in memory whose commits take a while.
+
+use async_trait::async_trait;
+use backing::{
+    ChangedRow, Changes, Row, ScanRange, StoreError, TableFeed, TableStore, Transaction,
+};
+use flow::FlowConfig;
+use flow_entry::{ConfigSource, ConfigUpdate, Edges, Gate};
+use serde::Deserialize;
+use settings::{FlowEntrySettings, LeaseSettings, PlatformSettings};
+use standin::MemoryTable;
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::rc::Rc;
+use std::time::Duration;
+
+/// A table in memory whose commits take a while.
+pub struct SlowTable {
+    /// The table.
+    pub rows: MemoryTable,
+    /// Time of a commit, in milliseconds.
+    pub commit_ms: u64,
+}
+
+/// A table whose commits take `commit_ms`.
+pub fn table(commit_ms: u64) -> Rc<SlowTable> {
+    Rc::new(SlowTable {
+        rows: MemoryTable::default(),
+        commit_ms,
+    })
+}
+
+#[async_trait(?Send)]
+impl TableStore for SlowTable {
+    async fn commit(&self, txn: &Transaction) -> Result<u64, StoreError> {
+        pause(self.commit_ms).await;
+        self.rows.commit_now(txn)
+    }
+
+    async fn read(&self, keys: &[String]) -> Result<Vec<Row>, StoreError> {
+        self.rows.read(keys).await
+    }
+
+    async fn scan(&self, range: &ScanRange) -> Result<Vec<Row>, StoreError> {
+        self.rows.scan(range).await
+    }
+}
+
+#[async_trait(?Send)]
+impl TableFeed for SlowTable {
+    async fn changes(&self, _: &str, version: u64, wait_ms: u64) -> Result<Changes, StoreError> {
+        pause(wait_ms).await;
+        let rows: Vec<ChangedRow> = Vec::new();
+        Ok(Changes::Rows { rows, version })
+    }
+}
+
+/// A configuration that never changes.
+struct FixedConfig(FlowConfig);
+
+#[async_trait(?Send)]
+impl ConfigSource for FixedConfig {
+    async fn next(&self, cursor: Option<u64>, wait_ms: u64) -> Result<ConfigUpdate, StoreError> {
+        if cursor.is_some() {
+            pause(wait_ms).await;
+        }
+        Ok(ConfigUpdate {
+            config: cursor.is_none().then(|| self.0.clone()),
+            cursor: 1,
+        })
+    }
+}
+
+/// An entry in the test's own process.
+pub struct Entry {
+    /// What servers for callers ask.
+    pub gate: Gate,
+}
+
+/// An address that nobody uses.
+fn free_address() -> SocketAddr {
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).unwrap();
+    listener.local_addr().unwrap()
+}
+
+impl Entry {
+    /// Starts an entry.
+    pub async fn start(id: &str, table: &Rc<SlowTable>) -> Self {
+        let settings = FlowEntrySettings {
+            id: id.into(),
+            domain: "d1".into(),
+            listen: free_address(),
+            ready_listen: free_address(),
+            control_listen: free_address(),
+            metrics_listen: free_address(),
+            processor_share: 1.0,
+            store: PlatformSettings {
+                url: "http://127.0.0.1:1".to_owned(),
+                timeout_ms: 100,
+            },
+            leases: LeaseSettings {
+                longest_ms: 6_000,
+                slack_ms: 300,
+            },
+            grace_ms: 1_000,
+        };
+        let config = FlowConfig {
+            version: 1,
+            ..FlowConfig::default()
+        };
+        let edges = Edges {
+            table: table.clone(),
+            feed: table.clone(),
+            configs: Rc::new(FixedConfig(config)),
+        };
+        let gate = flow_entry::start(&settings, edges).await.unwrap();
+        Self { gate }
+    }
+}
+
+/// The lease as the table has it.
+#[derive(Debug, Deserialize)]
+pub struct Lease {
+    pub owner: String,
+    pub epoch: u64,
+    pub sequence: u64,
+    pub released: bool,
+}
+
+/// The lease, once somebody has it.
+pub async fn lease(table: &SlowTable) -> Lease {
+    for _ in 0..100 {
+        if let Some(row) = table.rows.rows("lease/").first() {
+            return serde_json::from_str(&row.value).unwrap();
+        }
+        pause(50).await;
+    }
+    panic!("nobody took the lease");
+}
+
+/// Waits.
+pub async fn pause(pause_ms: u64) {
+    actix_rt::time::sleep(Duration::from_millis(pause_ms)).await;
+}
--- /dev/null
+++ b/components/flow_entry/tests/lease.rs
@@ -0,0 +1,47 @@
+//! The scheduler's lease: taken once, given up once, and taken over from a process that is gone.
+
+mod common;
+
+use common::{Entry, lease};
+
+#[actix_rt::test]
+async fn one_of_several_entries_becomes_the_scheduler() {
+    let table = common::table(5);
+    let entries = [
+        Entry::start("a", &table).await,
+        Entry::start("b", &table).await,
+    ];
+    let first = lease(&table).await;
+    assert_eq!((first.epoch, first.released), (1, false));
+    common::pause(1_500).await;
+    let later = lease(&table).await;
+    assert_eq!((later.owner, later.epoch), (first.owner, 1));
+    assert!(later.sequence > first.sequence, "the lease is renewed");
+    drop(entries);
+}
+
+/// A commit is on its way nearly all the time, so that the drain begins while one is.
+#[actix_rt::test]
+async fn an_entry_that_drains_while_a_commit_is_on_its_way_gives_the_lease_up_once() {
+    let table = common::table(450);
+    let entry = Entry::start("a", &table).await;
+    let before = lease(&table).await;
+    common::pause(1_300).await;
+    entry.gate.drain(4_000).await;
+    let after = lease(&table).await;
+    assert_eq!(after.epoch, before.epoch, "the lease is not taken again");
+    assert!(after.released, "the lease is given up: {after:?}");
+}
+
+#[actix_rt::test]
+async fn a_lease_that_was_given_up_is_taken_over_at_once() {
+    let table = common::table(5);
+    let first = Entry::start("a", &table).await;
+    lease(&table).await;
+    let second = Entry::start("b", &table).await;
+    first.gate.drain(1_000).await;
+    common::pause(400).await;
+    let after = lease(&table).await;
+    assert_eq!((after.owner.as_str(), after.epoch), ("b", 2));
+    drop(second);
+}
