A hangup signal ends no process; the path on the platform as process tests

Change: SIGHUP has the settings file checked and logged; what it changes is in force at the next start. Tests: stand-ins for the store and the workers by the published protocol (platform/tests), ten process tests (tests/flows.rs); a_hangup_signal_ends_no_process was red before.

--- a/components/flow_entry/tests/common/mod.rs
+++ b/components/flow_entry/tests/common/mod.rs
@@ -9,7 +9,7 @@
 use serde::Deserialize;
 use settings::{FlowEntrySettings, LeaseSettings, PlatformSettings};
 use standin::MemoryTable;
-use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -78,8 +78,7 @@
 
 /// An address that nobody uses.
 fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).unwrap();
-    listener.local_addr().unwrap()
+    cluster::free_ports(1).unwrap()[0]
 }
 
 impl Entry {
--- a/src/cmd/agent.rs
+++ b/src/cmd/agent.rs
@@ -1,6 +1,6 @@
 //! Runs an agent.
 
-use super::process::{log_format, read_settings, run, stop_signal};
+use super::process::{log_format, read_settings, run_node, stop_signal};
 use clap::ArgMatches;
 use errors::ExitStatus;
 use settings::Settings;
@@ -11,11 +11,16 @@
         Ok(Settings::Agent(settings)) => {
             // Entries decide which requests are traced; an agent follows them.
             let _guard = telemetry::init(log_format(args), 0.0);
-            run(async move { agent::run(*settings, stop_signal()).await })
+            run_node(
+                args,
+                async move { agent::run(*settings, stop_signal()).await },
+            )
         }
         Ok(Settings::FlowAgent(settings)) => {
             let _guard = telemetry::init(log_format(args), 0.0);
-            run(async move { platform::run_agent(*settings, stop_signal()).await })
+            run_node(args, async move {
+                platform::run_agent(*settings, stop_signal()).await
+            })
         }
         Ok(Settings::Entry(_) | Settings::FlowEntry(_)) => {
             eprintln!("the file has the settings of an entry; run 'parsleythread entry' with it");
--- a/src/cmd/entry.rs
+++ b/src/cmd/entry.rs
@@ -1,6 +1,6 @@
 //! Runs an entry.
 
-use super::process::{log_format, read_settings, run, stop_signal};
+use super::process::{log_format, read_settings, run_node, stop_signal};
 use clap::ArgMatches;
 use errors::ExitStatus;
 use settings::Settings;
@@ -10,11 +10,16 @@
     match read_settings(args) {
         Ok(Settings::Entry(settings)) => {
             let _guard = telemetry::init(log_format(args), settings.trace_ratio);
-            run(async move { entry::run(*settings, stop_signal()).await })
+            run_node(
+                args,
+                async move { entry::run(*settings, stop_signal()).await },
+            )
         }
         Ok(Settings::FlowEntry(settings)) => {
             let _guard = telemetry::init(log_format(args), 0.0);
-            run(async move { platform::run_entry(*settings, stop_signal()).await })
+            run_node(args, async move {
+                platform::run_entry(*settings, stop_signal()).await
+            })
         }
         Ok(Settings::Agent(_) | Settings::FlowAgent(_)) => {
             eprintln!("the file has the settings of an agent; run 'parsleythread agent' with it");
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -30,11 +30,11 @@
 impl Process {
     pub fn start(args: &[&str]) -> Self {
         let log = std::env::var_os("PARSLEYTHREAD_TEST_LOG").is_some();
-        let stderr = if log { Stdio::inherit() } else { Stdio::null() };
+        let output = || if log { Stdio::inherit() } else { Stdio::null() };
         let child = Command::new(env!("CARGO_BIN_EXE_parsleythread"))
             .args(args)
-            .stdout(Stdio::null())
-            .stderr(stderr)
+            .stdout(output())
+            .stderr(output())
             .spawn()
             .expect("the program starts");
         Self { child }
@@ -46,8 +46,8 @@
         let child = Command::new(env!("CARGO_BIN_EXE_parsleythread"))
             .args(args)
             .args(["--log-format", "json"])
-            .stdout(Stdio::null())
-            .stderr(file)
+            .stdout(file)
+            .stderr(Stdio::null())
             .spawn()
             .expect("the program starts");
         Self { child }
--- /dev/null
+++ b/tests/flows.rs
@@ -0,0 +1,423 @@
+//! Flows on the platform: real processes, and stand-ins of the platform by its protocol.
+
+mod common;
+#[path = "../platform/tests/common/mod.rs"]
+mod standins;
+
+use awc::Client;
+use common::{Process, pause};
+use serde_json::{Value, json};
+use standins::store::{StoreMode, StoreStandIn};
+use standins::worker::{Execution, WorkerStandIn};
+use standins::{AgentAddresses, EntryAddresses, job};
+use std::collections::BTreeMap;
+use std::path::PathBuf;
+use std::time::{Duration, Instant};
+use tempfile::TempDir;
+
+/// Longest time for anything that is waited for.
+const LIMIT: Duration = Duration::from_secs(30);
+
+/// A process with its settings file.
+struct Node {
+    role: &'static str,
+    settings: PathBuf,
+    process: Process,
+}
+
+impl Node {
+    fn start(role: &'static str, id: &str, settings: &Value, folder: &TempDir) -> Self {
+        let path = folder.path().join(format!("{id}.json"));
+        std::fs::write(&path, settings.to_string()).unwrap();
+        let process = Self::run(role, &path);
+        Self {
+            role,
+            settings: path,
+            process,
+        }
+    }
+
+    fn run(role: &'static str, settings: &std::path::Path) -> Process {
+        Process::start(&[role, "--settings", settings.to_str().unwrap()])
+    }
+
+    fn restart(&mut self) {
+        self.process.kill();
+        self.process = Self::run(self.role, &self.settings);
+    }
+}
+
+/// Entries, agents and workers over one store.
+struct Fleet {
+    store: StoreStandIn,
+    entries: Vec<(EntryAddresses, Node)>,
+    agents: Vec<(AgentAddresses, Node)>,
+    workers: Vec<WorkerStandIn>,
+    client: Client,
+    _folder: TempDir,
+}
+
+impl Fleet {
+    async fn start(entries: usize, agents: usize) -> Self {
+        let folder = TempDir::new().unwrap();
+        let store = StoreStandIn::start();
+        store.put("op", "", "config", &standins::config(3));
+        let entries = (0..entries).map(|number| {
+            let addresses = EntryAddresses::free();
+            let id = format!("e{number}");
+            let settings = addresses.settings(&id, store.address);
+            (addresses, Node::start("entry", &id, &settings, &folder))
+        });
+        let entries = entries.collect();
+        let agents: Vec<(AgentAddresses, Node)> = (0..agents)
+            .map(|number| {
+                let addresses = AgentAddresses::free();
+                let id = format!("a{number}");
+                let settings = addresses.settings(&id, store.address);
+                (addresses, Node::start("agent", &id, &settings, &folder))
+            })
+            .collect();
+        let named = agents.iter().enumerate();
+        let workers = named
+            .map(|(number, (addresses, _))| WorkerStandIn::start(&format!("w{number}"), *addresses))
+            .collect();
+        let fleet = Self {
+            store,
+            entries,
+            agents,
+            workers,
+            client: Client::builder().timeout(Duration::from_secs(5)).finish(),
+            _folder: folder,
+        };
+        fleet.until_ready().await;
+        fleet
+    }
+
+    async fn until_ready(&self) {
+        let started = Instant::now();
+        for (addresses, _) in &self.entries {
+            let url = format!("http://{}/-/ready", addresses.ready);
+            loop {
+                let sent = self.client.get(&url).send().await;
+                if sent.is_ok_and(|answer| answer.status() == 200) {
+                    break;
+                }
+                assert!(started.elapsed() < LIMIT, "an entry is not ready");
+                pause(50).await;
+            }
+        }
+        for entry in 0..self.entries.len() {
+            while self.call("GET", entry, "", &Value::Null).await.0 != 200 {
+                assert!(started.elapsed() < LIMIT, "there is no scheduler");
+                pause(50).await;
+            }
+        }
+    }
+
+    fn url(&self, entry: usize, id: &str) -> String {
+        format!("http://{}/q/{id}", self.entries[entry].0.front)
+    }
+
+    /// Status, retry-after and body of an answer; status 0 without one.
+    async fn call(&self, method: &str, entry: usize, id: &str, body: &Value) -> (u16, Value) {
+        let url = self.url(entry, id);
+        let request = match method {
+            "POST" => self.client.post(url),
+            "DELETE" => self.client.delete(url),
+            _ => self.client.get(url),
+        };
+        let request = request.insert_header(("host", "a.example"));
+        let sent = request.send_json(body).await;
+        let Ok(mut answer) = sent else {
+            return (0, json!({}));
+        };
+        let status = answer.status().as_u16();
+        let mut told: Value = answer.json().await.unwrap_or_else(|_| json!({}));
+        if let Some(retry) = answer.headers().get("retry-after") {
+            told["retry_after_s"] = json!(retry.to_str().unwrap());
+        }
+        (status, told)
+    }
+
+    async fn submit(&self, entry: usize, id: &str, body: &Value) -> u16 {
+        let started = Instant::now();
+        loop {
+            let (status, _) = self.call("POST", entry, id, body).await;
+            let is_final = !matches!(status, 0 | 429 | 502 | 503 | 504);
+            if is_final || started.elapsed() > LIMIT {
+                return status;
+            }
+            pause(100).await;
+        }
+    }
+
+    async fn state(&self, entry: usize, id: &str) -> String {
+        let (_, told) = self.call("GET", entry, id, &Value::Null).await;
+        told["state"].as_str().unwrap_or_default().to_owned()
+    }
+
+    async fn until_completed(&self, ids: &[String]) {
+        let started = Instant::now();
+        for id in ids {
+            while self.state(0, id).await != "completed" {
+                assert!(
+                    started.elapsed() < LIMIT,
+                    "{id} is {}",
+                    self.state(0, id).await
+                );
+                pause(50).await;
+            }
+        }
+    }
+
+    fn executions(&self) -> Vec<Execution> {
+        self.workers
+            .iter()
+            .flat_map(WorkerStandIn::executions)
+            .collect()
+    }
+
+    /// Number of the entry that holds the scheduler's lease.
+    fn scheduler(&self) -> usize {
+        let rows = self.store.values("lease");
+        let row: Value = serde_json::from_str(&rows[0].1).unwrap();
+        row["owner"].as_str().unwrap()[1..].parse().unwrap()
+    }
+
+    /// No task ran twice at once, none after it was done, and each step after the one before.
+    fn check(&self) {
+        let mut by_task: BTreeMap<String, Vec<Execution>> = BTreeMap::new();
+        for execution in self.executions() {
+            by_task
+                .entry(execution.task.clone())
+                .or_default()
+                .push(execution);
+        }
+        for (task, runs) in &mut by_task {
+            runs.sort_by_key(|run| run.begun);
+            for pair in runs.windows(2) {
+                let ended = pair[0].ended.expect("a run ended before the next one");
+                assert!(ended <= pair[1].begun, "{task} ran twice at once: {pair:?}");
+                assert_ne!(pair[0].how, "done", "{task} ran after its success");
+            }
+        }
+    }
+}
+
+fn ids(count: usize) -> Vec<String> {
+    (0..count).map(|number| format!("{number:016x}")).collect()
+}
+
+#[actix_rt::test]
+async fn a_job_is_accepted_once_runs_in_order_and_is_shown_at_every_entry() {
+    let fleet = Fleet::start(2, 2).await;
+    let id = &ids(1)[0];
+    assert_eq!(fleet.submit(0, id, &job(3, 200)).await, 200);
+    assert_eq!(
+        fleet.submit(1, id, &job(3, 200)).await,
+        200,
+        "a repeat is the same job"
+    );
+    fleet.until_completed(std::slice::from_ref(id)).await;
+    assert_eq!(fleet.state(1, id).await, "completed");
+    assert_eq!(fleet.executions().len(), 6);
+    let begun = |step: &str| {
+        let runs = fleet.executions().into_iter();
+        let runs = runs.filter(|run| run.task.split('.').nth(2) == Some(step));
+        runs.map(|run| (run.begun, run.ended.unwrap()))
+            .collect::<Vec<_>>()
+    };
+    let first_ended = begun("0")
+        .into_iter()
+        .map(|(_, ended)| ended)
+        .max()
+        .unwrap();
+    assert!(begun("1").iter().all(|(begun, _)| *begun >= first_ended));
+    fleet.check();
+}
+
+#[actix_rt::test]
+async fn callers_are_told_what_is_wrong() {
+    let fleet = Fleet::start(1, 1).await;
+    let id = &ids(1)[0];
+    let unknown = fleet.call("GET", 0, id, &Value::Null).await;
+    assert_eq!(unknown.0, 410);
+    assert_eq!(fleet.call("DELETE", 0, id, &Value::Null).await.0, 410);
+    assert_eq!(
+        fleet.call("POST", 0, id, &json!({ "steps": [] })).await.0,
+        400
+    );
+    assert_eq!(
+        fleet.call("POST", 0, "not-an-id", &job(1, 100)).await.0,
+        404
+    );
+    let waiting = fleet.call("GET", 0, "", &Value::Null).await;
+    assert_eq!(waiting, (200, json!({ "waiting": 0 })));
+}
+
+#[actix_rt::test]
+async fn a_cancelled_job_stops_at_once() {
+    let fleet = Fleet::start(2, 2).await;
+    let id = &ids(1)[0];
+    fleet.submit(0, id, &job(2, 20_000)).await;
+    let started = Instant::now();
+    while fleet.executions().len() < 2 {
+        assert!(started.elapsed() < LIMIT);
+        pause(20).await;
+    }
+    assert_eq!(fleet.call("DELETE", 1, id, &Value::Null).await.0, 200);
+    pause(700).await;
+    assert_eq!(fleet.state(0, id).await, "cancelled");
+    let executions = fleet.executions();
+    assert!(
+        executions.iter().all(|run| run.how == "stopped"),
+        "{executions:?}"
+    );
+}
+
+#[actix_rt::test]
+async fn a_hangup_signal_ends_no_process() {
+    let mut fleet = Fleet::start(1, 1).await;
+    fleet.entries[0].1.process.signal("HUP");
+    fleet.agents[0].1.process.signal("HUP");
+    pause(500).await;
+    let (entry, agent) = (&mut fleet.entries[0].1, &mut fleet.agents[0].1);
+    assert!(
+        entry.process.child.try_wait().unwrap().is_none(),
+        "the entry goes on"
+    );
+    assert!(
+        agent.process.child.try_wait().unwrap().is_none(),
+        "the agent goes on"
+    );
+    let id = &ids(1)[0];
+    fleet.submit(0, id, &job(1, 100)).await;
+    fleet.until_completed(std::slice::from_ref(id)).await;
+}
+
+#[actix_rt::test]
+async fn a_killed_scheduler_is_followed_by_another_that_loses_and_doubles_nothing() {
+    let mut fleet = Fleet::start(3, 3).await;
+    let ids = ids(12);
+    for (number, id) in ids.iter().enumerate() {
+        assert_eq!(fleet.submit(number % 3, id, &job(3, 400)).await, 200);
+    }
+    let scheduler = fleet.scheduler();
+    fleet.entries[scheduler].1.process.kill();
+    pause(300).await;
+    fleet.entries[scheduler].1.restart();
+    fleet.until_ready().await;
+    fleet.until_completed(&ids).await;
+    fleet.check();
+}
+
+#[actix_rt::test]
+async fn everything_killed_at_once_comes_back_and_finishes() {
+    let mut fleet = Fleet::start(2, 3).await;
+    let ids = ids(8);
+    for id in &ids {
+        fleet.submit(0, id, &job(3, 500)).await;
+    }
+    for (_, node) in &mut fleet.entries {
+        node.process.kill();
+    }
+    for (_, node) in &mut fleet.agents {
+        node.process.kill();
+    }
+    pause(500).await;
+    for (_, node) in &mut fleet.entries {
+        node.restart();
+    }
+    for (_, node) in &mut fleet.agents {
+        node.restart();
+    }
+    fleet.until_ready().await;
+    fleet.until_completed(&ids).await;
+    fleet.check();
+}
+
+#[actix_rt::test]
+async fn without_the_store_a_job_is_refused_at_once_with_when_to_come_back() {
+    let fleet = Fleet::start(2, 2).await;
+    let ids = ids(3);
+    fleet.submit(0, &ids[0], &job(2, 1_500)).await;
+    pause(300).await;
+    fleet.store.set_mode(StoreMode::Busy);
+    pause(900).await;
+    let began = Instant::now();
+    let (status, told) = fleet.call("POST", 0, &ids[1], &job(1, 100)).await;
+    assert_eq!((status, told["retry_after_s"].as_str()), (503, Some("1")));
+    assert!(
+        began.elapsed() < Duration::from_millis(400),
+        "{:?}",
+        began.elapsed()
+    );
+    pause(2_000).await;
+    fleet.store.set_mode(StoreMode::Up);
+    fleet.submit(1, &ids[2], &job(1, 100)).await;
+    fleet
+        .until_completed(&[ids[0].clone(), ids[2].clone()])
+        .await;
+    pause(300).await;
+    let refused = fleet
+        .executions()
+        .into_iter()
+        .any(|run| run.task.starts_with(&ids[1]));
+    assert!(!refused, "a refused job never runs");
+    fleet.check();
+}
+
+#[actix_rt::test]
+async fn a_store_that_loses_answers_loses_and_doubles_no_job() {
+    let fleet = Fleet::start(2, 2).await;
+    let ids = ids(4);
+    fleet.store.set_mode(StoreMode::LosesAnswers);
+    let calls = ids.iter().map(|id| async {
+        let (status, _) = fleet.call("POST", 0, id, &job(1, 200)).await;
+        status
+    });
+    let told = futures::future::join_all(calls);
+    let up = async {
+        pause(1_500).await;
+        fleet.store.set_mode(StoreMode::Up);
+    };
+    let (told, ()) = futures::join!(told, up);
+    assert!(
+        told.iter().all(|status| matches!(status, 200 | 504)),
+        "{told:?}"
+    );
+    for id in &ids {
+        assert_eq!(fleet.submit(1, id, &job(1, 200)).await, 200);
+    }
+    fleet.until_completed(&ids).await;
+    assert_eq!(fleet.executions().len(), 8);
+    fleet.check();
+}
+
+#[actix_rt::test]
+async fn a_start_that_is_carried_out_without_an_answer_runs_once() {
+    let fleet = Fleet::start(1, 2).await;
+    for worker in &fleet.workers {
+        worker.lose_next_start();
+    }
+    let ids = ids(3);
+    for id in &ids {
+        fleet.submit(0, id, &job(2, 300)).await;
+    }
+    fleet.until_completed(&ids).await;
+    fleet.check();
+}
+
+#[actix_rt::test]
+async fn a_draining_worker_gets_nothing_new() {
+    let fleet = Fleet::start(1, 2).await;
+    fleet.workers[0].drain();
+    pause(600).await;
+    let ids = ids(4);
+    for id in &ids {
+        fleet.submit(0, id, &job(2, 100)).await;
+    }
+    fleet.until_completed(&ids).await;
+    assert_eq!(fleet.workers[0].executions().len(), 0);
+    assert_eq!(fleet.workers[1].executions().len(), 16);
+}
