--- a/components/flow/src/protect.rs
+++ b/components/flow/src/protect.rs
@@ -101,14 +101,33 @@
         let worst = serving.iter().map(share).max().unwrap_or(0);
         let over_ms = self.time_over(now_ms, agent, worst);
         self.learn(now_ms, agent, &serving, running);
-        for key in fillers {
-            if self.is_misplaced(&key, &serving) && self.move_away(now_ms, agent, &key) {
+        let troubled = |task: &&Serving| share(task) >= HOLD_BACK_PERCENT;
+        let troubled: Vec<&Serving> = serving.iter().filter(troubled).collect();
+        let is_cleared = |key: &TaskKey| self.is_harmless(key, &troubled);
+        let cleared: Vec<bool> = fillers.iter().map(is_cleared).collect();
+        let has_suspects = cleared.contains(&false);
+        for (key, is_cleared) in fillers.iter().zip(cleared) {
+            if self.is_misplaced(key, &serving) && self.move_away(now_ms, agent, key) {
                 continue;
             }
-            self.pace_one(now_ms, &key, worst, over_ms);
+            let is_spared = !troubled.is_empty() && is_cleared && has_suspects;
+            if !is_spared {
+                self.pace_one(now_ms, key, worst, over_ms);
+            }
         }
     }
 
+    /// Whether a filler is known to leave all of these tasks alone.
+    fn is_harmless(&self, key: &TaskKey, tasks: &[&Serving]) -> bool {
+        let image = self
+            .flows
+            .get(&key.job)
+            .and_then(|state| state.step_spec(key.step)?.image.as_deref());
+        let image = image.unwrap_or_default();
+        let is_good = |task: &&Serving| self.pairs.verdict(image, &task.image) == PairVerdict::Good;
+        tasks.iter().all(is_good)
+    }
+
     /// Tasks of a worker that serve and are at work.
     fn serving(&self, agent: &AgentId, running: &Map<&TaskKey, &RunningTask>) -> Vec<Serving> {
         let held = self.worker(agent).into_iter().flat_map(|view| &view.held);
--- a/components/flow_entry/src/election.rs
+++ b/components/flow_entry/src/election.rs
@@ -3,10 +3,13 @@
 use crate::rows::LeaseRow;
 use backing::Row;
 
-/// Time without a change of the lease after which its owner counts as gone, in milliseconds.
-const LEASE_MS: u64 = 1_600;
+/// Time for which the lease has to be seen unchanged before it is taken over, in milliseconds: more
+/// than the time between two renewals.
+const LEASE_MS: u64 = 900;
+/// Time without an answer of the owner after which it counts as gone, in milliseconds.
+const GONE_MS: u64 = 1_400;
 /// Time without an answer of the owner after which the lease is watched, in milliseconds.
-const SILENT_MS: u64 = 700;
+const SILENT_MS: u64 = 600;
 /// Refused connections in a row that prove that the owner's process has ended.
 const REFUSALS: u32 = 2;
 /// Age of the owner's proof from which the lease is watched, in milliseconds.
@@ -104,8 +107,8 @@
         if row.released || self.refusals >= REFUSALS {
             return unchanged_ms >= self.delay_ms;
         }
-        let is_silent = now_ms >= self.heard_ms + SILENT_MS;
-        is_silent && unchanged_ms >= LEASE_MS + self.delay_ms && now_ms < self.read_ms + LEASE_MS
+        let is_gone = now_ms >= self.heard_ms + GONE_MS;
+        is_gone && unchanged_ms >= LEASE_MS + self.delay_ms && now_ms < self.read_ms + LEASE_MS
     }
 
     /// Whether the lease is held by this start of this entry.
--- a/components/settings/tests/settings.rs
+++ b/components/settings/tests/settings.rs
@@ -65,11 +65,13 @@
     let root = Path::new(env!("CARGO_MANIFEST_DIR")).join("../..");
     let page = std::fs::read_to_string(root.join("docs/operators/SETTINGS.md")).expect("the page");
     let mut all = Vec::new();
-    for role in ["entry", "agent"] {
+    for role in ["entry", "agent", "flow-entry", "flow-agent"] {
         let file = root.join(format!("examples/dunmore/{role}.json"));
         let value = match load(&file).expect("the example is good") {
             Settings::Entry(settings) => serde_json::to_value(*settings),
             Settings::Agent(settings) => serde_json::to_value(*settings),
+            Settings::FlowEntry(settings) => serde_json::to_value(*settings),
+            Settings::FlowAgent(settings) => serde_json::to_value(*settings),
         };
         names(&value.expect("settings are JSON"), "", &mut all);
     }
--- a/components/telemetry/src/init.rs
+++ b/components/telemetry/src/init.rs
@@ -39,16 +39,7 @@
     let registry = tracing_subscriber::registry().with(spans);
     let started = match format {
         LogFormat::Text => registry.with(lines.with_filter(levels)).try_init(),
-        LogFormat::Json => registry
-            .with(
-                lines
-                    .json()
-                    .flatten_event(true)
-                    .with_current_span(false)
-                    .with_span_list(false)
-                    .with_filter(levels),
-            )
-            .try_init(),
+        LogFormat::Json => registry.with(lines.json().with_filter(levels)).try_init(),
     };
     drop(started);
     guard
--- a/tests/flows.rs
+++ b/tests/flows.rs
@@ -9,7 +9,7 @@
 use serde_json::{Value, json};
 use standins::store::{StoreMode, StoreStandIn};
 use standins::worker::{Execution, WorkerStandIn};
-use standins::{AgentAddresses, EntryAddresses, job};
+use standins::{AgentAddresses, EntryAddresses, READY_PATH, job};
 use std::collections::BTreeMap;
 use std::path::PathBuf;
 use std::time::{Duration, Instant};
@@ -96,7 +96,7 @@
     async fn until_ready(&self) {
         let started = Instant::now();
         for (addresses, _) in &self.entries {
-            let url = format!("http://{}/-/ready", addresses.ready);
+            let url = format!("http://{}{READY_PATH}", addresses.ready);
             loop {
                 let sent = self.client.get(&url).send().await;
                 if sent.is_ok_and(|answer| answer.status() == 200) {
