--- a/components/flow/src/place.rs
+++ b/components/flow/src/place.rs
@@ -12,11 +12,11 @@
 /// Score of a worker on which the task failed before.
 const AVOIDED: f64 = 50.0;
 /// Score of a filler beside a task that serves, and of such a task beside fillers.
-const BESIDE_SERVICE: f64 = 2.0;
+const BESIDE_SERVICE: f64 = 1.0;
 /// Score of each image that serves and that a filler may disturb for all that is known.
 const UNKNOWN_PAIR: f64 = 0.3;
 /// Score of each other image that serves on the worker of a task that serves.
-const OTHER_IMAGE: f64 = 0.7;
+const OTHER_IMAGE: f64 = 2.0;
 /// Share of a latency target from which no further filler comes to a worker, in percent.
 const CROWDED_PERCENT: u32 = 80;
 /// Least share of its processors that a filler should find left over.
