Beside a service that stays beyond its target everything is stopped

Test: patterns: fillers_that_turn_bad_are_stopped_before_they_harm, red before (11,900 ms on end, bound 4,000 from harmMs).

--- a/components/flow/src/protect.rs
+++ b/components/flow/src/protect.rs
@@ -110,7 +110,8 @@
             if self.is_misplaced(key, &serving) && self.move_away(now_ms, agent, key) {
                 continue;
             }
-            let is_spared = !troubled.is_empty() && is_cleared && has_suspects;
+            let is_spared =
+                !troubled.is_empty() && is_cleared && has_suspects && over_ms < HALT_AFTER_MS;
             if !is_spared {
                 self.pace_one(now_ms, key, worst, over_ms);
             }
@@ -340,7 +341,8 @@
         }
         let next = next_pace(placement.pace, worst_percent, over_ms);
         let is_settled = now_ms >= placement.paced_ms + SETTLE_MS;
-        if next == placement.pace || !is_settled {
+        let is_halt = next == PACES[0] && over_ms >= HALT_AFTER_MS;
+        if next == placement.pace || !(is_settled || is_halt) {
             return;
         }
         self.set_pace(now_ms, key, next);
--- a/components/flow/tests/common/mod.rs
+++ b/components/flow/tests/common/mod.rs
@@ -83,6 +83,10 @@
     pub starts: BTreeMap<JobId, u32>,
     /// Milliseconds during which a serving task was beyond its target.
     pub harmed_ms: u64,
+    /// For how long each serving task has been beyond its target while fillers worked beside it.
+    harm_now_ms: BTreeMap<TaskKey, u64>,
+    /// The longest such time.
+    pub longest_harm_ms: u64,
 }
 
 /// The only queue.
@@ -166,6 +170,8 @@
             ended_ms: BTreeMap::new(),
             starts: BTreeMap::new(),
             harmed_ms: 0,
+            harm_now_ms: BTreeMap::new(),
+            longest_harm_ms: 0,
         }
     }
 
@@ -320,9 +326,14 @@
             .entry(key.clone())
             .or_insert(f64::from(QUIET_LATENCY_MS));
         *latency += (aim - *latency) * 0.1;
-        if *latency > f64::from(target_ms) {
+        let is_over = *latency > f64::from(target_ms);
+        if is_over {
             self.harmed_ms += STEP_MS;
         }
+        let harm_ms = self.harm_now_ms.entry(key.clone()).or_default();
+        let is_harmed = is_over && fillers.iter().any(|(_, pace)| *pace > 0);
+        *harm_ms = if is_harmed { *harm_ms + STEP_MS } else { 0 };
+        self.longest_harm_ms = self.longest_harm_ms.max(*harm_ms);
     }
 
     fn work(&mut self, agent: &AgentId, key: &TaskKey, spec: &StepSpec, run_ms: u64) {
--- a/components/flow/tests/patterns.rs
+++ b/components/flow/tests/patterns.rs
@@ -174,6 +174,37 @@
         );
     }
 
+    /// Two images of fillers that were harmless for long begin to disturb: the one that is blamed
+    /// first must not shield the other.
+    #[test]
+    fn fillers_that_turn_bad_are_stopped_before_they_harm() {
+        let mut sim = Sim::new(1);
+        let service = StepSpec {
+            tasks: 1,
+            ..service("fragile")
+        };
+        sim.submit("s1", vec![service]);
+        sim.run_for(400);
+        let lasting = |image: &str| StepSpec {
+            tasks: 1,
+            saves_progress: false,
+            estimate_ms: 30_000,
+            ..filler(image)
+        };
+        sim.submit("f1", vec![lasting("first")]);
+        sim.submit("f2", vec![lasting("second")]);
+        sim.run_for(8_000);
+        sim.disturbs
+            .insert(("first".to_owned(), "fragile".to_owned()));
+        sim.submit("f3", vec![lasting("third")]);
+        sim.run_for(12_000);
+        assert!(
+            sim.longest_harm_ms < 4_000,
+            "a service was harmed for {} ms on end",
+            sim.longest_harm_ms
+        );
+    }
+
     #[test]
     fn a_filler_with_no_other_place_runs_all_the_same() {
         let mut sim = Sim::new(1);
