A scheduler without new proofs counts as silent; quicker takeover after a release

Change: an answer counts as of the proof that it names; signs of life each 250 ms; 0.2 s of rank. Test: lease: a_scheduler_that_the_table_turns_away_is_followed_within_two_and_a_half_seconds.

--- a/components/flow_entry/src/coordinator.rs
+++ b/components/flow_entry/src/coordinator.rs
@@ -26,7 +26,7 @@
 /// Time between two looks at what is due.
 const TICK: Duration = Duration::from_millis(50);
 /// Time between two signs of life to the scheduler, in milliseconds.
-const HELLO_EVERY_MS: u64 = 400;
+const HELLO_EVERY_MS: u64 = 250;
 /// Time for an answer to a sign of life.
 const HELLO_TIMEOUT: Duration = Duration::from_millis(600);
 /// Time between two reads of a lease that is in doubt, in milliseconds.
@@ -248,7 +248,7 @@
             }
             Err(LinkError::Refused(_)) => {
                 self.election.on_refused();
-                self.hello_ms = now_ms.saturating_sub(HELLO_EVERY_MS - 100);
+                self.hello_ms = now_ms.saturating_sub(HELLO_EVERY_MS / 2);
             }
             Err(LinkError::Connect(_) | LinkError::NoAnswer(_)) => {}
         }
--- a/components/flow_entry/src/election.rs
+++ b/components/flow_entry/src/election.rs
@@ -6,16 +6,15 @@
 /// Time for which the lease has to be seen unchanged before it is taken over, in milliseconds: more
 /// than the time between two renewals.
 const LEASE_MS: u64 = 900;
-/// Time without an answer of the owner after which it counts as gone, in milliseconds.
-const GONE_MS: u64 = 1_400;
-/// Time without an answer of the owner after which the lease is watched, in milliseconds.
-const SILENT_MS: u64 = 600;
+/// Time without a new proof of the owner after which it counts as gone, in milliseconds.
+const GONE_MS: u64 = 1_600;
+/// Time without a new proof of the owner after which the lease is watched, in milliseconds: more
+/// than the time between two renewals and between two signs of life.
+const SILENT_MS: u64 = 800;
 /// Refused connections in a row that prove that the owner's process has ended.
 const REFUSALS: u32 = 2;
-/// Age of the owner's proof from which the lease is watched, in milliseconds.
-const STALE_PROOF_MS: u64 = 900;
 /// Longest extra wait of the entry with the smallest share of a processor, in milliseconds.
-const RANK_DELAY_MS: f64 = 400.0;
+const RANK_DELAY_MS: f64 = 200.0;
 
 /// The lease as an entry last saw it.
 #[derive(Debug, Default)]
@@ -30,7 +29,7 @@
     since_ms: u64,
     /// When the row was last read.
     read_ms: u64,
-    /// When the owner last answered as such.
+    /// When the owner last had a proof, by what it answered.
     heard_ms: u64,
     /// Refused connections to the owner in a row.
     refusals: u32,
@@ -67,12 +66,12 @@
         self.read = true;
     }
 
-    /// The owner answered as such, with a proof of this age.
+    /// The owner answered as such, with a proof of this age; one that can't renew its proof is as
+    /// good as silent since then.
     pub fn on_answer(&mut self, now_ms: u64, proof_age_ms: u64) {
         self.refusals = 0;
-        if proof_age_ms < STALE_PROOF_MS {
-            self.heard_ms = now_ms;
-        }
+        let proof_ms = now_ms.saturating_sub(proof_age_ms);
+        self.heard_ms = self.heard_ms.max(proof_ms);
     }
 
     /// The owner's address refuses connections.
--- a/components/flow_entry/tests/common/mod.rs
+++ b/components/flow_entry/tests/common/mod.rs
@@ -9,6 +9,7 @@
 use serde::Deserialize;
 use settings::{FlowEntrySettings, LeaseSettings, PlatformSettings};
 use standin::MemoryTable;
+use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -19,6 +20,26 @@
     pub rows: MemoryTable,
     /// Time of a commit, in milliseconds.
     pub commit_ms: u64,
+    /// Entries that it turns away.
+    refused: RefCell<Vec<String>>,
+}
+
+impl SlowTable {
+    /// Refuses every commit of the entry with this name from now on.
+    pub fn turn_away(&self, entry: &str) {
+        self.refused.borrow_mut().push(entry.to_owned());
+    }
+
+    /// Whether a commit is one of an entry that is turned away.
+    fn is_refused(&self, txn: &Transaction) -> bool {
+        let refused = self.refused.borrow();
+        let values = txn.writes.iter().filter_map(|write| write.value.as_ref());
+        let mut values = values.filter(|value| value.contains("\"owner\""));
+        values.any(|value| {
+            let is_of = |entry: &String| value.contains(&format!("\"owner\":\"{entry}\""));
+            refused.iter().any(is_of)
+        })
+    }
 }
 
 /// A table whose commits take `commit_ms`.
@@ -26,6 +47,7 @@
     Rc::new(SlowTable {
         rows: MemoryTable::default(),
         commit_ms,
+        refused: RefCell::default(),
     })
 }
 
@@ -33,6 +55,9 @@
 impl TableStore for SlowTable {
     async fn commit(&self, txn: &Transaction) -> Result<u64, StoreError> {
         pause(self.commit_ms).await;
+        if self.is_refused(txn) {
+            return Err(StoreError::Unavailable("turned away".to_owned()));
+        }
         self.rows.commit_now(txn)
     }
 
--- a/components/flow_entry/tests/lease.rs
+++ b/components/flow_entry/tests/lease.rs
@@ -45,3 +45,18 @@
     assert_eq!((after.owner.as_str(), after.epoch), ("b", 2));
     drop(second);
 }
+
+/// The scheduler lives and answers, but the table turns it away and serves the others.
+#[actix_rt::test]
+async fn a_scheduler_that_the_table_turns_away_is_followed_within_two_and_a_half_seconds() {
+    let table = common::table(5);
+    let first = Entry::start("a", &table).await;
+    let before = lease(&table).await;
+    let second = Entry::start("b", &table).await;
+    common::pause(1_000).await;
+    table.turn_away(&before.owner);
+    common::pause(2_500).await;
+    let after = lease(&table).await;
+    assert_eq!((after.owner.as_str(), after.epoch), ("b", 2));
+    drop((first, second));
+}
