--- a/components/flow/src/place.rs
+++ b/components/flow/src/place.rs
@@ -137,7 +137,7 @@
             .collect()
     }
 
-    fn place_flow(&mut self, now_ms: u64, job: &JobId, rooms: &mut Vec<(ServiceName, Room)>) {
+    fn place_flow(&mut self, now_ms: u64, job: &JobId, rooms: &mut [(ServiceName, Room)]) {
         let Some(state) = self.flows.get(job) else {
             return;
         };
--- a/components/flow/src/reports.rs
+++ b/components/flow/src/reports.rs
@@ -366,13 +366,13 @@
                 }
             }
         }
-        let placement = state.task(key).and_then(|task| task.placement.clone());
-        if let Some(placement) = again {
+        let ended = state
+            .task(key)
+            .and_then(|task| task.placement.clone())
+            .filter(|placement| matches!(placement.stage, Stage::Running { .. }))
+            .filter(|_| is_closed || is_done);
+        if let Some(placement) = again.or(ended) {
             self.stop(now_ms, key, run, &placement);
-        } else if let Some(placement) = placement.filter(|_| is_closed || is_done) {
-            if matches!(placement.stage, Stage::Running { .. }) {
-                self.stop(now_ms, key, run, &placement);
-            }
         }
     }
 
--- a/components/flow/tests/common/mod.rs
+++ b/components/flow/tests/common/mod.rs
@@ -452,7 +452,7 @@
     fn effects(&mut self) {
         for effect in self.scheduler.take_effects() {
             match effect {
-                Effect::Start(run, _) => self.start(run),
+                Effect::Start(run, _) => self.start(&run),
                 Effect::Stop(run) => self.stop(&run),
                 Effect::Pace(run, percent) => self.pace(&run, percent),
                 Effect::Ended(job, phase) => {
@@ -466,14 +466,14 @@
         }
     }
 
-    fn start(&mut self, run: RunRef) {
+    fn start(&mut self, run: &RunRef) {
         let outcome = match self.lose_starts.pop() {
             Some(true) => {
-                self.execute(&run);
+                self.execute(run);
                 StartOutcome::Unknown
             }
             Some(false) => StartOutcome::Unknown,
-            None => self.execute(&run),
+            None => self.execute(run),
         };
         let now_ms = self.now_ms;
         self.scheduler
--- a/components/flow_agent/src/relay.rs
+++ b/components/flow_agent/src/relay.rs
@@ -112,10 +112,9 @@
 
     fn handle(&mut self, left: Left, _: &mut Self::Context) {
         log_event!(info, Event::WorkerLeft, agent = %self.agent, worker = %left.worker);
-        if let Some(info) = self.info.as_mut() {
-            if info.incarnation.worker == left.worker {
-                info.draining = true;
-            }
+        let is_it = |info: &&mut WorkerInfo| info.incarnation.worker == left.worker;
+        if let Some(info) = self.info.as_mut().filter(is_it) {
+            info.draining = true;
         }
     }
 }
--- a/components/flow_entry/src/commits.rs
+++ b/components/flow_entry/src/commits.rs
@@ -229,7 +229,7 @@
             return;
         };
         log_event!(info, Event::FlowEnded, job = %job, state = %phase, epoch = lead.epoch);
-        Metrics::count(&self.metrics.ends, phase);
+        Metrics::count(&self.metrics.ends, &phase);
         let end = FlowEnd {
             phase,
             ended_wall_ms: wall_ms(),
@@ -238,7 +238,7 @@
     }
 
     fn log_note(&self, note: &Note) {
-        Metrics::count(&self.metrics.decisions, note.kind);
+        Metrics::count(&self.metrics.decisions, &note.kind);
         let event = match note.kind {
             NoteKind::Placed => Event::TaskPlaced,
             NoteKind::Ended => Event::RunEnded,
@@ -293,7 +293,7 @@
             .as_ref()
             .is_some_and(|lead| lead.in_flight.is_some());
         if is_busy {
-            context.run_later(GATHER, |coordinator, context| coordinator.release(context));
+            context.run_later(GATHER, Self::release);
             return;
         }
         let rows = match self.lead.as_mut() {
@@ -304,7 +304,7 @@
     }
 }
 
-fn current<'a>(lead: &'a mut Option<Lead>, epoch: u64, sequence: u64) -> Option<&'a mut Lead> {
+fn current(lead: &mut Option<Lead>, epoch: u64, sequence: u64) -> Option<&mut Lead> {
     lead.as_mut().filter(|lead| {
         let in_flight = lead.in_flight.as_ref();
         lead.epoch == epoch && in_flight.is_some_and(|commit| commit.sequence == sequence)
--- a/components/flow_entry/src/metrics.rs
+++ b/components/flow_entry/src/metrics.rs
@@ -60,7 +60,7 @@
 
 impl Metrics {
     /// Counts one outcome.
-    pub(crate) fn count(family: &Family<OutcomeLabel, Counter>, outcome: impl ToString) {
+    pub(crate) fn count(family: &Family<OutcomeLabel, Counter>, outcome: &impl ToString) {
         let outcome = outcome.to_string();
         family.get_or_create(&OutcomeLabel { outcome }).inc();
     }
@@ -106,6 +106,13 @@
             "Time from acceptance to end",
             self.flow_seconds.clone(),
         );
+        let dropped: Gauge = Gauge::default();
+        dropped.set(telemetry::dropped_lines() as i64);
+        registry.register(
+            "log_lines_dropped",
+            "Lines of the log that found no room",
+            dropped,
+        );
         let mut text = String::new();
         // Writing into a string can't fail.
         let _ = encode(&mut text, &registry);
--- a/components/flow_entry/src/requests.rs
+++ b/components/flow_entry/src/requests.rs
@@ -15,7 +15,7 @@
 use std::time::Duration;
 use telemetry::{Event, log_event};
 use utils::boot_ms;
-use wire::{CancelOutcome, PhaseReply, SchedulerLink, SubmitOutcome, WaitingReply};
+use wire::{CancelOutcome, LinkError, PhaseReply, SchedulerLink, SubmitOutcome, WaitingReply};
 
 /// Time for a question to the scheduler.
 const ASK_TIMEOUT: Duration = Duration::from_millis(500);
@@ -105,6 +105,26 @@
     (PhaseAnswer::Known(state.phase()), Some(flow))
 }
 
+/// Has the scheduler accept a flow.
+async fn relay_submit(link: SchedulerLink, job: FlowJob) -> SubmitOutcome {
+    let call = link.call(RELAY_TIMEOUT, |client, context| async move {
+        client.submit(context, job).await
+    });
+    match call.await {
+        Ok(outcome) => outcome,
+        Err(LinkError::NoAnswer(_)) => SubmitOutcome::Uncertain,
+        Err(LinkError::Connect(_) | LinkError::Refused(_)) => SubmitOutcome::Refused,
+    }
+}
+
+/// Has the scheduler cancel a flow.
+async fn relay_cancel(link: SchedulerLink, job: JobId) -> CancelOutcome {
+    let call = link.call(RELAY_TIMEOUT, |client, context| async move {
+        client.cancel(context, job).await
+    });
+    call.await.unwrap_or(CancelOutcome::Unavailable)
+}
+
 async fn ask_phase(link: SchedulerLink, job: JobId) -> Option<FlowPhase> {
     let call = link.call(ASK_TIMEOUT, |client, context| async move {
         client.phase(context, job).await
@@ -134,23 +154,13 @@
             if !is_away {
                 outcome = store_flow(table.as_ref(), &job, until_ms).await;
             }
-            if outcome == SubmitOutcome::Refused {
-                if let Some(link) = link {
-                    by = "scheduler";
-                    let relayed = job.clone();
-                    let call = link.call(RELAY_TIMEOUT, |client, context| async move {
-                        client.submit(context, relayed).await
-                    });
-                    outcome = match call.await {
-                        Ok(outcome) => outcome,
-                        Err(wire::LinkError::NoAnswer(_)) => SubmitOutcome::Uncertain,
-                        Err(_) => SubmitOutcome::Refused,
-                    };
-                }
+            if let Some(link) = link.filter(|_| outcome == SubmitOutcome::Refused) {
+                by = "scheduler";
+                outcome = relay_submit(link, job.clone()).await;
             }
             let spent_ms = boot_ms().saturating_sub(began_ms);
             metrics.submit_seconds.observe(spent_ms as f64 / 1_000.0);
-            Metrics::count(&metrics.submissions, outcome);
+            Metrics::count(&metrics.submissions, &outcome);
             log_event!(info, Event::FlowSubmitted, job = %job.id, prefix = %job.queue.prefix, by,
                 steps = %job.spec, store_away = is_away, outcome = %outcome, spent_ms);
             if outcome == SubmitOutcome::Accepted && by == "table" {
@@ -218,14 +228,8 @@
             if !is_away {
                 outcome = store_cancel(table.as_ref(), &job, until_ms).await;
             }
-            if outcome == CancelOutcome::Unavailable {
-                if let Some(link) = link {
-                    let relayed = job.clone();
-                    let call = link.call(RELAY_TIMEOUT, |client, context| async move {
-                        client.cancel(context, relayed).await
-                    });
-                    outcome = call.await.unwrap_or(CancelOutcome::Unavailable);
-                }
+            if let Some(link) = link.filter(|_| outcome == CancelOutcome::Unavailable) {
+                outcome = relay_cancel(link, job.clone()).await;
             }
             log_event!(info, Event::FlowCancelled, job = %job, store_away = is_away, outcome = %outcome);
             if outcome == CancelOutcome::Done {
--- a/components/telemetry/src/lib.rs
+++ b/components/telemetry/src/lib.rs
@@ -8,7 +8,7 @@
 
 pub use event::Event;
 pub use format::LogFormat;
-pub use init::{init, init_quiet};
+pub use init::{dropped_lines, init, init_quiet};
 pub use trace::{adopt_parent, traceparent};
 pub use tracing;
 /// Writes the lines that are left when it is dropped.
