--- a/components/flow_entry/src/commits.rs
+++ b/components/flow_entry/src/commits.rs
@@ -32,7 +32,9 @@
 /// Time between two transactions that tidy up after ended flows, in milliseconds.
 const TIDY_EVERY_MS: u64 = 1_500;
 /// Ended flows that one transaction tidies up after; each takes three rows.
-const TIDY_FLOWS: usize = 32;
+const TIDY_FLOWS: usize = 25;
+/// Ended flows that one transaction forgets; each takes one row.
+const FORGET_FLOWS: usize = 25;
 
 impl Coordinator {
     /// What the scheduler does at each tick.
@@ -234,6 +236,7 @@
             phase,
             ended_wall_ms: wall_ms(),
         };
+        lead.ended.push_back((job.clone(), boot_ms()));
         lead.untidied.push_back((job, end));
     }
 
@@ -256,11 +259,15 @@
 
     /// Replaces the rows of ended flows by small ones.
     fn tidy(&mut self, now_ms: u64, context: &mut Context<Self>) {
+        let keep_ms = self.settings.keep_ended_ms;
         let Some(lead) = self.lead.as_mut() else {
             return;
         };
         lead.tidied_ms = now_ms;
-        if lead.untidied.is_empty() {
+        let is_old = |(_, ended_ms): &&(JobId, u64)| now_ms >= ended_ms + keep_ms;
+        let old = lead.ended.iter().take_while(is_old).take(FORGET_FLOWS);
+        let forgotten: Vec<JobId> = old.map(|(job, _)| job.clone()).collect();
+        if lead.untidied.is_empty() && forgotten.is_empty() {
             return;
         }
         let count = lead.untidied.len().min(TIDY_FLOWS);
@@ -272,6 +279,9 @@
                 .delete(cancel_key(job))
                 .delete(record_key(job));
         }
+        for job in &forgotten {
+            txn = txn.delete(flow_key(job));
+        }
         lead.tidying = true;
         let epoch = lead.epoch;
         let jobs = batch.into_iter().map(|(job, _)| job).collect();
@@ -281,6 +291,7 @@
             control.do_send(Tidied {
                 epoch,
                 jobs,
+                forgotten,
                 result,
             });
         });
@@ -403,6 +414,11 @@
         lead.tidying = false;
         if tidied.result.is_ok() {
             lead.untidied.retain(|(job, _)| !tidied.jobs.contains(job));
+            lead.ended
+                .retain(|(job, _)| !tidied.forgotten.contains(job));
+            for job in &tidied.forgotten {
+                lead.scheduler.forget(job);
+            }
         }
     }
 }
--- a/components/flow_entry/src/lead.rs
+++ b/components/flow_entry/src/lead.rs
@@ -53,6 +53,8 @@
     pub terms: LeaseTerms,
     /// Ended flows whose rows are to be tidied.
     pub untidied: VecDeque<(JobId, FlowEnd)>,
+    /// Ended flows whose state can still be asked for, oldest first, and since when they are over.
+    pub ended: VecDeque<(JobId, u64)>,
     /// Whether tidying is on its way.
     pub tidying: bool,
     /// When rows were last tidied.
@@ -146,6 +148,7 @@
             nodes_read_ms: 0,
             terms: self.lease_terms(),
             untidied: VecDeque::new(),
+            ended: VecDeque::new(),
             tidying: false,
             tidied_ms: now_ms,
             learnt_ms: now_ms,
@@ -301,6 +304,10 @@
         Some(FlowKey::Flow(job)) => match serde_json::from_str::<FlowRow>(value) {
             Ok(FlowRow::Accepted(flow)) => add_flow(lead, now_ms, flow),
             Ok(FlowRow::Ended(end)) => {
+                let is_new = lead.scheduler.phase(&job).is_none();
+                if is_new {
+                    lead.ended.push_back((job.clone(), now_ms));
+                }
                 lead.scheduler.add_ended(job, end.phase);
             }
             Err(error) => {
--- a/components/flow_entry/src/messages.rs
+++ b/components/flow_entry/src/messages.rs
@@ -252,8 +252,10 @@
 pub(crate) struct Tidied {
     /// Epoch of the scheduler.
     pub epoch: u64,
-    /// The flows.
+    /// The flows whose rows became small.
     pub jobs: Vec<JobId>,
+    /// The flows whose rows are gone.
+    pub forgotten: Vec<JobId>,
     /// Whether it worked.
     pub result: Result<u64, StoreError>,
 }
--- a/components/flow_entry/tests/common/mod.rs
+++ b/components/flow_entry/tests/common/mod.rs
@@ -125,6 +125,7 @@
                 longest_ms: 6_000,
                 slack_ms: 300,
             },
+            keep_ended_ms: 1_500,
             grace_ms: 1_000,
         };
         let config = FlowConfig {
--- a/components/settings/src/flow.rs
+++ b/components/settings/src/flow.rs
@@ -38,6 +38,10 @@
     /// Leases of workers.
     #[garde(dive)]
     pub leases: LeaseSettings,
+    /// Time for which the state of an ended flow can be asked for, in milliseconds.
+    #[serde(default = "default_keep_ended_ms")]
+    #[garde(range(min = 1_000, max = 86_400_000))]
+    pub keep_ended_ms: u64,
     /// Time after SIGTERM within which the process has to end, in milliseconds.
     #[serde(default = "default_grace_ms")]
     #[garde(range(min = 100, max = 600_000))]
@@ -87,6 +91,10 @@
     1.0
 }
 
+fn default_keep_ended_ms() -> u64 {
+    600_000
+}
+
 fn default_grace_ms() -> u64 {
     6_000
 }
