--- a/components/flow/src/lib.rs
+++ b/components/flow/src/lib.rs
@@ -3,6 +3,8 @@
 
 mod config;
 mod effect;
+mod ends;
+mod gang;
 mod health;
 mod job;
 mod lease;
@@ -17,6 +19,7 @@
 mod scheduler;
 mod spec;
 mod state;
+mod suit;
 mod task_key;
 mod view;
 mod worker;
--- a/components/flow_entry/tests/common/mod.rs
+++ b/components/flow_entry/tests/common/mod.rs
@@ -1,4 +1,5 @@
 //! Entries in the test's own process, over a table in memory whose commits take a while.
+#![allow(dead_code)]
 
 use async_trait::async_trait;
 use backing::{
