--- a/components/flow/src/effect.rs
+++ b/components/flow/src/effect.rs
@@ -18,9 +18,8 @@
     Ended(JobId, FlowPhase),
     /// A newer scheduler exists.
     StepDown,
-    /// By what this agent's worker reported, a filler's image and the image of a task that serves
-    /// get on like this.
-    Judged(AgentId, String, String, PairVerdict),
+    /// What is known of a pair of images has changed.
+    Judged(Judgement),
     /// Something was decided that belongs into the log.
     Note(Note),
 }
@@ -47,6 +46,19 @@
     pub checkpoint: Option<String>,
 }
 
+/// A changed verdict about a pair of images, for the log.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Judgement {
+    /// Agent of the worker whose report decided it.
+    pub agent: AgentId,
+    /// Image of the filler.
+    pub filler: String,
+    /// Image of the task that serves.
+    pub serving: String,
+    /// The verdict.
+    pub verdict: PairVerdict,
+}
+
 /// A decision, for the log.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Note {
--- a/components/flow/src/ends.rs
+++ b/components/flow/src/ends.rs
@@ -86,7 +86,7 @@
         if !is_current {
             self.stop_copy(now_ms, key);
         }
-        self.close_if_over(now_ms, key);
+        self.close_if_over(key);
     }
 
     /// Judges the worker by the end of a run.
@@ -150,13 +150,13 @@
         }
     }
 
-    fn close_if_over(&mut self, now_ms: u64, key: &TaskKey) {
+    fn close_if_over(&mut self, key: &TaskKey) {
         let is_over = self
             .flows
             .get(&key.job)
             .is_some_and(|state| state.end().is_some() && state.is_durable());
         if is_over {
-            self.finish(now_ms, &key.job);
+            self.finish(&key.job);
         }
     }
 }
--- a/components/flow/src/lib.rs
+++ b/components/flow/src/lib.rs
@@ -25,7 +25,7 @@
 mod worker;
 
 pub use config::{FlowConfig, Pool, Queue};
-pub use effect::{Effect, Note, NoteKind, RunRef, StartText};
+pub use effect::{Effect, Judgement, Note, NoteKind, RunRef, StartText};
 pub use health::Health;
 pub use job::{FlowEnd, FlowJob, FlowPhase, FlowRow, QueueKey};
 pub use lease::{ClockSample, LeaseTerms};
--- a/components/flow/src/orders.rs
+++ b/components/flow/src/orders.rs
@@ -81,7 +81,7 @@
             let view = self.worker_mut(agent);
             view.not_before_ms = now_ms + REFUSED_PAUSE_MS;
         }
-        self.finish(now_ms, &key.job);
+        self.finish(&key.job);
     }
 
     /// Takes a worker's answer to a stop: from now on the run can't start there any more.
--- a/components/flow/src/protect.rs
+++ b/components/flow/src/protect.rs
@@ -3,7 +3,7 @@
 
 use crate::scheduler::run_ref;
 use crate::view::Held;
-use crate::{Effect, NoteKind, PairVerdict, RunningTask, Scheduler, Stage, TaskKey};
+use crate::{Effect, Judgement, NoteKind, PairVerdict, RunningTask, Scheduler, Stage, TaskKey};
 use model::AgentId;
 use utils::Map;
 
@@ -230,9 +230,12 @@
         let held = &view.held;
         view.latencies.retain(|key, _| held.contains_key(key));
         for (filler, serving, verdict) in self.pairs.take_verdicts() {
-            let agent = agent.clone();
-            self.effects
-                .push(Effect::Judged(agent, filler, serving, verdict));
+            self.effects.push(Effect::Judged(Judgement {
+                agent: agent.clone(),
+                filler,
+                serving,
+                verdict,
+            }));
         }
     }
 
--- a/components/flow/src/reports.rs
+++ b/components/flow/src/reports.rs
@@ -242,7 +242,7 @@
                         "neither running nor ended",
                     );
                     self.unplace(key, now_ms);
-                    self.finish(now_ms, &key.job);
+                    self.finish(&key.job);
                 }
             }
             Stage::Stopping {
@@ -258,7 +258,7 @@
                         "stopped before it began",
                     );
                     self.unplace(key, now_ms);
-                    self.finish(now_ms, &key.job);
+                    self.finish(&key.job);
                 }
             }
             Stage::Stopping {
--- a/components/flow/src/scheduler.rs
+++ b/components/flow/src/scheduler.rs
@@ -179,7 +179,7 @@
 
     /// Takes note that records are durable: orders the starts that waited for them, and lets go
     /// of the ends.
-    pub fn on_committed(&mut self, now_ms: u64, rows: &[RecordRow]) {
+    pub fn on_committed(&mut self, rows: &[RecordRow]) {
         for row in rows {
             let Some(state) = self.flows.get_mut(&row.job) else {
                 continue;
@@ -189,7 +189,7 @@
         }
         self.acknowledge();
         for row in rows {
-            self.finish(now_ms, &row.job);
+            self.finish(&row.job);
         }
     }
 
@@ -259,7 +259,7 @@
     }
 
     /// Hands on the end of a flow once it is durable and nothing of it runs.
-    pub(crate) fn finish(&mut self, _now_ms: u64, job: &JobId) {
+    pub(crate) fn finish(&mut self, job: &JobId) {
         let Some(state) = self.flows.get_mut(job) else {
             return;
         };
--- a/components/flow/tests/common/mod.rs
+++ b/components/flow/tests/common/mod.rs
@@ -440,7 +440,7 @@
             for row in &rows {
                 self.records.insert(row.job.clone(), row.text.clone());
             }
-            self.scheduler.on_committed(self.now_ms, &rows);
+            self.scheduler.on_committed(&rows);
         }
         self.scheduler.place(self.now_ms, 0);
         let rows = self.scheduler.take_commit(90);
--- a/components/flow_agent/src/relay.rs
+++ b/components/flow_agent/src/relay.rs
@@ -157,8 +157,9 @@
         }
         let info = self.info.clone();
         let known_ms = info.as_ref().map(|info| info.incarnation.born_ms);
-        let is_meant = request.born_ms.is_some() && request.born_ms == known_ms;
-        let is_meant = is_meant || (known_ms.is_none() && request.born_ms.is_some());
+        let is_meant = request
+            .born_ms
+            .is_some_and(|meant_ms| known_ms.is_none_or(|known_ms| known_ms == meant_ms));
         let call = HoldCall {
             fence: request.fence,
             lease_until_clock_ms: request.lease_until_clock_ms.filter(|_| is_meant),
--- a/components/flow_entry/src/commits.rs
+++ b/components/flow_entry/src/commits.rs
@@ -2,7 +2,7 @@
 
 use crate::coordinator::Coordinator;
 use crate::lead::{Lead, encode};
-use crate::messages::{CommitAgain, CommitDone, InFlight, SettleCommit, Tidied};
+use crate::messages::{CommitAgain, CommitDone, InFlight, Pump, SettleCommit, Tidied};
 use crate::metrics::Metrics;
 use crate::reads::read_row;
 use crate::rows::{LEARNT_KEY, LEASE_KEY, LeaseRow, cancel_key, flow_key, record_key};
@@ -19,8 +19,8 @@
 /// Longest time between two commits: each one proves that nobody else is the scheduler, in
 /// milliseconds.
 const RENEW_MS: u64 = 500;
-/// Time for which events are gathered before tasks are placed.
-const GATHER: Duration = Duration::from_millis(2);
+/// Time after which a release that found a commit on its way is tried again.
+const RELEASE_PAUSE: Duration = Duration::from_millis(2);
 /// Pause before a commit that failed is sent again, for each try so far.
 const AGAIN_PAUSE: Duration = Duration::from_millis(40);
 /// Tries that lengthen the pause.
@@ -54,18 +54,13 @@
         self.pump(context);
     }
 
-    /// Plans a look at what can be placed.
+    /// Plans a look at what can be placed, after the messages that already wait.
     pub(crate) fn pump_soon(&mut self, context: &mut Context<Self>) {
         let Some(lead) = self.lead.as_mut().filter(|lead| !lead.pump_planned) else {
             return;
         };
         lead.pump_planned = true;
-        context.run_later(GATHER, |coordinator, context| {
-            if let Some(lead) = coordinator.lead.as_mut() {
-                lead.pump_planned = false;
-            }
-            coordinator.pump(context);
-        });
+        context.notify(Pump);
     }
 
     /// Places what can be placed, commits what changed, and orders what is durable.
@@ -187,7 +182,7 @@
                 after_ms = spent_ms
             );
         }
-        lead.scheduler.on_committed(now_ms, &done.rows);
+        lead.scheduler.on_committed(&done.rows);
         if done.released {
             self.step_down("released", context);
         } else if !self.stopping {
@@ -218,8 +213,9 @@
                 }
                 Effect::Ended(job, phase) => self.on_ended(job, phase),
                 Effect::StepDown => self.step_down("a start was fenced off", context),
-                Effect::Judged(agent, filler, serving, verdict) => {
-                    log_event!(info, Event::PairJudged, agent = %agent, filler, serving, verdict = %verdict);
+                Effect::Judged(pair) => {
+                    log_event!(info, Event::PairJudged, agent = %pair.agent, filler = pair.filler,
+                        serving = pair.serving, verdict = %pair.verdict);
                 }
                 Effect::Note(note) => self.log_note(&note),
             }
@@ -304,7 +300,7 @@
             .as_ref()
             .is_some_and(|lead| lead.in_flight.is_some());
         if is_busy {
-            context.run_later(GATHER, Self::release);
+            context.run_later(RELEASE_PAUSE, Self::release);
             return;
         }
         let rows = match self.lead.as_mut() {
@@ -322,6 +318,17 @@
     })
 }
 
+impl Handler<Pump> for Coordinator {
+    type Result = ();
+
+    fn handle(&mut self, _: Pump, context: &mut Self::Context) {
+        if let Some(lead) = self.lead.as_mut() {
+            lead.pump_planned = false;
+        }
+        self.pump(context);
+    }
+}
+
 impl Handler<CommitDone> for Coordinator {
     type Result = ();
 
--- a/components/flow_entry/src/messages.rs
+++ b/components/flow_entry/src/messages.rs
@@ -164,6 +164,11 @@
     pub rows: Result<Vec<Row>, StoreError>,
 }
 
+/// Looks at what can be placed.
+#[derive(Message)]
+#[rtype(result = "()")]
+pub(crate) struct Pump;
+
 /// What came of a group commit.
 #[derive(Message)]
 #[rtype(result = "()")]
