--- a/components/flow/tests/patterns.rs
+++ b/components/flow/tests/patterns.rs
@@ -205,6 +205,27 @@
         );
     }
 
+    /// The only worker is mostly free, and the filler is known to disturb what serves there.
+    #[test]
+    fn an_idle_flow_starts_within_three_seconds_while_the_pool_is_mostly_free() {
+        let mut sim = Sim::new(1);
+        let service = StepSpec {
+            tasks: 1,
+            ..service("fragile")
+        };
+        sim.submit("s1", vec![service]);
+        sim.run_for(400);
+        let mut pairs = flow::Pairs::default();
+        pairs.on_rise(&["loud"], "fragile");
+        sim.scheduler.set_learnt(pairs);
+        let job = sim.submit("loud", vec![filler("loud")]);
+        sim.run_for(3_000);
+        assert!(
+            sim.running(&job) > 0 || sim.completed() > 0,
+            "the flow waits"
+        );
+    }
+
     #[test]
     fn a_filler_with_no_other_place_runs_all_the_same() {
         let mut sim = Sim::new(1);
