Text of metrics stands once; a success resets a worker's health plainly

No change of behaviour: the two roles for flows built the same end of their metrics' text (telemetry::metrics_text now). clippy, the tests of the touched crates and flows (10) pass.

--- a/components/flow/src/health.rs
+++ b/components/flow/src/health.rs
@@ -35,11 +35,7 @@
     /// assert!(!health.probation);
     /// ```
     pub fn on_success(&mut self) {
-        let paused_until_ms = 0;
-        *self = Self {
-            paused_until_ms,
-            ..Self::default()
-        };
+        *self = Self::default();
     }
 
     /// Takes a failure; answers whether the worker is set aside for it.
--- a/components/flow_agent/src/metrics.rs
+++ b/components/flow_agent/src/metrics.rs
@@ -2,10 +2,8 @@
 
 use flow::StartOutcome;
 use prometheus_client::encoding::EncodeLabelSet;
-use prometheus_client::encoding::text::encode;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
-use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
 use prometheus_client::registry::Registry;
 
@@ -57,16 +55,6 @@
             "Time for which the worker held a poll",
             self.hold_seconds.clone(),
         );
-        let dropped: Gauge = Gauge::default();
-        dropped.set(telemetry::dropped_lines() as i64);
-        registry.register(
-            "log_lines_dropped",
-            "Lines of the log that found no room",
-            dropped,
-        );
-        let mut text = String::new();
-        // Writing into a string can't fail.
-        let _ = encode(&mut text, &registry);
-        text
+        telemetry::metrics_text(registry)
     }
 }
--- a/components/flow_entry/src/metrics.rs
+++ b/components/flow_entry/src/metrics.rs
@@ -1,7 +1,6 @@
 //! Metrics of an entry that takes flows.
 
 use prometheus_client::encoding::EncodeLabelSet;
-use prometheus_client::encoding::text::encode;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
 use prometheus_client::metrics::gauge::Gauge;
@@ -106,16 +105,6 @@
             "Time from acceptance to end",
             self.flow_seconds.clone(),
         );
-        let dropped: Gauge = Gauge::default();
-        dropped.set(telemetry::dropped_lines() as i64);
-        registry.register(
-            "log_lines_dropped",
-            "Lines of the log that found no room",
-            dropped,
-        );
-        let mut text = String::new();
-        // Writing into a string can't fail.
-        let _ = encode(&mut text, &registry);
-        text
+        telemetry::metrics_text(registry)
     }
 }
--- a/components/telemetry/src/lib.rs
+++ b/components/telemetry/src/lib.rs
@@ -4,11 +4,13 @@
 mod exporter;
 mod format;
 mod init;
+mod metrics_text;
 mod trace;
 
 pub use event::Event;
 pub use format::LogFormat;
 pub use init::{dropped_lines, init, init_quiet};
+pub use metrics_text::metrics_text;
 pub use trace::{adopt_parent, traceparent};
 pub use tracing;
 /// Writes the lines that are left when it is dropped.
