A worker that failed its starts gets work again although tasks that last stayed on it

Workers that fail starts for some seconds are set aside and come back on probation, which allowed work only while they held nothing; tasks that last never leave, so that such workers got none for ever. Also each late failure of a run that was there before lengthened the pause again, up to 12 s.

Change: only runs given since the last pause count as trials; a task that lasts and is at work for 1 s is a success; failures during a pause are not counted again; longest pause 4 s (12 s), as a task that lasts has to run again within 6 s.

Red first: recovered_worker::it_gets_work_again_although_it_is_never_empty, (0, 0) for (1, 2); green now.

--- a/components/flow/src/health.rs
+++ b/components/flow/src/health.rs
@@ -8,8 +8,9 @@
 const FLOWS: usize = 2;
 /// How long a worker is set aside the first time, in milliseconds.
 const FIRST_PAUSE_MS: u64 = 3_000;
-/// Longest time for which a worker is set aside, in milliseconds.
-const LONGEST_PAUSE_MS: u64 = 12_000;
+/// Longest time for which a worker is set aside, in milliseconds: a task that lasts has to run again
+/// within 6 s, on a worker that has recovered too.
+const LONGEST_PAUSE_MS: u64 = 4_000;
 
 /// Whether a worker does what it is told.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
@@ -22,7 +23,7 @@
     pauses: u32,
     /// Time until which it gets no work.
     pub paused_until_ms: u64,
-    /// Whether it has to show one success before it gets more than one run.
+    /// Whether it has to show one success before it gets more than one new run at a time.
     pub probation: bool,
 }
 
@@ -38,7 +39,8 @@
         *self = Self::default();
     }
 
-    /// Takes a failure; answers whether the worker is set aside for it.
+    /// Takes a failure; answers whether the worker is set aside for it. Failures while it is set
+    /// aside are of runs that it had before, and say nothing new.
     ///
     /// ```
     /// let mut health = flow::Health::default();
@@ -47,6 +49,9 @@
     /// assert!(health.on_failure(0, &"b".into()));
     /// ```
     pub fn on_failure(&mut self, now_ms: u64, job: &JobId) -> bool {
+        if now_ms < self.paused_until_ms {
+            return false;
+        }
         self.failures += 1;
         if !self.failed.contains(job) && self.failed.len() < FLOWS {
             self.failed.push(job.clone());
@@ -75,12 +80,13 @@
         self.failed.clear();
     }
 
-    /// Whether the worker may be given a run while it has `held` of them.
+    /// Whether the worker may be given a run while it has `trials` that it was given since it was
+    /// last set aside; older ones, which may last for ever, do not count.
     ///
     /// ```
     /// assert!(flow::Health::default().takes_work(0, 10));
     /// ```
-    pub fn takes_work(&self, now_ms: u64, held: usize) -> bool {
-        now_ms >= self.paused_until_ms && (!self.probation || held == 0)
+    pub fn takes_work(&self, now_ms: u64, trials: usize) -> bool {
+        now_ms >= self.paused_until_ms && (!self.probation || trials == 0)
     }
 }
--- a/components/flow/src/progress.rs
+++ b/components/flow/src/progress.rs
@@ -1,5 +1,6 @@
 //! Watches the progress of runs: a worker may run tasks that stand still.
 
+use crate::view::Held;
 use crate::{NoteKind, RunningTask, Scheduler, Stage, TaskKey};
 use model::AgentId;
 use utils::Map;
@@ -12,7 +13,9 @@
 /// worker that is ten times slower than declared.
 const STALL_PERCENT: u64 = 10;
 /// Progress of a long-running task that is at work.
-const AT_WORK_PERCENT: u32 = 100;
+pub(crate) const AT_WORK_PERCENT: u32 = 100;
+/// Time at work after which a long-running task counts as a success of its worker, in milliseconds.
+const PROVEN_MS: u64 = 1_000;
 
 impl Scheduler {
     /// Stops runs that stand still, so that they resume elsewhere, and sets their worker aside.
@@ -51,6 +54,28 @@
         }
     }
 
+    /// Takes a long-running task that has been at work for a while as a success of a worker on
+    /// probation; it has no end that would tell.
+    pub(crate) fn prove_worker(
+        &mut self,
+        now_ms: u64,
+        agent: &AgentId,
+        running: &Map<&TaskKey, &RunningTask>,
+    ) {
+        let Some(view) = self.fleet.workers.get_mut(agent) else {
+            return;
+        };
+        let since_ms = view.health.paused_until_ms;
+        let is_proof = |(key, held): (&TaskKey, &Held)| {
+            let run = running.get(key);
+            let is_at_work = run.is_some_and(|run| run.percent >= AT_WORK_PERCENT);
+            is_at_work && held.since_ms >= since_ms && now_ms >= held.since_ms + PROVEN_MS
+        };
+        if view.health.probation && view.held.iter().any(is_proof) {
+            view.health.on_success();
+        }
+    }
+
     fn is_stalled(&self, now_ms: u64, agent: &AgentId, key: &TaskKey) -> bool {
         let Some(state) = self.flows.get(&key.job) else {
             return false;
--- a/components/flow/src/protect.rs
+++ b/components/flow/src/protect.rs
@@ -1,6 +1,7 @@
 //! Protects tasks that serve callers from the fillers beside them: learns which ones disturb,
 //! moves those elsewhere, and slows them down where there is no elsewhere.
 
+use crate::progress::AT_WORK_PERCENT;
 use crate::scheduler::run_ref;
 use crate::view::Held;
 use crate::{Effect, Judgement, NoteKind, PairVerdict, RunningTask, Scheduler, Stage, TaskKey};
@@ -32,8 +33,6 @@
 const HARMLESS_PERCENT: u32 = 50;
 /// Share of its target that a latency is taken to have before it was measured, in percent.
 const FIRST_BASE_PERCENT: u32 = 35;
-/// Progress of a task that is at work.
-const AT_WORK_PERCENT: u32 = 100;
 /// Progress up to which a filler that saves nothing is moved, in percent.
 const CHEAP_MOVE_PERCENT: u32 = 30;
 
--- a/components/flow/src/reports.rs
+++ b/components/flow/src/reports.rs
@@ -55,6 +55,7 @@
         self.compare(times, agent, &running, report.has_more_ends);
         self.find_strays(times.now_ms, agent, &running);
         self.worker_mut(agent).synced = !report.has_more_ends;
+        self.prove_worker(times.now_ms, agent, &running);
         self.watch_progress(times.now_ms, agent, &running);
         self.protect(times.now_ms, agent, &running);
         self.acknowledge();
--- a/components/flow/src/suit.rs
+++ b/components/flow/src/suit.rs
@@ -50,7 +50,7 @@
         let takes_work = |view: &&WorkerView| {
             view.synced
                 && now_ms >= view.not_before_ms
-                && view.health.takes_work(now_ms, view.held.len())
+                && view.health.takes_work(now_ms, view.trials())
         };
         let workers = self.fleet.workers.iter();
         workers
--- a/components/flow/src/view.rs
+++ b/components/flow/src/view.rs
@@ -120,6 +120,13 @@
         i64::from(capacity_milli) - used.sum::<i64>() - stray_milli
     }
 
+    /// Runs that were placed there since it was last set aside.
+    pub fn trials(&self) -> usize {
+        let since_ms = self.health.paused_until_ms;
+        let held = self.held.values();
+        held.filter(|held| held.since_ms >= since_ms).count()
+    }
+
     /// Whether a task that serves callers runs there.
     pub fn serves(&self) -> bool {
         let mut held = self.held.values();
--- a/components/flow/tests/common/mod.rs
+++ b/components/flow/tests/common/mod.rs
@@ -26,6 +26,8 @@
     Sound,
     /// Every run fails after 100 ms.
     FailsAll,
+    /// Every run that begins from this time on fails after 100 ms; older ones go on.
+    FailsFrom(u64),
     /// Runs make no progress.
     Hangs,
     /// Nobody reaches it; its runs go on until their lease is over.
@@ -343,8 +345,13 @@
         if worker.mode == Mode::Hangs {
             return;
         }
-        let fails = worker.mode == Mode::FailsAll || is_hopeless;
         let run = worker.running.get_mut(key).unwrap();
+        let is_faulty = match worker.mode {
+            Mode::FailsAll => true,
+            Mode::FailsFrom(from_ms) => run.begun_ms >= from_ms,
+            Mode::Sound | Mode::Hangs | Mode::CutOff => false,
+        };
+        let fails = is_faulty || is_hopeless;
         run.done_milli += STEP_MS * 1_000 * u64::from(run.pace) / 100 / run_ms;
         if fails && now_ms >= run.begun_ms + 100 {
             worker.end(key, RunEnd::Failed);
--- a/components/flow/tests/patterns.rs
+++ b/components/flow/tests/patterns.rs
@@ -72,6 +72,39 @@
     }
 }
 
+/// A worker that fails what it starts for a while, and goes on with tasks that last.
+mod recovered_worker {
+    use crate::common::{Mode, Sim, step};
+    use flow::StepSpec;
+
+    /// A task that lasts has to run again 6 s after its last run.
+    const AGAIN_MS: u64 = 6_000;
+
+    fn lasting(tasks: u32) -> StepSpec {
+        StepSpec {
+            long_running: true,
+            ..step(tasks, 4_000, 100)
+        }
+    }
+
+    #[test]
+    fn it_gets_work_again_although_it_is_never_empty() {
+        let mut sim = Sim::new(1);
+        let old = sim.submit("old", vec![lasting(1)]);
+        sim.run_for(500);
+        assert_eq!(sim.running(&old), 1);
+        sim.workers.get_mut(&"w0".into()).unwrap().mode = Mode::FailsFrom(sim.now_ms);
+        let first = sim.submit("first", vec![lasting(1)]);
+        let second = sim.submit("second", vec![lasting(2)]);
+        sim.run_for(6_000);
+        sim.workers.get_mut(&"w0".into()).unwrap().mode = Mode::Sound;
+        sim.run_for(AGAIN_MS);
+        assert_eq!(sim.running(&old), 1, "what was there goes on");
+        let running = (sim.running(&first), sim.running(&second));
+        assert_eq!(running, (1, 2), "what waits is started again");
+    }
+}
+
 /// A worker whose tasks stand still while it looks well.
 mod hanging_worker {
     use crate::common::{Mode, Sim, step};
