--- a/components/agent/src/attempts.rs
+++ b/components/agent/src/attempts.rs
@@ -123,9 +123,6 @@
         if !self.owners.adopt(message.owner) {
             return MessageResult(vec![StartResult::StaleOwner; message.orders.len()]);
         }
-        if self.is_draining() {
-            return MessageResult(vec![StartResult::Refused; message.orders.len()]);
-        }
         let now_ms = self.clock.now_ms();
         let mut results = Vec::with_capacity(message.orders.len());
         for order in &message.orders {
@@ -144,6 +141,7 @@
                 }
                 OrderDecision::Known => StartResult::Accepted,
                 OrderDecision::Refuse => StartResult::Refused,
+                OrderDecision::Unready => StartResult::Unready,
             });
         }
         self.metrics.attempts.set(self.ledger.held().count() as i64);
--- a/components/agent/src/control.rs
+++ b/components/agent/src/control.rs
@@ -104,11 +104,6 @@
         }
     }
 
-    /// Whether the agent shuts down.
-    pub(crate) fn is_draining(&self) -> bool {
-        self.draining
-    }
-
     /// Grants freed slots to waiting requests.
     pub(crate) fn settle_waiting(&mut self) {
         for (id, outcome) in self.requests.advance(self.clock.now_ms()) {
@@ -240,6 +235,7 @@
     fn handle(&mut self, _: Drain, context: &mut Self::Context) {
         log_event!(info, Event::DrainStarted, agent = %self.settings.id);
         self.draining = true;
+        self.ledger.close();
         if self.settings.drain.evict_batch {
             self.evict_all(&context.address());
         }
--- a/components/entry/src/orders.rs
+++ b/components/entry/src/orders.rs
@@ -205,7 +205,8 @@
                     let (workers, usage) = (&mut driver.workers, &mut driver.usage);
                     shard.on_refused(&answered.agent, attempt, workers, usage);
                 }
-                StartResult::StaleOwner => {}
+                // An order without a decision is due again by itself.
+                StartResult::StaleOwner | StartResult::Unready => {}
             }
         }
     }
--- a/components/ledger/src/book.rs
+++ b/components/ledger/src/book.rs
@@ -27,6 +27,8 @@
     ends: Map<AttemptRef, AttemptEnd>,
     /// Whether the runtime's attempts were read since the start; nothing is admitted before.
     synced: bool,
+    /// Whether the VM leaves; nothing new is admitted.
+    closed: bool,
 }
 
 impl Ledger {
@@ -47,9 +49,21 @@
             newest_order: VecDeque::new(),
             ends: Map::default(),
             synced: false,
+            closed: false,
         }
     }
 
+    /// Admits nothing new from now on, because the VM leaves.
+    ///
+    /// ```
+    /// let mut ledger = ledger::Ledger::new(model::Resources::new(1_000, 1_024, 0));
+    /// ledger.on_reports(0, &[]);
+    /// ledger.close();
+    /// ```
+    pub fn close(&mut self) {
+        self.closed = true;
+    }
+
     /// Whether the runtime's attempts were read since the start.
     pub fn is_synced(&self) -> bool {
         self.synced
@@ -107,7 +121,10 @@
         }
         let newest = self.newest.get(&attempt.task).copied().unwrap_or(0);
         let sibling_runs = self.held.keys().any(|held| held.task == attempt.task);
-        if !self.synced || newest > attempt.attempt || sibling_runs {
+        if !self.synced {
+            return OrderDecision::Unready;
+        }
+        if self.closed || newest > attempt.attempt || sibling_runs {
             return OrderDecision::Refuse;
         }
         let decision = self.room_for(order);
@@ -117,7 +134,9 @@
                 self.stop_all(victims);
                 HeldState::WaitingForRoom
             }
-            OrderDecision::Known | OrderDecision::Refuse => return decision,
+            OrderDecision::Known | OrderDecision::Refuse | OrderDecision::Unready => {
+                return decision;
+            }
         };
         self.note_newest(attempt);
         let held = Held {
@@ -260,15 +279,19 @@
         }
     }
 
-    /// Takes the runtime's own account of all attempts on the worker.
+    /// Takes the runtime's own account of all attempts on the worker. The first one also tells
+    /// which ended while no agent was there; their owners may not know.
     pub fn on_reports(&mut self, now_ms: u64, reports: &[AttemptReport]) {
-        self.synced = true;
+        let is_first = !std::mem::replace(&mut self.synced, true);
         for report in reports {
             let known = self.held.get_mut(&report.attempt);
             match (known, report.status) {
                 (Some(held), AttemptStatus::Running) => held.peak = held.peak.max(&report.peak),
                 (Some(_), status) => self.ended(now_ms, &report.attempt, end_kind(status)),
                 (None, AttemptStatus::Running) => self.take_in(now_ms, report),
+                (None, status) if is_first => {
+                    self.ended(now_ms, &report.attempt, end_kind(status));
+                }
                 (None, _) => {}
             }
         }
--- a/components/ledger/src/order.rs
+++ b/components/ledger/src/order.rs
@@ -11,6 +11,8 @@
     Known,
     /// Start it once these have been checkpointed and stopped.
     Preempt(Vec<AttemptRef>),
-    /// It does not fit, or a newer attempt was seen.
+    /// It does not fit, the VM leaves, or a newer attempt was seen; it never ran here.
     Refuse,
+    /// The runtime's attempts were not read yet, so that nobody knows whether it ran.
+    Unready,
 }
--- a/components/ledger/tests/ledger.rs
+++ b/components/ledger/tests/ledger.rs
@@ -41,7 +41,7 @@
         steps in prop::collection::vec((0..6_u32, 1..5_u32, need(), any::<bool>(), 0..4_u8), 1..80)
     ) {
         let mut ledger = Ledger::new(CAPACITY);
-        prop_assert_eq!(ledger.order(0, &order(0, 1, Resources::new(1, 1, 0), false)), OrderDecision::Refuse);
+        prop_assert_eq!(ledger.order(0, &order(0, 1, Resources::new(1, 1, 0), false)), OrderDecision::Unready);
         ledger.on_reports(0, &[]);
         let mut newest = [0_u32; 6];
         for (now_ms, (task, number, need, urgent, what)) in steps.into_iter().enumerate() {
@@ -105,6 +105,44 @@
     );
 }
 
+#[test]
+fn an_agent_that_leaves_refuses_only_what_never_ran_there() {
+    let small = Resources::new(1, 1, 0);
+    let mut ledger = Ledger::new(CAPACITY);
+    ledger.on_reports(0, &[]);
+    for task in [1, 2] {
+        let decision = ledger.order(1, &order(task, 1, small, false));
+        assert_eq!(decision, OrderDecision::Start);
+    }
+    ledger.close();
+    ledger.ended(2, &attempt(2, 1), EndKind::Checkpointed);
+    let mut decide = |task: u32| ledger.order(3, &order(task, 1, small, false));
+    assert_eq!(decide(1), OrderDecision::Known, "it is held");
+    assert_eq!(decide(2), OrderDecision::Known, "its end is to be told");
+    assert_eq!(decide(3), OrderDecision::Refuse, "it never ran");
+}
+
+#[test]
+fn an_agent_that_just_started_denies_nothing_that_ran_before_it() {
+    let small = Resources::new(1, 1, 0);
+    let mut ledger = Ledger::new(CAPACITY);
+    let decision = ledger.order(0, &order(1, 1, small, false));
+    assert_eq!(decision, OrderDecision::Unready, "nothing was read yet");
+    let ended = AttemptReport {
+        attempt: attempt(1, 1),
+        status: AttemptStatus::Checkpointed,
+        need: small,
+        peak: Resources::default(),
+    };
+    ledger.on_reports(1, std::slice::from_ref(&ended));
+    ledger.close();
+    let decision = ledger.order(2, &order(1, 1, small, false));
+    assert_eq!(decision, OrderDecision::Known, "it ended before the start");
+    ledger.confirm(&[attempt(1, 1)]);
+    ledger.on_reports(3, &[ended]);
+    assert!(!ledger.has_end(&attempt(1, 1)), "a confirmed end stays so");
+}
+
 fn kinds(names: &[(u32, &str)]) -> Vec<(AttemptRef, KindName)> {
     names
         .iter()
--- a/components/wire/src/attempts.rs
+++ b/components/wire/src/attempts.rs
@@ -31,6 +31,8 @@
     Refused,
     /// The order came from an entry that no longer owns the shard.
     StaleOwner,
+    /// The agent does not know yet whether the attempt ran here; order again.
+    Unready,
 }
 
 /// Order to stop an attempt.
--- a/tests/work.rs
+++ b/tests/work.rs
@@ -3,12 +3,15 @@
 mod common;
 
 use backing::AttemptStatus;
-use common::{Fleet, Plan, first_ticket, job, pause, wait_until};
+use batch::ShardRow;
+use common::{Fleet, LIMIT, Plan, first_ticket, job, pause, wait_until};
 use futures::future::join_all;
 use model::Resources;
 use serde_json::{Value, json};
+use settings::BatchSettings;
 use standin::{Faults, Relay, RelayMode, RunRecord};
 use std::collections::{HashMap, HashSet};
+use wire::{AdoptShard, AgentLink, StartOrder, StartResult};
 
 /// Asserts, by the runtime's own record, that every task succeeded exactly once and never ran in
 /// two places, and that no worker was committed beyond what it has.
@@ -542,11 +545,16 @@
         "its ends became durable"
     );
     check_runs(&fleet, 12);
+    check_resumes(&fleet);
+}
+
+/// Every attempt that was checkpointed has been resumed once, from its checkpoint.
+fn check_resumes(fleet: &Fleet) {
     let runs = fleet.platform.runs();
-    for run in runs
-        .iter()
-        .filter(|run| run.status == AttemptStatus::Checkpointed)
-    {
+    let is_checkpointed = |run: &&RunRecord| run.status == AttemptStatus::Checkpointed;
+    let checkpointed: Vec<&RunRecord> = runs.iter().filter(is_checkpointed).collect();
+    assert!(!checkpointed.is_empty(), "something was checkpointed");
+    for run in checkpointed {
         let resumed = runs.iter().filter(|next| {
             next.attempt.task == run.attempt.task
                 && next.attempt.attempt > run.attempt.attempt
@@ -556,6 +564,80 @@
     }
 }
 
+/// Orders the checkpointed attempts from the drained agent again, as an owner would that does not
+/// know of their ends.
+async fn order_checkpointed_anew(fleet: &Fleet) -> Vec<StartResult> {
+    let runs = fleet.platform.runs();
+    let is_checkpointed = |run: &&RunRecord| run.status == AttemptStatus::Checkpointed;
+    let orders: Vec<StartOrder> = runs
+        .iter()
+        .filter(is_checkpointed)
+        .map(|run| StartOrder {
+            attempt: run.attempt.clone(),
+            kind: "build".into(),
+            need: Resources::default(),
+            urgent: false,
+            payload: String::new(),
+            checkpoint: None,
+        })
+        .collect();
+    let shards = BatchSettings::default().shards;
+    let shard = orders[0].attempt.task.job.shard(shards);
+    let rows = fleet.platform.rows(&batch::shard_key(shard));
+    let row: ShardRow = serde_json::from_str(&rows[0].value).unwrap();
+    let owner = AdoptShard {
+        shard,
+        shards,
+        epoch: row.epoch,
+        owner: row.control,
+    };
+    let link = AgentLink::new(fleet.agents[2].control);
+    let call = link.call(LIMIT, |client, context| async move {
+        client.start_attempts(context, owner, orders).await
+    });
+    call.await.unwrap()
+}
+
+#[actix_rt::test]
+async fn a_drain_that_no_owner_heard_of_keeps_its_checkpoints() {
+    let mut fleet = Fleet::start(&Plan::default()).await;
+    fleet
+        .submit(0, &job("timetabling", "rebuild", 12, 5_000))
+        .await
+        .unwrap();
+    wait_until("tasks run", async || fleet.platform.runs().len() >= 12).await;
+    pause(500).await;
+    for entry in &fleet.entries {
+        entry.process.signal("STOP");
+    }
+    fleet.agents[2].process.signal("TERM");
+    wait_until("tasks are checkpointed", async || {
+        let runs = fleet.platform.runs();
+        runs.iter()
+            .any(|run| run.status == AttemptStatus::Checkpointed)
+    })
+    .await;
+    let results = order_checkpointed_anew(&fleet).await;
+    assert!(
+        results
+            .iter()
+            .all(|result| *result == StartResult::Accepted),
+        "what ran is not denied: {results:?}"
+    );
+    for index in 0..fleet.entries.len() {
+        fleet.entries[index].process.kill();
+        fleet.restart_entry(index);
+    }
+    let status = fleet.job_end(0, "timetabling.rebuild").await;
+    assert_eq!(status["succeeded"], 12, "{status}");
+    assert!(
+        fleet.agents[2].process.ended_well().await,
+        "its ends became durable"
+    );
+    check_runs(&fleet, 12);
+    check_resumes(&fleet);
+}
+
 #[actix_rt::test]
 async fn a_cut_off_entry_asks_for_no_callers_and_serves_who_comes() {
     let ports = cluster::free_ports(2).unwrap();
