--- a/components/flow/tests/common/mod.rs
+++ b/components/flow/tests/common/mod.rs
@@ -39,7 +39,7 @@
 struct ModelRun {
     run: u32,
     begun_ms: u64,
-    done_milli: u64,
+    done_micro: u64,
     pace: u32,
 }
 
@@ -352,10 +352,10 @@
             Mode::Sound | Mode::Hangs | Mode::CutOff => false,
         };
         let fails = is_faulty || is_hopeless;
-        run.done_milli += STEP_MS * 1_000 * u64::from(run.pace) / 100 / run_ms;
+        run.done_micro += STEP_MS * 10_000 * u64::from(run.pace) / run_ms;
         if fails && now_ms >= run.begun_ms + 100 {
             worker.end(key, RunEnd::Failed);
-        } else if run.done_milli >= 1_000 && !spec.long_running {
+        } else if run.done_micro >= 1_000_000 && !spec.long_running {
             worker.end(key, RunEnd::Done);
         }
     }
@@ -412,7 +412,7 @@
                 percent: if is_at_work {
                     100
                 } else {
-                    (run.done_milli / 10).min(99) as u32
+                    (run.done_micro / 10_000).min(99) as u32
                 },
                 load: if spec.latency_target_ms.is_some() {
                     latency
@@ -516,7 +516,7 @@
         let began = ModelRun {
             run: run.run,
             begun_ms: now_ms,
-            done_milli: 0,
+            done_micro: 0,
             pace: 100,
         };
         worker.running.insert(run.task.clone(), began);
