--- a/components/flow_agent/src/relay.rs
+++ b/components/flow_agent/src/relay.rs
@@ -19,6 +19,8 @@
     info: Option<WorkerInfo>,
     /// Number of that heartbeat.
     sequence: u64,
+    /// Newest life of the worker of which its own lists told.
+    listed_born_ms: Option<u64>,
     /// Highest fencing token seen.
     fence: u64,
     /// Whether the worker answered last time.
@@ -34,6 +36,7 @@
             worker,
             info: None,
             sequence: 0,
+            listed_born_ms: None,
             fence: 0,
             is_up: true,
             metrics,
@@ -49,6 +52,13 @@
         fence < self.fence
     }
 
+    /// Newest life of the worker, by its heartbeats and its lists.
+    fn born_ms(&self) -> Option<u64> {
+        let info = self.info.as_ref();
+        let heard_ms = info.map(|info| info.incarnation.born_ms);
+        heard_ms.max(self.listed_born_ms)
+    }
+
     fn is_draining(&self) -> bool {
         self.info.as_ref().is_some_and(|info| info.draining)
     }
@@ -130,12 +140,15 @@
 struct Seen {
     /// Whether it answered.
     up: bool,
+    /// The life of which its lists told, if it gave any.
+    born_ms: Option<u64>,
 }
 
 impl Handler<Seen> for Relay {
     type Result = ();
 
     fn handle(&mut self, seen: Seen, _: &mut Self::Context) {
+        self.listed_born_ms = self.listed_born_ms.max(seen.born_ms);
         if seen.up != self.is_up {
             let event = if seen.up {
                 Event::WorkerUp
@@ -156,10 +169,8 @@
             return Box::pin(async { PollReply::Fenced });
         }
         let info = self.info.clone();
-        let known_ms = info.as_ref().map(|info| info.incarnation.born_ms);
-        let is_meant = request
-            .born_ms
-            .is_some_and(|meant_ms| known_ms.is_none_or(|known_ms| known_ms == meant_ms));
+        // Ends are numbered anew in each life: those of one life are not acknowledged to another.
+        let is_meant = request.born_ms.is_some() && request.born_ms == self.born_ms();
         let call = HoldCall {
             fence: request.fence,
             lease_until_clock_ms: request.lease_until_clock_ms.filter(|_| is_meant),
@@ -176,7 +187,11 @@
             let spent_ms = boot_ms().saturating_sub(began_ms);
             metrics.hold_seconds.observe(spent_ms as f64 / 1_000.0);
             let refused = matches!(held, Err(WorkerError::Refused));
-            relay.do_send(Seen { up: !refused });
+            let born_ms = held.as_ref().ok().map(|report| report.born_ms);
+            relay.do_send(Seen {
+                up: !refused,
+                born_ms,
+            });
             match held {
                 Ok(report) => PollReply::Alive { info, report },
                 Err(WorkerError::Refused) => PollReply::Absent,
@@ -200,10 +215,12 @@
         if self.is_fenced(order.fence) {
             return Box::pin(async { StartOutcome::Fenced });
         }
-        let other_life = self
-            .info
-            .as_ref()
-            .is_some_and(|info| info.incarnation != order.incarnation);
+        let meant = &order.incarnation;
+        let is_other = |info: &WorkerInfo| info.incarnation.worker != meant.worker;
+        let is_newer = self
+            .born_ms()
+            .is_some_and(|born_ms| born_ms != meant.born_ms);
+        let other_life = is_newer || self.info.as_ref().is_some_and(is_other);
         if self.is_draining() || other_life {
             log_event!(info, Event::OrderRefused, agent = %self.agent, task = %order.task,
                 run = order.run, draining = self.is_draining(), other_life);
--- a/tests/flows.rs
+++ b/tests/flows.rs
@@ -1,15 +1,13 @@
 //! Flows on the platform: real processes, and stand-ins of the platform by its protocol.
 
 mod common;
-#[path = "../platform/tests/common/mod.rs"]
-mod standins;
 
 use awc::Client;
 use common::{Process, pause};
+use platform_standin::store::{StoreMode, StoreStandIn};
+use platform_standin::worker::{Execution, WorkerStandIn};
+use platform_standin::{AgentAddresses, EntryAddresses, READY_PATH, job};
 use serde_json::{Value, json};
-use standins::store::{StoreMode, StoreStandIn};
-use standins::worker::{Execution, WorkerStandIn};
-use standins::{AgentAddresses, EntryAddresses, READY_PATH, job};
 use std::collections::BTreeMap;
 use std::path::PathBuf;
 use std::time::{Duration, Instant};
@@ -61,7 +59,7 @@
     async fn start(entries: usize, agents: usize) -> Self {
         let folder = TempDir::new().unwrap();
         let store = StoreStandIn::start();
-        store.put("op", "", "config", &standins::config(3));
+        store.put("op", "", "config", &platform_standin::config(3));
         let entries = (0..entries).map(|number| {
             let addresses = EntryAddresses::free();
             let id = format!("e{number}");
@@ -408,6 +406,32 @@
     fleet.check();
 }
 
+#[actix_rt::test]
+async fn an_end_in_a_new_life_of_a_worker_is_not_forgotten_unread() {
+    let fleet = Fleet::start(1, 1).await;
+    let ids = ids(2);
+    fleet.submit(0, &ids[0], &job(2, 100)).await;
+    fleet.until_completed(&ids[..1]).await;
+    // The agent learns of the new life by the worker's lists alone.
+    fleet.workers[0].set_muted(true);
+    pause(300).await;
+    fleet.workers[0].crash();
+    fleet.submit(0, &ids[1], &job(2, 100)).await;
+    pause(1_500).await;
+    fleet.workers[0].set_muted(false);
+    fleet.until_completed(&ids).await;
+    let noted = fleet.executions().into_iter().filter(|run| run.is_noted);
+    let mut done: Vec<String> = noted.map(|run| run.task).collect();
+    let count = done.len();
+    done.sort();
+    done.dedup();
+    assert_eq!(
+        done.len(),
+        count,
+        "no task ran after a success that was noted"
+    );
+}
+
 #[actix_rt::test]
 async fn a_draining_worker_gets_nothing_new() {
     let fleet = Fleet::start(1, 2).await;
