--- /dev/null
+++ b/components/bench/src/deciding.rs
@@ -0,0 +1,172 @@
+//! Deciding time of the scheduler of flows by number of workers.
+
+use crate::bounds::bound;
+use crate::results::{Bound, Results};
+use flow::{
+    FlowConfig, FlowJob, FlowSpec, Incarnation, Pool, Queue, QueueKey, ReportTimes, Scheduler,
+    StepSpec, WorkerInfo, WorkerReport,
+};
+use model::Resources;
+use std::time::Instant;
+
+/// Numbers of workers that are measured.
+const WORKERS: [usize; 4] = [11, 56, 75, 620];
+/// Number of workers that the users plan with.
+const PLANNED: usize = 620;
+/// Processors of a worker, in thousandths.
+const PROCESSORS_MILLI: u32 = 64_000;
+/// Memory of a worker, in megabytes.
+const MEMORY_MB: u32 = 256_000;
+/// Images of tasks that serve; the sites' sheets have some ten.
+const SERVING_IMAGES: usize = 10;
+/// Images of fillers.
+const FILLER_IMAGES: usize = 12;
+/// Tasks that serve on each worker.
+const SERVING_PER_WORKER: usize = 2;
+/// Tasks of a flow whose placement is measured.
+const TASKS: u32 = 10;
+/// Flows whose placement is measured, of each kind.
+const FLOWS: usize = 20;
+/// Time between two looks at what can be placed, in milliseconds.
+const PUMP_MS: u64 = 20;
+
+fn queue() -> QueueKey {
+    QueueKey {
+        host: "a.example".to_owned(),
+        prefix: "/q/".to_owned(),
+    }
+}
+
+fn config() -> FlowConfig {
+    FlowConfig {
+        version: 1,
+        queues: vec![Queue {
+            key: queue(),
+            service: "pool".into(),
+            priority: 0,
+            max_attempts: 3,
+            stretch: 2.0,
+            latency_target_ms: 500,
+        }],
+        pools: vec![Pool {
+            name: "pool".into(),
+            guards_capacity: true,
+            spare: false,
+        }],
+    }
+}
+
+fn info(number: usize) -> WorkerInfo {
+    WorkerInfo {
+        incarnation: Incarnation {
+            worker: format!("w{number}"),
+            born_ms: 1,
+        },
+        service: "pool".into(),
+        domain: "d".into(),
+        capacity: Resources::new(PROCESSORS_MILLI, MEMORY_MB, 0),
+        labels: vec!["a".to_owned(), format!("r{}", number / 10)],
+        draining: false,
+        drain_remaining_ms: None,
+    }
+}
+
+fn add(scheduler: &mut Scheduler, now_ms: u64, id: String, step: StepSpec) {
+    let job = FlowJob {
+        id: id.into(),
+        queue: queue(),
+        spec: FlowSpec {
+            payload: String::new(),
+            steps: vec![step],
+            schedule: None,
+        },
+        accepted_wall_ms: 0,
+    };
+    scheduler.add(now_ms, 0, job);
+}
+
+fn step(tasks: u32, processors_milli: u32) -> StepSpec {
+    StepSpec {
+        tasks,
+        need: Resources::new(processors_milli, 500, 0),
+        estimate_ms: 1_000,
+        ..StepSpec::default()
+    }
+}
+
+/// A scheduler whose workers all carry tasks that serve.
+fn loaded(workers: usize) -> Scheduler {
+    let mut scheduler = Scheduler::default();
+    scheduler.set_config(config());
+    let times = ReportTimes {
+        asked_ms: 1_000,
+        now_ms: 1_000,
+    };
+    for number in 0..workers {
+        let report = WorkerReport {
+            born_ms: 1,
+            clock_ms: 1_000,
+            running: Vec::new(),
+            ended: Vec::new(),
+            has_more_ends: false,
+        };
+        let agent = format!("a{number}").into();
+        scheduler.on_report(times, &agent, Some(info(number)), &report);
+    }
+    for number in 0..workers * SERVING_PER_WORKER / 2 {
+        let serving = StepSpec {
+            long_running: true,
+            latency_target_ms: Some(50),
+            image: Some(format!("serving{}", number % SERVING_IMAGES)),
+            ..step(2, PROCESSORS_MILLI / 4)
+        };
+        add(&mut scheduler, 1_000, format!("serving{number}"), serving);
+    }
+    place_all(&mut scheduler, 1_000);
+    scheduler
+}
+
+/// Places what waits; answers how many starts that gave.
+fn place_all(scheduler: &mut Scheduler, now_ms: u64) -> usize {
+    scheduler.place(now_ms, 0);
+    let rows = scheduler.take_commit(usize::MAX);
+    scheduler.on_committed(&rows);
+    let effects = scheduler.take_effects();
+    let is_start = |effect: &&flow::Effect| matches!(effect, flow::Effect::Start(..));
+    effects.iter().filter(is_start).count()
+}
+
+/// Time of a start among so many workers, in microseconds: placed, recorded and ordered.
+fn measure(workers: usize) -> f64 {
+    let mut scheduler = loaded(workers);
+    let (mut starts, mut spent_us) = (0, 0.0);
+    for number in 0..FLOWS {
+        let now_ms = 1_100 + number as u64 * PUMP_MS;
+        let plain = step(TASKS, 500);
+        let filler = StepSpec {
+            filler: true,
+            image: Some(format!("filler{}", number % FILLER_IMAGES)),
+            ..step(TASKS, 1_000)
+        };
+        add(&mut scheduler, now_ms, format!("plain{number}"), plain);
+        add(&mut scheduler, now_ms, format!("filler{number}"), filler);
+        let began = Instant::now();
+        starts += place_all(&mut scheduler, now_ms);
+        spent_us += began.elapsed().as_secs_f64() * 1e6;
+    }
+    spent_us / starts.max(1) as f64
+}
+
+/// Runs the measurement.
+pub fn run(results: &mut Results) {
+    let mut points = Vec::new();
+    for workers in WORKERS {
+        let took_us = measure(workers);
+        let most = Bound::AtMost(bound("deciding", "start_us_at_620"));
+        let most = (workers == PLANNED).then_some(most);
+        let subject = format!("{workers} workers");
+        results.add("deciding", &subject, "a start, us", took_us, most);
+        points.push((workers as f64, took_us));
+    }
+    results.plot("a start of a flow's task, us, by workers", "ours", points);
+}
--- a/components/bench/src/main.rs
+++ b/components/bench/src/main.rs
@@ -2,6 +2,7 @@
 
 mod bounds;
 mod cost;
+mod deciding;
 mod homes;
 mod hops;
 mod load;
@@ -9,6 +10,7 @@
 mod neighbour;
 mod order;
 mod placement;
+mod policy;
 mod report;
 mod requests;
 mod results;
@@ -29,6 +31,7 @@
     let good = match matches.subcommand() {
         Some(("requests", args)) => requests::run(&only(args)),
         Some(("work", args)) => work::run(&only(args)),
+        Some(("policy", args)) => policy::run(&only(args)),
         Some(("report", _)) => report::run(),
         Some(("node", args)) => cost::run_node(
             args.get_one::<PathBuf>("settings")
@@ -72,6 +75,11 @@
                 .about("Placement, routing, starts, takeover, noisy neighbour, order of batch work")
                 .arg(only()),
         )
+        .subcommand(
+            Command::new("policy")
+                .about("Deciding time of the scheduler of flows")
+                .arg(only()),
+        )
         .subcommand(Command::new("report").about("Write the last results as one HTML page"))
         .subcommand(
             Command::new("node").hide(true).arg(
--- a/components/bench/src/report.rs
+++ b/components/bench/src/report.rs
@@ -12,7 +12,7 @@
 
 /// Writes the page; answers whether there was anything to write.
 pub fn run() -> bool {
-    let found: Vec<(&str, Results)> = ["requests", "work"]
+    let found: Vec<(&str, Results)> = ["requests", "work", "policy"]
         .into_iter()
         .filter_map(|name| Some((name, Results::read(name)?)))
         .collect();
--- a/components/flow/src/pairs.rs
+++ b/components/flow/src/pairs.rs
@@ -40,8 +40,8 @@
 /// Evidence about pairs: of a filler's image and the image of a task that serves.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct Pairs {
-    /// Evidence by pair.
-    by_pair: Map<(String, String), Evidence>,
+    /// Evidence by the filler's image, then by the image that serves.
+    by_filler: Map<String, Map<String, Evidence>>,
     /// Whether anything changed since [`Pairs::take_changed`].
     changed: bool,
     /// Verdicts that changed since [`Pairs::take_verdicts`].
@@ -59,8 +59,8 @@
     /// assert_eq!(pairs.verdict("filler", "service"), flow::PairVerdict::Unknown);
     /// ```
     pub fn verdict(&self, filler: &str, serving: &str) -> PairVerdict {
-        let key = (filler.to_owned(), serving.to_owned());
-        let Some(evidence) = self.by_pair.get(&key) else {
+        let by_serving = self.by_filler.get(filler);
+        let Some(evidence) = by_serving.and_then(|by_serving| by_serving.get(serving)) else {
             return PairVerdict::Unknown;
         };
         if evidence.bad >= BAD_FROM && evidence.bad >= evidence.good * BAD_SHARE {
@@ -117,8 +117,8 @@
     fn add(&mut self, filler: &str, serving: &str, good: f64, bad: f64) {
         let before = self.verdict(filler, serving);
         self.changed = true;
-        let key = (filler.to_owned(), serving.to_owned());
-        let evidence = self.by_pair.entry(key).or_default();
+        let by_serving = self.by_filler.entry(filler.to_owned()).or_default();
+        let evidence = by_serving.entry(serving.to_owned()).or_default();
         evidence.good = (evidence.good + good).min(MOST);
         evidence.bad = (evidence.bad + bad).min(MOST);
         let after = self.verdict(filler, serving);
@@ -146,11 +146,12 @@
     /// assert_eq!(flow::Pairs::parse(&pairs.text()).unwrap().text(), pairs.text());
     /// ```
     pub fn text(&self) -> String {
-        let row = |((filler, serving), evidence): (&(String, String), &Evidence)| {
-            let Evidence { good, bad } = *evidence;
-            (filler.clone(), serving.clone(), good, bad)
-        };
-        let mut rows: Vec<PairRow> = self.by_pair.iter().map(row).collect();
+        let mut rows: Vec<PairRow> = Vec::new();
+        for (filler, by_serving) in &self.by_filler {
+            for (serving, Evidence { good, bad }) in by_serving {
+                rows.push((filler.clone(), serving.clone(), *good, *bad));
+            }
+        }
         rows.sort_by(|left, right| (&left.0, &left.1).cmp(&(&right.0, &right.1)));
         serde_json::to_string(&rows).unwrap_or_default()
     }
@@ -161,13 +162,11 @@
     /// The text is something else.
     pub fn parse(text: &str) -> Result<Self, serde_json::Error> {
         let rows: Vec<PairRow> = serde_json::from_str(text)?;
-        let by_pair = rows
-            .into_iter()
-            .map(|(filler, serving, good, bad)| ((filler, serving), Evidence { good, bad }))
-            .collect();
-        Ok(Self {
-            by_pair,
-            ..Self::default()
-        })
+        let mut pairs = Self::default();
+        for (filler, serving, good, bad) in rows {
+            let by_serving = pairs.by_filler.entry(filler).or_default();
+            by_serving.insert(serving, Evidence { good, bad });
+        }
+        Ok(pairs)
     }
 }
--- a/components/flow/src/place.rs
+++ b/components/flow/src/place.rs
@@ -171,8 +171,11 @@
                 continue;
             }
             let quiet = self.best_room(&key, service, rooms, None, Care::Full);
-            let Some(at) = quiet.or_else(|| self.best_room(&key, service, rooms, None, care))
-            else {
+            let any = || match care {
+                Care::Full => None,
+                Care::Little => self.best_room(&key, service, rooms, None, care),
+            };
+            let Some(at) = quiet.or_else(any) else {
                 return;
             };
             self.put(now_ms, &key, &mut rooms[at].1, None, None);
--- a/components/flow/src/suit.rs
+++ b/components/flow/src/suit.rs
@@ -80,64 +80,68 @@
             if pool != service || !need.fits_in(&room.free) {
                 continue;
             }
+            // All else only adds to this score.
+            let is_worse = |score: f64| best.is_some_and(|(least, _)| score >= least);
+            let score = room_score(room, spec);
+            if is_worse(score) {
+                continue;
+            }
             let Some(view) = self.fleet.workers.get(&room.agent) else {
                 continue;
             };
-            if !may_run(view, key, spec, rack) {
+            let is_avoided = task.avoid.as_ref() == Some(&room.agent);
+            let score = score + distance(view, spec) + if is_avoided { AVOIDED } else { 0.0 };
+            if is_worse(score) || !may_run(view, key, spec, rack) {
                 continue;
             }
-            let is_avoided = task.avoid.as_ref() == Some(&room.agent);
-            let score = score(view, room, spec) + if is_avoided { AVOIDED } else { 0.0 };
-            let (is_fit, company) = match care {
-                Care::Full => (
-                    !spec.filler || self.suits_filler(view, room, spec),
-                    self.company(view, spec),
-                ),
-                Care::Little => (
-                    !spec.filler || leaves_enough(room, spec),
-                    f64::from(view.worst_percent) / 100.0,
-                ),
+            let Some(company) = self.company(view, room, spec, care) else {
+                continue;
             };
             let score = score + company;
-            if is_fit && best.is_none_or(|(least, _)| score < least) {
+            if best.is_none_or(|(least, _)| score < least) {
                 best = Some((score, at));
             }
         }
         best.map(|(_, at)| at)
     }
 
-    /// Whether a filler finds enough processors left over and disturbs nobody.
-    fn suits_filler(&self, view: &WorkerView, room: &Room, spec: &StepSpec) -> bool {
-        let image = spec.image.as_deref().unwrap_or_default();
-        let mut all_good = true;
-        for serving in serving_images(view) {
-            match self.pairs.verdict(image, serving) {
-                PairVerdict::Bad => return false,
-                PairVerdict::Unknown => all_good = false,
-                PairVerdict::Good => {}
-            }
+    /// How little the tasks on a worker suit one more, nothing if it must not come: a filler is
+    /// tried first where it is known to be harmless, and tasks that serve are kept with those of
+    /// their own image.
+    fn company(&self, view: &WorkerView, room: &Room, spec: &StepSpec, care: Care) -> Option<f64> {
+        if spec.filler && !leaves_enough(room, spec) {
+            return None;
         }
-        if !all_good && view.worst_percent >= CROWDED_PERCENT {
-            return false;
+        match care {
+            Care::Little => Some(f64::from(view.worst_percent) / 100.0),
+            Care::Full if spec.filler => {
+                let open = self.open_pairs(view, spec)?;
+                Some(open as f64 * UNKNOWN_PAIR)
+            }
+            Care::Full if spec.latency_target_ms.is_some() => {
+                let image = spec.image.as_deref().unwrap_or_default();
+                let images = serving_images(view);
+                let others = images.iter().filter(|serving| **serving != image).count();
+                Some(others as f64 * OTHER_IMAGE)
+            }
+            Care::Full => Some(0.0),
         }
-        leaves_enough(room, spec)
     }
 
-    /// How little the tasks on a worker suit one more: a filler is tried first where it is known to
-    /// be harmless, and tasks that serve are kept with those of their own image.
-    fn company(&self, view: &WorkerView, spec: &StepSpec) -> f64 {
+    /// Images that serve on a worker of which it is unknown whether a filler disturbs them; nothing
+    /// if it is known to disturb one, or one is troubled already.
+    fn open_pairs(&self, view: &WorkerView, spec: &StepSpec) -> Option<usize> {
         let image = spec.image.as_deref().unwrap_or_default();
-        let images = serving_images(view);
-        if spec.filler {
-            let is_open =
-                |serving: &&&str| self.pairs.verdict(image, serving) == PairVerdict::Unknown;
-            return images.iter().filter(is_open).count() as f64 * UNKNOWN_PAIR;
-        }
-        if spec.latency_target_ms.is_some() {
-            let others = images.iter().filter(|serving| **serving != image).count();
-            return others as f64 * OTHER_IMAGE;
+        let mut open = 0;
+        for serving in serving_images(view) {
+            match self.pairs.verdict(image, serving) {
+                PairVerdict::Bad => return None,
+                PairVerdict::Unknown => open += 1,
+                PairVerdict::Good => {}
+            }
         }
-        0.0
+        let is_crowded = open > 0 && view.worst_percent >= CROWDED_PERCENT;
+        (!is_crowded).then_some(open)
     }
 
     /// Whether another worker has room for a filler and nothing that it disturbs.
@@ -158,7 +162,7 @@
                 && queue.is_some_and(|queue| queue.service == *pool)
                 && spec.reserved().fits_in(&room.free)
                 && may_run(view, key, spec, None)
-                && self.suits_filler(view, room, spec)
+                && self.company(view, room, spec, Care::Full).is_some()
         })
     }
 }
@@ -221,25 +225,28 @@
     room.left_over_milli as f64 >= f64::from(spec.need.processors_milli) * FILLER_SHARE
 }
 
-/// How little a worker suits a task; the least is best. Tasks that serve are packed together, so
-/// that fillers find workers on which they disturb nobody; other tasks are spread.
-fn score(view: &WorkerView, room: &Room, spec: &StepSpec) -> f64 {
+/// How little a worker suits a task, by what is free there; the least is best. Tasks that serve are
+/// packed together, so that fillers find workers on which they disturb nobody; other tasks are
+/// spread.
+fn room_score(room: &Room, spec: &StepSpec) -> f64 {
     let total = f64::from(room.capacity.processors_milli.max(1));
-    let near = spec.data_rack.as_deref().is_none_or(|rack| {
+    let free = f64::from(room.free.processors_milli) / total;
+    let company = if room.serves { 0.0 } else { NO_SERVICE };
+    if spec.latency_target_ms.is_some() {
+        company + free
+    } else if spec.filler {
+        -(room.left_over_milli as f64 / total)
+    } else {
+        company - free
+    }
+}
+
+/// Score of the way to a task's data.
+fn distance(view: &WorkerView, spec: &StepSpec) -> f64 {
+    let is_near = spec.data_rack.as_deref().is_none_or(|rack| {
         view.info
             .as_ref()
             .is_some_and(|info| info.rack() == Some(rack))
     });
-    let distance = if near { 0.0 } else { FAR };
-    let free = f64::from(room.free.processors_milli) / total;
-    if spec.latency_target_ms.is_some() {
-        let company = if room.serves { 0.0 } else { NO_SERVICE };
-        return distance + company + free;
-    }
-    if spec.filler {
-        let left_over = room.left_over_milli as f64 / total;
-        return distance - left_over;
-    }
-    let company = if room.serves { 0.0 } else { NO_SERVICE };
-    distance + company - free
+    if is_near { 0.0 } else { FAR }
 }
