A process begins each epoch of the scheduler's lease once

The entry saw that the lease is its own and became the scheduler; then the answer to the claim came, and it became the scheduler of the same epoch once more, with nothing loaded. Orders, polls and commits carry only the epoch, so that answers to the first term's polls reached the second term before it had read any flow: it took ends of flows that it did not know as of no use and acknowledged them, then found their tasks neither running nor ended, stopped them and started them again.

Change: the newest epoch begun is kept; a claim's answer for it changes nothing, and a lease that is one's own of an epoch begun before is claimed anew. The proof of an adopted claim counts from when the row was asked for, not from its answer. The three places that read the lease are one.

Red first: lease::a_claim_whose_answer_comes_late_begins_one_term (2 terms for 1); green.

--- a/components/flow_entry/src/coordinator.rs
+++ b/components/flow_entry/src/coordinator.rs
@@ -64,6 +64,8 @@
     lease_read_waits: bool,
     /// Whether taking the lease over is on its way.
     pub(crate) claim_waits: bool,
+    /// Newest epoch in which this process became the scheduler.
+    pub(crate) begun_epoch: u64,
     /// The scheduler's state, if this entry is the scheduler.
     pub(crate) lead: Option<Lead>,
     /// Whether the entry ends.
@@ -105,6 +107,7 @@
             scheduler_heard_ms: 0,
             lease_read_waits: false,
             claim_waits: false,
+            begun_epoch: 0,
             lead: None,
             stopping: false,
             metrics,
@@ -174,12 +177,13 @@
         });
     }
 
-    fn read_lease(&mut self, context: &mut Context<Self>) {
+    pub(crate) fn read_lease(&mut self, context: &mut Context<Self>) {
         self.lease_read_waits = true;
+        let asked_ms = boot_ms();
         let (table, control) = (self.table.clone(), context.address());
         actix_rt::spawn(async move {
             let row = read_row(table.as_ref(), LEASE_KEY).await;
-            control.do_send(LeaseSeen(row));
+            control.do_send(LeaseSeen { asked_ms, row });
         });
     }
 }
@@ -198,11 +202,11 @@
 impl Handler<LeaseSeen> for Coordinator {
     type Result = ();
 
-    fn handle(&mut self, LeaseSeen(row): LeaseSeen, context: &mut Self::Context) {
+    fn handle(&mut self, seen: LeaseSeen, context: &mut Self::Context) {
         let now_ms = boot_ms();
         self.lease_read_waits = false;
-        self.store.observe(now_ms, &row);
-        let Ok(row) = row else {
+        self.store.observe(now_ms, &seen.row);
+        let Ok(row) = seen.row else {
             return;
         };
         let before = self.election.row.as_ref().map(|row| row.epoch);
@@ -219,7 +223,7 @@
         }
         let is_mine = self.election.is_mine(self.me(), self.incarnation);
         if self.lead.is_none() && is_mine && !self.stopping {
-            self.adopt_claim(now_ms, context);
+            self.adopt_claim(seen.asked_ms, context);
         }
     }
 }
--- a/components/flow_entry/src/lead.rs
+++ b/components/flow_entry/src/lead.rs
@@ -110,7 +110,7 @@
     }
 
     /// A claim whose answer was lost has taken effect after all.
-    pub(crate) fn adopt_claim(&mut self, now_ms: u64, context: &mut Context<Self>) {
+    pub(crate) fn adopt_claim(&mut self, asked_ms: u64, context: &mut Context<Self>) {
         let epoch = self.election.row.as_ref().map_or(0, |row| row.epoch);
         let is_fresh = self
             .election
@@ -120,20 +120,24 @@
         let Some(version) = self.election.version else {
             return;
         };
-        if is_fresh {
-            self.begin(now_ms, epoch, version, context);
-        } else {
+        if is_fresh && epoch > self.begun_epoch {
+            self.begin(asked_ms, epoch, version, context);
+        } else if !self.claim_waits {
             // An earlier term of this process: only a new epoch fences its orders off.
-            self.claim(now_ms, context);
+            self.claim(boot_ms(), context);
         }
     }
 
+    /// Becomes the scheduler of an epoch. What was sent in a term carries only its epoch, so that a
+    /// process begins each epoch once.
     fn begin(&mut self, proof_ms: u64, epoch: u64, version: u64, context: &mut Context<Self>) {
         let now_ms = boot_ms();
+        self.begun_epoch = epoch;
         let mut scheduler = Scheduler::default();
         scheduler.set_config(flow::FlowConfig::clone(&self.config.load()));
         log_event!(info, Event::SchedulerTaken, entry = %self.settings.id, epoch, version);
         self.metrics.is_scheduler.set(1);
+        self.metrics.terms.inc();
         self.lead = Some(Lead {
             epoch,
             version,
@@ -179,11 +183,7 @@
         log_event!(warn, Event::SchedulerLost, entry = %self.settings.id, epoch = lead.epoch, reason);
         self.metrics.is_scheduler.set(0);
         self.election = crate::election::Election::new(self.settings.processor_share);
-        let (table, control) = (self.table.clone(), context.address());
-        actix_rt::spawn(async move {
-            let row = read_row(table.as_ref(), LEASE_KEY).await;
-            control.do_send(crate::messages::LeaseSeen(row));
-        });
+        self.read_lease(context);
     }
 }
 
@@ -210,6 +210,8 @@
         self.claim_waits = false;
         self.store.observe(boot_ms(), &done.result);
         match done.result {
+            // The row told of the claim before its answer came.
+            Ok(_) if done.epoch <= self.begun_epoch => {}
             Ok(version) => {
                 let row = self.lease_row(done.epoch, 0, false);
                 let row = Row {
@@ -222,11 +224,7 @@
             }
             Err(error) => {
                 log_event!(info, Event::SchedulerClaimFailed, epoch = done.epoch, reason = %error);
-                let (table, control) = (self.table.clone(), context.address());
-                actix_rt::spawn(async move {
-                    let row = read_row(table.as_ref(), LEASE_KEY).await;
-                    control.do_send(crate::messages::LeaseSeen(row));
-                });
+                self.read_lease(context);
             }
         }
     }
--- a/components/flow_entry/src/messages.rs
+++ b/components/flow_entry/src/messages.rs
@@ -100,7 +100,12 @@
 /// The row of the lease, as read.
 #[derive(Message)]
 #[rtype(result = "()")]
-pub(crate) struct LeaseSeen(pub Result<Option<Row>, StoreError>);
+pub(crate) struct LeaseSeen {
+    /// When it was asked for.
+    pub asked_ms: u64,
+    /// The row, if there is one.
+    pub row: Result<Option<Row>, StoreError>,
+}
 
 /// The scheduler's answer to a sign of life.
 #[derive(Message)]
--- a/components/flow_entry/src/metrics.rs
+++ b/components/flow_entry/src/metrics.rs
@@ -27,6 +27,8 @@
     pub(crate) commits: Counter,
     /// Whether this entry is the scheduler.
     pub(crate) is_scheduler: Gauge,
+    /// Times that this entry became the scheduler.
+    pub(crate) terms: Counter,
     /// Flows that are not over.
     pub(crate) flows: Gauge,
     /// Number of the configuration in force.
@@ -48,6 +50,7 @@
             ends: Family::default(),
             commits: Counter::default(),
             is_scheduler: Gauge::default(),
+            terms: Counter::default(),
             flows: Gauge::default(),
             config: Gauge::default(),
             submit_seconds: buckets(),
@@ -84,6 +87,11 @@
             "Whether this entry is the scheduler",
             self.is_scheduler.clone(),
         );
+        registry.register(
+            "flow_terms",
+            "Times that this entry became the scheduler",
+            self.terms.clone(),
+        );
         registry.register("flows", "Flows that are not over", self.flows.clone());
         registry.register(
             "flow_config",
--- a/components/flow_entry/tests/common/mod.rs
+++ b/components/flow_entry/tests/common/mod.rs
@@ -21,6 +21,8 @@
     pub rows: MemoryTable,
     /// Time of a commit, in milliseconds.
     pub commit_ms: u64,
+    /// Time from a commit to its answer, in milliseconds; reads overtake it.
+    pub answer_ms: u64,
     /// Entries that it turns away.
     refused: RefCell<Vec<String>>,
 }
@@ -45,9 +47,19 @@
 
 /// A table whose commits take `commit_ms`.
 pub fn table(commit_ms: u64) -> Rc<SlowTable> {
+    table_of(commit_ms, 0)
+}
+
+/// A table that commits at once and tells so after `answer_ms`.
+pub fn table_with_late_answers(answer_ms: u64) -> Rc<SlowTable> {
+    table_of(0, answer_ms)
+}
+
+fn table_of(commit_ms: u64, answer_ms: u64) -> Rc<SlowTable> {
     Rc::new(SlowTable {
         rows: MemoryTable::default(),
         commit_ms,
+        answer_ms,
         refused: RefCell::default(),
     })
 }
@@ -59,7 +71,9 @@
         if self.is_refused(txn) {
             return Err(StoreError::Unavailable("turned away".to_owned()));
         }
-        self.rows.commit_now(txn)
+        let result = self.rows.commit_now(txn);
+        pause(self.answer_ms).await;
+        result
     }
 
     async fn read(&self, keys: &[String]) -> Result<Vec<Row>, StoreError> {
--- a/components/flow_entry/tests/lease.rs
+++ b/components/flow_entry/tests/lease.rs
@@ -33,6 +33,20 @@
     assert!(after.released, "the lease is given up: {after:?}");
 }
 
+/// The row tells of the claim before its answer comes: the entry takes one term, not two.
+#[actix_rt::test]
+async fn a_claim_whose_answer_comes_late_begins_one_term() {
+    let table = common::table_with_late_answers(1_500);
+    let entry = Entry::start("a", &table).await;
+    common::pause(2_500).await;
+    let lease = lease(&table).await;
+    assert_eq!((lease.epoch, lease.released), (1, false));
+    let text = entry.gate.metrics();
+    let terms = text.lines().find(|line| line.contains("flow_terms_total "));
+    let terms = terms.and_then(|line| line.split(' ').next_back());
+    assert_eq!(terms, Some("1"), "{text}");
+}
+
 #[actix_rt::test]
 async fn a_lease_that_was_given_up_is_taken_over_at_once() {
     let table = common::table(5);
