One look-up of a task, one way to take a run back, and less work at each report

No change of decisions. A task, its step and its placement are looked up by lookup.rs where some fourteen places walked from the flow; a run that surely does not exist is taken back in one place; the image of a filler is found in one. A report acknowledges its own worker's ends, not those of all workers (nothing else of them can have become durable), and what is free is worked out once for all fillers of a report that are to be moved, not once for each. The count of flows no longer walks them. The histogram flow_seconds was registered and never observed; it goes.

--- a/components/flow/src/ends.rs
+++ b/components/flow/src/ends.rs
@@ -143,7 +143,7 @@
 
     /// Stops a run whose task has already succeeded elsewhere.
     fn stop_copy(&mut self, now_ms: u64, key: &TaskKey) {
-        let task = self.flows.get(&key.job).and_then(|state| state.task(key));
+        let task = self.task(key);
         let copy = task.and_then(|task| Some((task.run, task.placement.clone()?)));
         if let Some((run, placement)) = copy {
             self.stop(now_ms, key, run, &placement);
--- a/components/flow/src/lib.rs
+++ b/components/flow/src/lib.rs
@@ -8,6 +8,7 @@
 mod health;
 mod job;
 mod lease;
+mod lookup;
 mod messages;
 mod orders;
 mod pairs;
--- a/components/flow/src/orders.rs
+++ b/components/flow/src/orders.rs
@@ -86,10 +86,7 @@
 
     /// Takes a worker's answer to a stop: from now on the run can't start there any more.
     pub fn on_stopped(&mut self, now_ms: u64, agent: &AgentId, key: &TaskKey, run: u32) {
-        let task = self
-            .flows
-            .get_mut(&key.job)
-            .and_then(|state| state.task_mut(key));
+        let task = self.task_mut(key);
         let Some(placement) = task
             .filter(|task| task.run == run)
             .and_then(|task| task.placement.as_mut())
--- a/components/flow/src/progress.rs
+++ b/components/flow/src/progress.rs
@@ -35,11 +35,7 @@
         }
         self.worker_mut(agent).health.pause(now_ms);
         for key in stalled {
-            let Some(task) = self
-                .flows
-                .get_mut(&key.job)
-                .and_then(|state| state.task_mut(&key))
-            else {
+            let Some(task) = self.task_mut(&key) else {
                 continue;
             };
             task.avoid = Some(agent.clone());
--- a/components/flow/src/protect.rs
+++ b/components/flow/src/protect.rs
@@ -3,9 +3,10 @@
 
 use crate::progress::AT_WORK_PERCENT;
 use crate::scheduler::run_ref;
+use crate::suit::Room;
 use crate::view::Held;
 use crate::{Effect, Judgement, NoteKind, PairVerdict, RunningTask, Scheduler, Stage, TaskKey};
-use model::AgentId;
+use model::{AgentId, ServiceName};
 use utils::Map;
 
 /// Share of a latency target from which fillers are held back, in percent.
@@ -105,8 +106,14 @@
         let is_cleared = |key: &TaskKey| self.is_harmless(key, &troubled);
         let cleared: Vec<bool> = fillers.iter().map(is_cleared).collect();
         let has_suspects = cleared.contains(&false);
+        let has_misplaced = fillers.iter().any(|key| self.is_misplaced(key, &serving));
+        let rooms = if has_misplaced {
+            self.rooms(now_ms)
+        } else {
+            Vec::new()
+        };
         for (key, is_cleared) in fillers.iter().zip(cleared) {
-            if self.is_misplaced(key, &serving) && self.move_away(now_ms, agent, key) {
+            if self.is_misplaced(key, &serving) && self.move_away(now_ms, agent, key, &rooms) {
                 continue;
             }
             let is_spared =
@@ -117,13 +124,15 @@
         }
     }
 
+    /// What a task runs.
+    fn image(&self, key: &TaskKey) -> &str {
+        let image = self.step_spec(key).and_then(|spec| spec.image.as_deref());
+        image.unwrap_or_default()
+    }
+
     /// Whether a filler is known to leave all of these tasks alone.
     fn is_harmless(&self, key: &TaskKey, tasks: &[&Serving]) -> bool {
-        let image = self
-            .flows
-            .get(&key.job)
-            .and_then(|state| state.step_spec(key.step)?.image.as_deref());
-        let image = image.unwrap_or_default();
+        let image = self.image(key);
         let is_good = |task: &&Serving| self.pairs.verdict(image, &task.image) == PairVerdict::Good;
         tasks.iter().all(is_good)
     }
@@ -168,10 +177,7 @@
                 run.is_some_and(|run| run.load >= WORKING_MILLI)
             })
             .map(|(key, held)| {
-                let placement = self
-                    .flows
-                    .get(&key.job)
-                    .and_then(|state| state.task(key)?.placement.as_ref());
+                let placement = self.placement(key);
                 let paced_ms = placement.map_or(0, |placement| placement.paced_ms);
                 let pace = placement.map_or(0, |placement| placement.pace);
                 Working {
@@ -240,18 +246,20 @@
 
     /// Whether a filler disturbs a task beside it.
     fn is_misplaced(&self, key: &TaskKey, serving: &[Serving]) -> bool {
-        let image = self
-            .flows
-            .get(&key.job)
-            .and_then(|state| state.step_spec(key.step)?.image.as_deref());
-        let image = image.unwrap_or_default();
+        let image = self.image(key);
         let is_bad = |task: &Serving| self.pairs.verdict(image, &task.image) == PairVerdict::Bad;
         serving.iter().any(is_bad)
     }
 
     /// Moves a filler to a worker on which it disturbs nobody, if there is one with room and the
     /// move costs little.
-    fn move_away(&mut self, now_ms: u64, agent: &AgentId, key: &TaskKey) -> bool {
+    fn move_away(
+        &mut self,
+        now_ms: u64,
+        agent: &AgentId,
+        key: &TaskKey,
+        rooms: &[(ServiceName, Room)],
+    ) -> bool {
         let Some(state) = self.flows.get(&key.job) else {
             return false;
         };
@@ -263,7 +271,7 @@
         };
         let is_cheap = spec.saves_progress || placement.percent <= CHEAP_MOVE_PERCENT;
         let is_running = matches!(placement.stage, Stage::Running { .. });
-        if !is_cheap || !is_running || !self.has_quiet_room(now_ms, agent, key) {
+        if !is_cheap || !is_running || !self.has_quiet_room(agent, key, rooms) {
             return false;
         }
         let run = task.run;
@@ -302,10 +310,7 @@
     }
 
     fn set_pace(&mut self, now_ms: u64, key: &TaskKey, pace: u32) {
-        let task = self
-            .flows
-            .get_mut(&key.job)
-            .and_then(|state| state.task_mut(key));
+        let task = self.task_mut(key);
         let Some(task) = task else {
             return;
         };
@@ -331,10 +336,7 @@
     }
 
     fn pace_one(&mut self, now_ms: u64, key: &TaskKey, worst_percent: u32, over_ms: u64) {
-        let task = self
-            .flows
-            .get_mut(&key.job)
-            .and_then(|state| state.task_mut(key));
+        let task = self.task_mut(key);
         let Some(placement) = task.and_then(|task| task.placement.as_mut()) else {
             return;
         };
--- a/components/flow/src/reports.rs
+++ b/components/flow/src/reports.rs
@@ -58,7 +58,7 @@
         self.prove_worker(times.now_ms, agent, &running);
         self.watch_progress(times.now_ms, agent, &running);
         self.protect(times.now_ms, agent, &running);
-        self.acknowledge();
+        self.acknowledge(agent);
     }
 
     /// The life that a report is about, if it is known.
@@ -124,7 +124,7 @@
             None => return,
         };
         for key in keys {
-            let task = self.flows.get(&key.job).and_then(|state| state.task(&key));
+            let task = self.task(&key);
             let Some((run, placement)) =
                 task.and_then(|task| Some((task.run, task.placement.as_ref()?)))
             else {
@@ -134,8 +134,7 @@
             if placement.agent != *agent {
                 self.fleet.release(agent, &key);
             } else if is_lost(&placement.incarnation) {
-                self.note(NoteKind::Gone, &key, run, agent, reason);
-                self.unplace(&key, now_ms);
+                self.take_back(now_ms, &key, run, agent, reason);
             }
         }
     }
@@ -154,10 +153,7 @@
         };
         for key in keys {
             let found = running.get(&key).copied();
-            let task = self
-                .flows
-                .get_mut(&key.job)
-                .and_then(|state| state.task_mut(&key));
+            let task = self.task_mut(&key);
             let Some(task) = task else {
                 self.fleet.release(agent, &key);
                 continue;
@@ -225,7 +221,7 @@
 
     /// The worker does not have the run.
     fn missing(&mut self, times: ReportTimes, key: &TaskKey, run: u32) {
-        let task = self.flows.get(&key.job).and_then(|state| state.task(key));
+        let task = self.task(key);
         let Some(placement) = task.and_then(|task| task.placement.clone()) else {
             return;
         };
@@ -235,14 +231,8 @@
             Stage::Unsure => self.stop(now_ms, key, run, &placement),
             Stage::Running { since_ms } => {
                 if times.asked_ms > since_ms {
-                    self.note(
-                        NoteKind::Gone,
-                        key,
-                        run,
-                        &placement.agent,
-                        "neither running nor ended",
-                    );
-                    self.unplace(key, now_ms);
+                    let reason = "neither running nor ended";
+                    self.take_back(now_ms, key, run, &placement.agent, reason);
                     self.finish(&key.job);
                 }
             }
@@ -251,14 +241,8 @@
                 ..
             } => {
                 if times.asked_ms >= answered_ms {
-                    self.note(
-                        NoteKind::Gone,
-                        key,
-                        run,
-                        &placement.agent,
-                        "stopped before it began",
-                    );
-                    self.unplace(key, now_ms);
+                    let reason = "stopped before it began";
+                    self.take_back(now_ms, key, run, &placement.agent, reason);
                     self.finish(&key.job);
                 }
             }
@@ -273,6 +257,12 @@
         }
     }
 
+    /// Takes back the placement of a run that surely does not exist.
+    fn take_back(&mut self, now_ms: u64, key: &TaskKey, run: u32, agent: &AgentId, reason: &str) {
+        self.note(NoteKind::Gone, key, run, agent, reason);
+        self.unplace(key, now_ms);
+    }
+
     /// Stops runs that are placed nowhere.
     fn find_strays(&mut self, now_ms: u64, agent: &AgentId, running: &Map<&TaskKey, &RunningTask>) {
         let Some(life) = self.worker(agent).and_then(|view| view.incarnation.clone()) else {
@@ -308,10 +298,7 @@
     }
 
     fn reserved_by(&self, key: &TaskKey) -> Resources {
-        let spec = self
-            .flows
-            .get(&key.job)
-            .and_then(|state| state.step_spec(key.step));
+        let spec = self.step_spec(key);
         spec.map_or(Resources::default(), crate::StepSpec::reserved)
     }
 }
--- a/components/flow/src/scheduler.rs
+++ b/components/flow/src/scheduler.rs
@@ -119,7 +119,7 @@
     }
 
     /// Flows that are not over.
-    pub fn flows(&self) -> impl Iterator<Item = &FlowState> {
+    pub fn flows(&self) -> impl ExactSizeIterator<Item = &FlowState> {
         self.flows.values()
     }
 
@@ -187,7 +187,12 @@
             state.durable_revision = state.durable_revision.max(row.revision);
             self.order_starts(&row.job);
         }
-        self.acknowledge();
+        let workers = self.fleet.workers.iter();
+        let waiting = workers.filter(|(_, view)| !view.pending_acks.is_empty());
+        let agents: Vec<AgentId> = waiting.map(|(agent, _)| agent.clone()).collect();
+        for agent in &agents {
+            self.acknowledge(agent);
+        }
         for row in rows {
             self.finish(&row.job);
         }
@@ -237,24 +242,25 @@
         }
     }
 
-    /// Lets go of ends whose records are durable.
-    pub(crate) fn acknowledge(&mut self) {
-        for (agent, view) in &mut self.fleet.workers {
-            let before = view.acknowledged;
-            while let Some(front) = view.pending_acks.front() {
-                let is_durable = front.record.as_ref().is_none_or(|(job, revision)| {
-                    let state = self.flows.get(job);
-                    state.is_none_or(|state| state.durable_revision >= *revision)
-                });
-                if !is_durable {
-                    break;
-                }
-                view.acknowledged = front.number;
-                view.pending_acks.pop_front();
-            }
-            if view.acknowledged > before {
-                self.effects.push(Effect::Acknowledge(agent.clone()));
+    /// Lets go of the ends of a worker whose records are durable.
+    pub(crate) fn acknowledge(&mut self, agent: &AgentId) {
+        let Some(view) = self.fleet.workers.get_mut(agent) else {
+            return;
+        };
+        let before = view.acknowledged;
+        while let Some(front) = view.pending_acks.front() {
+            let is_durable = front.record.as_ref().is_none_or(|(job, revision)| {
+                let state = self.flows.get(job);
+                state.is_none_or(|state| state.durable_revision >= *revision)
+            });
+            if !is_durable {
+                break;
             }
+            view.acknowledged = front.number;
+            view.pending_acks.pop_front();
+        }
+        if view.acknowledged > before {
+            self.effects.push(Effect::Acknowledge(agent.clone()));
         }
     }
 
@@ -308,11 +314,7 @@
 
     /// Sets aside what a run takes.
     pub(crate) fn hold(&mut self, key: &TaskKey, run: u32, agent: &AgentId) {
-        let Some(spec) = self
-            .flows
-            .get(&key.job)
-            .and_then(|state| state.step_spec(key.step))
-        else {
+        let Some(spec) = self.step_spec(key) else {
             return;
         };
         let held = held(0, spec, run);
@@ -322,11 +324,7 @@
 
     /// Takes back a placement whose run surely does not exist, so that the task waits again.
     pub(crate) fn unplace(&mut self, key: &TaskKey, not_before_ms: u64) {
-        let Some(task) = self
-            .flows
-            .get_mut(&key.job)
-            .and_then(|state| state.task_mut(key))
-        else {
+        let Some(task) = self.task_mut(key) else {
             return;
         };
         let Some(placement) = task.placement.take() else {
@@ -362,10 +360,7 @@
     pub(crate) fn stop(&mut self, now_ms: u64, key: &TaskKey, run: u32, placement: &Placement) {
         self.effects
             .push(Effect::Stop(run_ref(key, run, placement)));
-        let task = self
-            .flows
-            .get_mut(&key.job)
-            .and_then(|state| state.task_mut(key));
+        let task = self.task_mut(key);
         if let Some(placement) = task.and_then(|task| task.placement.as_mut()) {
             placement.stage = Stage::Stopping {
                 ordered_ms: now_ms,
--- a/components/flow/src/suit.rs
+++ b/components/flow/src/suit.rs
@@ -145,7 +145,12 @@
     }
 
     /// Whether another worker has room for a filler and nothing that it disturbs.
-    pub(crate) fn has_quiet_room(&self, now_ms: u64, agent: &AgentId, key: &TaskKey) -> bool {
+    pub(crate) fn has_quiet_room(
+        &self,
+        agent: &AgentId,
+        key: &TaskKey,
+        rooms: &[(ServiceName, Room)],
+    ) -> bool {
         let Some(state) = self.flows.get(&key.job) else {
             return false;
         };
@@ -153,7 +158,6 @@
             return false;
         };
         let queue = self.config.queue(&state.job.queue);
-        let rooms = self.rooms(now_ms);
         rooms.iter().any(|(pool, room)| {
             let Some(view) = self.fleet.workers.get(&room.agent) else {
                 return false;
--- a/components/flow_entry/src/commits.rs
+++ b/components/flow_entry/src/commits.rs
@@ -72,9 +72,7 @@
         if lead.in_flight.is_none() && !self.stopping {
             lead.scheduler.place(now_ms, wall_ms());
         }
-        self.metrics
-            .flows
-            .set(lead.scheduler.flows().count() as i64);
+        self.metrics.flows.set(lead.scheduler.flows().len() as i64);
         if lead.in_flight.is_none() && !self.stopping {
             let rows = lead.scheduler.take_commit(MAX_RECORDS);
             if !rows.is_empty() || now_ms >= lead.committed_ms + RENEW_MS {
--- a/components/flow_entry/src/metrics.rs
+++ b/components/flow_entry/src/metrics.rs
@@ -37,8 +37,6 @@
     pub(crate) submit_seconds: Histogram,
     /// Time of a group commit, in seconds.
     pub(crate) commit_seconds: Histogram,
-    /// Time from a flow's acceptance to its end, in seconds.
-    pub(crate) flow_seconds: Histogram,
 }
 
 impl Default for Metrics {
@@ -55,7 +53,6 @@
             config: Gauge::default(),
             submit_seconds: buckets(),
             commit_seconds: buckets(),
-            flow_seconds: buckets(),
         }
     }
 }
@@ -108,11 +105,6 @@
             "Time of a group commit",
             self.commit_seconds.clone(),
         );
-        registry.register(
-            "flow_seconds",
-            "Time from acceptance to end",
-            self.flow_seconds.clone(),
-        );
         telemetry::metrics_text(registry)
     }
 }
