One caller and one list of store faults for tests and soak; one way to tell the scheduler

No change of behaviour. platform_standin has the caller of the interface for jobs (tests/flows.rs and the soak had one each) and writes the operator's row, so that its name no longer stands outside platform/. Acceptances and cancellations are told to the scheduler by one loop. tests/work.rs starts its jobs in one place.

--- a/components/flow_entry/src/requests.rs
+++ b/components/flow_entry/src/requests.rs
@@ -12,10 +12,16 @@
 use backing::{StoreError, TableStore, Transaction};
 use flow::{FlowJob, FlowPhase, FlowRecord, FlowRow, FlowState, QueueKey};
 use model::JobId;
+use std::future::Future;
 use std::time::Duration;
+use tarpc::client::RpcError;
+use tarpc::context::Context;
 use telemetry::{Event, log_event};
 use utils::boot_ms;
-use wire::{CancelOutcome, LinkError, PhaseReply, SchedulerLink, SubmitOutcome, WaitingReply};
+use wire::{
+    CancelOutcome, LinkError, PhaseReply, SchedulerControlClient, SchedulerLink, SubmitOutcome,
+    WaitingReply,
+};
 
 /// Time for a question to the scheduler.
 const ASK_TIMEOUT: Duration = Duration::from_millis(500);
@@ -192,24 +198,29 @@
             return false;
         }
         if let Some(link) = self.scheduler_link() {
-            actix_rt::spawn(tell_accepted(link, accepted.job));
+            let job = accepted.job;
+            actix_rt::spawn(tell(link, job.id.clone(), move |client, context| {
+                let told = job.clone();
+                async move { client.accepted(context, told).await }
+            }));
         }
         false
     }
 }
 
-async fn tell_accepted(link: SchedulerLink, job: FlowJob) {
+/// Tells the scheduler something until it says that it took it in.
+async fn tell<F, C>(link: SchedulerLink, job: JobId, call: C)
+where
+    F: Future<Output = Result<bool, RpcError>>,
+    C: Fn(SchedulerControlClient, Context) -> F,
+{
     for _ in 0..TELL_TRIES {
-        let told = job.clone();
-        let call = link.call(ASK_TIMEOUT, |client, context| async move {
-            client.accepted(context, told).await
-        });
-        if call.await == Ok(true) {
+        if link.call(ASK_TIMEOUT, &call).await == Ok(true) {
             return;
         }
         actix_rt::time::sleep(AGAIN_PAUSE).await;
     }
-    log_event!(warn, Event::SchedulerNotTold, job = %job.id, scheduler = %link.address());
+    log_event!(warn, Event::SchedulerNotTold, job = %job, scheduler = %link.address());
 }
 
 impl Handler<Cancel> for Coordinator {
@@ -258,19 +269,10 @@
         }
         if let Some(link) = self.scheduler_link() {
             let job = cancelled.job;
-            actix_rt::spawn(async move {
-                for _ in 0..TELL_TRIES {
-                    let told = job.clone();
-                    let call = link.call(ASK_TIMEOUT, |client, context| async move {
-                        client.cancelled(context, told).await
-                    });
-                    if call.await == Ok(true) {
-                        return;
-                    }
-                    actix_rt::time::sleep(AGAIN_PAUSE).await;
-                }
-                log_event!(warn, Event::SchedulerNotTold, job = %job, scheduler = %link.address());
-            });
+            actix_rt::spawn(tell(link, job.clone(), move |client, context| {
+                let told = job.clone();
+                async move { client.cancelled(context, told).await }
+            }));
         }
         false
     }
--- a/components/soak/src/callers.rs
+++ b/components/soak/src/callers.rs
@@ -1,7 +1,7 @@
 //! Callers: hand jobs in at any entry, try again where that is worth it, cancel some.
 
 use crate::fleet::Fleet;
-use awc::Client;
+use platform_standin::caller::Caller;
 use platform_standin::job;
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
@@ -52,14 +52,14 @@
 pub(crate) struct Callers {
     /// The system.
     fleet: Rc<Fleet>,
-    /// The client.
-    client: Client,
+    /// Calls the entries.
+    caller: Caller,
 }
 
 impl Callers {
     pub fn new(fleet: Rc<Fleet>) -> Self {
-        let client = Client::builder().timeout(CALL_TIMEOUT).finish();
-        Self { fleet, client }
+        let caller = Caller::new(CALL_TIMEOUT);
+        Self { fleet, caller }
     }
 
     /// Hands jobs in for a while.
@@ -126,29 +126,18 @@
     /// Status of the answer of any entry; 0 without one.
     async fn call(&self, method: &str, id: &str, body: &Value, random: &mut StdRng) -> u16 {
         let entry = random.random_range(0..self.fleet.fronts.len());
-        let (status, _) = self.ask(method, entry, id, body).await;
-        status
+        let front = self.fleet.fronts[entry];
+        self.caller.call(method, front, id, body).await.0
     }
 
-    /// Status and body of an entry's answer; status 0 without one.
-    pub async fn ask(&self, method: &str, entry: usize, id: &str, body: &Value) -> (u16, Value) {
-        let url = format!("http://{}/q/{id}", self.fleet.fronts[entry]);
-        let request = match method {
-            "POST" => self.client.post(url),
-            "DELETE" => self.client.delete(url),
-            _ => self.client.get(url),
-        };
-        let request = request.insert_header(("host", "a.example"));
-        let Ok(mut answer) = request.send_json(body).await else {
-            return (0, Value::Null);
-        };
-        let told = answer.json().await.unwrap_or(Value::Null);
-        (answer.status().as_u16(), told)
+    /// Whether an entry can tell of the queue.
+    pub async fn has_scheduler(&self, entry: usize) -> bool {
+        let front = self.fleet.fronts[entry];
+        self.caller.call("GET", front, "", &Value::Null).await.0 == 200
     }
 
     /// State of a job at an entry; empty if it is not told.
     pub async fn state(&self, entry: usize, id: &str) -> String {
-        let (_, told) = self.ask("GET", entry, id, &Value::Null).await;
-        told["state"].as_str().unwrap_or_default().to_owned()
+        self.caller.state(self.fleet.fronts[entry], id).await
     }
 }
--- a/components/soak/src/fault.rs
+++ b/components/soak/src/fault.rs
@@ -1,6 +1,7 @@
 //! Faults, and the plan of a run that follows from its seed.
 
 use crate::Options;
+use platform_standin::store::StoreMode;
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use strum::{EnumIter, IntoEnumIterator};
@@ -8,38 +9,8 @@
 /// Lengths of faults, in milliseconds.
 const LENGTH_MS: std::ops::Range<u64> = 300..4_000;
 
-/// What the store does in place of what it should.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, strum::Display)]
-#[strum(serialize_all = "kebab-case")]
-pub enum StoreFault {
-    /// It answers 503.
-    #[default]
-    Busy,
-    /// It never answers.
-    Silent,
-    /// It does what it is asked and never answers writes.
-    LosesAnswers,
-    /// It answers late.
-    Slow,
-    /// It refuses some calls.
-    RefusesSome,
-    /// It does writes late and never answers them.
-    ActsLate,
-}
-
-/// All faults of the store.
-const STORE_FAULTS: [StoreFault; 6] = [
-    StoreFault::Busy,
-    StoreFault::Silent,
-    StoreFault::LosesAnswers,
-    StoreFault::Slow,
-    StoreFault::RefusesSome,
-    StoreFault::ActsLate,
-];
-
 /// What happens to a process, a worker, or the store.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, EnumIter, strum::Display)]
-#[strum(serialize_all = "kebab-case")]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, EnumIter)]
 pub enum FaultKind {
     /// A process is killed, and started again at the end.
     Kill,
@@ -56,7 +27,7 @@
     /// Open connections of a process to the store are reset.
     ResetLinks,
     /// The store does something else than it should.
-    Store(StoreFault),
+    Store(StoreMode),
     /// The store forgets its history.
     DropHistory,
     /// The operator writes a configuration with a higher version.
@@ -114,7 +85,7 @@
 fn with_detail(kind: FaultKind, random: &mut StdRng) -> FaultKind {
     match kind {
         FaultKind::Store(_) => {
-            FaultKind::Store(STORE_FAULTS[random.random_range(0..STORE_FAULTS.len())])
+            FaultKind::Store(StoreMode::FAULTS[random.random_range(0..StoreMode::FAULTS.len())])
         }
         other => other,
     }
--- a/components/soak/src/fleet.rs
+++ b/components/soak/src/fleet.rs
@@ -1,13 +1,12 @@
 //! The system under test: entries and agents as processes, the store and workers as stand-ins.
 
-use crate::link::Link;
 use crate::node::Node;
-use crate::{Fault, FaultKind, Options, StoreFault};
+use crate::{Fault, FaultKind, Options};
 use platform_standin::store::{StoreMode, StoreStandIn};
 use platform_standin::worker::WorkerStandIn;
-use platform_standin::{AgentAddresses, EntryAddresses, config};
+use platform_standin::{AgentAddresses, EntryAddresses};
 use rustix::process::Signal;
-use standin::RelayMode;
+use standin::{Relay, RelayMode};
 use std::cell::{Cell, RefCell};
 use std::io;
 use std::net::SocketAddr;
@@ -24,20 +23,20 @@
     /// Entries, then agents.
     nodes: Vec<RefCell<Node>>,
     /// Their ways to the store.
-    links: Vec<Link>,
+    links: Vec<Relay>,
     /// Workers.
     pub workers: Vec<WorkerStandIn>,
     /// Version of the configuration.
     config: Cell<u64>,
     /// Faults of the store that last now, newest last.
-    store_faults: RefCell<Vec<StoreFault>>,
+    store_faults: RefCell<Vec<StoreMode>>,
 }
 
 impl Fleet {
     /// Starts all processes.
     pub async fn start(options: &Options) -> io::Result<Self> {
         let store = StoreStandIn::start();
-        store.put("op", "", "config", &config(FIRST_CONFIG));
+        store.configure(FIRST_CONFIG);
         let mut fleet = Self {
             fronts: Vec::new(),
             nodes: Vec::new(),
@@ -50,16 +49,16 @@
         for number in 0..options.entries {
             let addresses = EntryAddresses::free();
             let id = format!("e{number}");
-            let link = Link::start(fleet.store.address).await?;
-            let settings = addresses.settings(&id, link.address());
+            let link = link_to(fleet.store.address).await?;
+            let settings = addresses.settings(&id, link.address);
             fleet.add(options, "entry", &id, &settings, link)?;
             fleet.fronts.push(addresses.front);
         }
         for number in 0..options.agents {
             let addresses = AgentAddresses::free();
             let id = format!("a{number}");
-            let link = Link::start(fleet.store.address).await?;
-            let settings = addresses.settings(&id, link.address());
+            let link = link_to(fleet.store.address).await?;
+            let settings = addresses.settings(&id, link.address);
             fleet.add(options, "agent", &id, &settings, link)?;
             let worker = WorkerStandIn::start(&format!("w{number}"), addresses);
             fleet.workers.push(worker);
@@ -73,7 +72,7 @@
         role: &'static str,
         id: &str,
         settings: &serde_json::Value,
-        link: Link,
+        link: Relay,
     ) -> io::Result<()> {
         let path = options.folder.join(format!("{id}.json"));
         std::fs::write(&path, settings.to_string())?;
@@ -144,21 +143,13 @@
     fn change_config(&self) {
         let version = self.config.get() + 1;
         self.config.set(version);
-        self.store.put("op", "", "config", &config(version));
+        self.store.configure(version);
     }
 
     fn set_store_mode(&self) {
         let faults = self.store_faults.borrow();
-        let mode = match faults.last() {
-            None => StoreMode::Up,
-            Some(StoreFault::Busy) => StoreMode::Busy,
-            Some(StoreFault::Silent) => StoreMode::Silent,
-            Some(StoreFault::LosesAnswers) => StoreMode::LosesAnswers,
-            Some(StoreFault::Slow) => StoreMode::Slow,
-            Some(StoreFault::RefusesSome) => StoreMode::RefusesSome,
-            Some(StoreFault::ActsLate) => StoreMode::ActsLate,
-        };
-        self.store.set_mode(mode);
+        self.store
+            .set_mode(faults.last().copied().unwrap_or_default());
     }
 
     /// Numbers of processes that have ended by themselves.
@@ -170,3 +161,9 @@
             .collect()
     }
 }
+
+/// A relay to the store for one process.
+async fn link_to(store: SocketAddr) -> io::Result<Relay> {
+    let listen = cluster::free_ports(1)?;
+    Relay::start(listen[0], store).await
+}
--- a/components/soak/src/lib.rs
+++ b/components/soak/src/lib.rs
@@ -5,7 +5,6 @@
 mod check;
 mod fault;
 mod fleet;
-mod link;
 mod node;
 mod options;
 mod run;
@@ -13,7 +12,7 @@
 
 pub use callers::{Handed, Told};
 pub use check::{Breach, Promise, check};
-pub use fault::{Fault, FaultKind, StoreFault, plan};
+pub use fault::{Fault, FaultKind, plan};
 pub use options::Options;
 pub use run::{Outcome, SoakError, run};
 pub use spans::Spans;
--- a/components/soak/src/run.rs
+++ b/components/soak/src/run.rs
@@ -84,12 +84,7 @@
 async fn until_ready(callers: &Callers, fleet: &Fleet) -> Result<(), SoakError> {
     let began = Instant::now();
     for entry in 0..fleet.fronts.len() {
-        while callers
-            .ask("GET", entry, "", &serde_json::Value::Null)
-            .await
-            .0
-            != 200
-        {
+        while !callers.has_scheduler(entry).await {
             if began.elapsed() > READY_LIMIT {
                 return Err(SoakError::NotReady(entry));
             }
--- a/tests/flows.rs
+++ b/tests/flows.rs
@@ -2,11 +2,11 @@
 
 mod common;
 
-use awc::Client;
 use common::{Process, pause};
+use platform_standin::caller::Caller;
 use platform_standin::store::{StoreMode, StoreStandIn};
 use platform_standin::worker::{Execution, WorkerStandIn};
-use platform_standin::{AgentAddresses, EntryAddresses, READY_PATH, job};
+use platform_standin::{AgentAddresses, EntryAddresses, job};
 use serde_json::{Value, json};
 use std::collections::BTreeMap;
 use std::path::PathBuf;
@@ -15,6 +15,8 @@
 
 /// Longest time for anything that is waited for.
 const LIMIT: Duration = Duration::from_secs(30);
+/// Time for an answer.
+const CALL_TIMEOUT: Duration = Duration::from_secs(5);
 
 /// A process with its settings file.
 struct Node {
@@ -51,7 +53,7 @@
     entries: Vec<(EntryAddresses, Node)>,
     agents: Vec<(AgentAddresses, Node)>,
     workers: Vec<WorkerStandIn>,
-    client: Client,
+    caller: Caller,
     _folder: TempDir,
 }
 
@@ -59,7 +61,7 @@
     async fn start(entries: usize, agents: usize) -> Self {
         let folder = TempDir::new().unwrap();
         let store = StoreStandIn::start();
-        store.put("op", "", "config", &platform_standin::config(3));
+        store.configure(3);
         let entries = (0..entries).map(|number| {
             let addresses = EntryAddresses::free();
             let id = format!("e{number}");
@@ -84,7 +86,7 @@
             entries,
             agents,
             workers,
-            client: Client::builder().timeout(Duration::from_secs(5)).finish(),
+            caller: Caller::new(CALL_TIMEOUT),
             _folder: folder,
         };
         fleet.until_ready().await;
@@ -94,12 +96,7 @@
     async fn until_ready(&self) {
         let started = Instant::now();
         for (addresses, _) in &self.entries {
-            let url = format!("http://{}{READY_PATH}", addresses.ready);
-            loop {
-                let sent = self.client.get(&url).send().await;
-                if sent.is_ok_and(|answer| answer.status() == 200) {
-                    break;
-                }
+            while !self.caller.is_ready(addresses.ready).await {
                 assert!(started.elapsed() < LIMIT, "an entry is not ready");
                 pause(50).await;
             }
@@ -112,29 +109,10 @@
         }
     }
 
-    fn url(&self, entry: usize, id: &str) -> String {
-        format!("http://{}/q/{id}", self.entries[entry].0.front)
-    }
-
     /// Status, retry-after and body of an answer; status 0 without one.
     async fn call(&self, method: &str, entry: usize, id: &str, body: &Value) -> (u16, Value) {
-        let url = self.url(entry, id);
-        let request = match method {
-            "POST" => self.client.post(url),
-            "DELETE" => self.client.delete(url),
-            _ => self.client.get(url),
-        };
-        let request = request.insert_header(("host", "a.example"));
-        let sent = request.send_json(body).await;
-        let Ok(mut answer) = sent else {
-            return (0, json!({}));
-        };
-        let status = answer.status().as_u16();
-        let mut told: Value = answer.json().await.unwrap_or_else(|_| json!({}));
-        if let Some(retry) = answer.headers().get("retry-after") {
-            told["retry_after_s"] = json!(retry.to_str().unwrap());
-        }
-        (status, told)
+        let front = self.entries[entry].0.front;
+        self.caller.call(method, front, id, body).await
     }
 
     async fn submit(&self, entry: usize, id: &str, body: &Value) -> u16 {
@@ -150,8 +128,7 @@
     }
 
     async fn state(&self, entry: usize, id: &str) -> String {
-        let (_, told) = self.call("GET", entry, id, &Value::Null).await;
-        told["state"].as_str().unwrap_or_default().to_owned()
+        self.caller.state(self.entries[entry].0.front, id).await
     }
 
     async fn until_completed(&self, ids: &[String]) {
--- a/tests/work.rs
+++ b/tests/work.rs
@@ -13,6 +13,21 @@
 use std::collections::{HashMap, HashSet};
 use wire::{AdoptShard, AgentLink, StartOrder, StartResult};
 
+/// Hands a job in whose tasks all find room, and waits until they run.
+async fn start_rebuild(fleet: &Fleet, tasks: u32, run_ms: u64) {
+    let rebuild = job("timetabling", "rebuild", tasks, run_ms);
+    fleet.submit(0, &rebuild).await.unwrap();
+    let is_running = async || fleet.platform.runs().len() >= tasks as usize;
+    wait_until("tasks run", is_running).await;
+}
+
+/// Waits until a task was checkpointed.
+async fn until_checkpointed(fleet: &Fleet) {
+    let is_checkpointed = |run: &RunRecord| run.status == AttemptStatus::Checkpointed;
+    let has_one = async || fleet.platform.runs().iter().any(is_checkpointed);
+    wait_until("tasks are checkpointed", has_one).await;
+}
+
 /// Asserts, by the runtime's own record, that every task succeeded exactly once and never ran in
 /// two places, and that no worker was committed beyond what it has.
 fn check_runs(fleet: &Fleet, tasks: usize) {
@@ -59,11 +74,7 @@
 #[actix_rt::test]
 async fn tasks_of_a_killed_agent_resume_once_elsewhere() {
     let mut fleet = Fleet::start(&Plan::default()).await;
-    fleet
-        .submit(0, &job("timetabling", "rebuild", 18, 4_000))
-        .await
-        .unwrap();
-    wait_until("tasks run", async || fleet.platform.runs().len() >= 18).await;
+    start_rebuild(&fleet, 18, 4_000).await;
     fleet.agents[0].process.kill();
     let status = fleet.job_end(1, "timetabling.rebuild").await;
     assert_eq!(status["succeeded"], 18, "{status}");
@@ -73,11 +84,7 @@
 #[actix_rt::test]
 async fn a_paused_agent_that_wakes_runs_nothing_that_moved() {
     let fleet = Fleet::start(&Plan::default()).await;
-    fleet
-        .submit(0, &job("timetabling", "rebuild", 12, 6_000))
-        .await
-        .unwrap();
-    wait_until("tasks run", async || fleet.platform.runs().len() >= 12).await;
+    start_rebuild(&fleet, 12, 6_000).await;
     fleet.agents[0].process.signal("STOP");
     wait_until("its leases lapse", async || {
         fleet
@@ -143,11 +150,7 @@
 #[actix_rt::test]
 async fn a_drained_agent_hands_its_tasks_on_from_their_checkpoints() {
     let mut fleet = Fleet::start(&Plan::default()).await;
-    fleet
-        .submit(0, &job("timetabling", "rebuild", 9, 5_000))
-        .await
-        .unwrap();
-    wait_until("tasks run", async || fleet.platform.runs().len() >= 9).await;
+    start_rebuild(&fleet, 9, 5_000).await;
     pause(1_000).await;
     fleet.agents[2].process.signal("TERM");
     assert!(fleet.agents[2].process.ended_well().await);
@@ -520,21 +523,10 @@
         ..Plan::default()
     })
     .await;
-    fleet
-        .submit(0, &job("timetabling", "rebuild", 12, 5_000))
-        .await
-        .unwrap();
-    wait_until("tasks run", async || fleet.platform.runs().len() >= 12).await;
+    start_rebuild(&fleet, 12, 5_000).await;
     pause(500).await;
     fleet.agents[2].process.signal("TERM");
-    wait_until("tasks are checkpointed", async || {
-        fleet
-            .platform
-            .runs()
-            .iter()
-            .any(|run| run.status == AttemptStatus::Checkpointed)
-    })
-    .await;
+    until_checkpointed(&fleet).await;
     fleet.entries[0].process.kill();
     fleet.entries[1].process.kill();
     fleet.restart_entry(0);
@@ -601,22 +593,13 @@
 #[actix_rt::test]
 async fn a_drain_that_no_owner_heard_of_keeps_its_checkpoints() {
     let mut fleet = Fleet::start(&Plan::default()).await;
-    fleet
-        .submit(0, &job("timetabling", "rebuild", 12, 5_000))
-        .await
-        .unwrap();
-    wait_until("tasks run", async || fleet.platform.runs().len() >= 12).await;
+    start_rebuild(&fleet, 12, 5_000).await;
     pause(500).await;
     for entry in &fleet.entries {
         entry.process.signal("STOP");
     }
     fleet.agents[2].process.signal("TERM");
-    wait_until("tasks are checkpointed", async || {
-        let runs = fleet.platform.runs();
-        runs.iter()
-            .any(|run| run.status == AttemptStatus::Checkpointed)
-    })
-    .await;
+    until_checkpointed(&fleet).await;
     let results = order_checkpointed_anew(&fleet).await;
     assert!(
         results
