Log how each configuration was read and which reads failed

Before, the log did not name the start, source or length of a read of the configuration, and a configuration that could not be decoded left no trace, so that the hypotheses of the incident could not be told apart. Change: events 403 and 404, fields origin and spent_ms of 402, a histogram of reads and a counter of failed ones. No logic changed.

--- a/components/flow_entry/src/coordinator.rs
+++ b/components/flow_entry/src/coordinator.rs
@@ -1,6 +1,7 @@
 //! The control thread of an entry for flows: it follows which entry is the scheduler, and owns the
 //! scheduler's state while this entry is.
 
+use crate::config_origin::ConfigOrigin;
 use crate::config_source::ConfigSource;
 use crate::config_watch;
 use crate::election::Election;
@@ -198,7 +199,11 @@
     fn started(&mut self, context: &mut Self::Context) {
         context.set_mailbox_capacity(usize::MAX >> 4);
         context.run_interval(TICK, Self::tick);
-        actix_rt::spawn(config_watch::run(self.configs.clone(), context.address()));
+        actix_rt::spawn(config_watch::run(
+            self.configs.clone(),
+            context.address(),
+            self.metrics.clone(),
+        ));
         self.read_lease(context);
     }
 }
@@ -251,7 +256,11 @@
                     self.election.on_not_scheduler(now_ms);
                 }
                 if let Some(config) = reply.config {
-                    context.notify(NewConfig(config));
+                    context.notify(NewConfig {
+                        config,
+                        origin: ConfigOrigin::Scheduler,
+                        spent_ms: now_ms.saturating_sub(self.probe_sent_ms),
+                    });
                 }
             }
             Err(LinkError::Refused(_)) => {
@@ -283,7 +292,8 @@
 impl Handler<NewConfig> for Coordinator {
     type Result = ();
 
-    fn handle(&mut self, NewConfig(config): NewConfig, context: &mut Self::Context) {
+    fn handle(&mut self, new: NewConfig, context: &mut Self::Context) {
+        let config = new.config;
         let in_force = self.config.load().version;
         if config.version <= in_force {
             return;
@@ -293,7 +303,9 @@
             Event::ConfigInForce,
             version = config.version,
             before = in_force,
-            queues = config.queues.len()
+            queues = config.queues.len(),
+            origin = %new.origin,
+            spent_ms = new.spent_ms
         );
         self.metrics.config.set(config.version as i64);
         if let Some(leadership) = self.leadership.as_mut() {
--- a/components/flow_entry/src/lib.rs
+++ b/components/flow_entry/src/lib.rs
@@ -3,6 +3,7 @@
 
 mod agents;
 mod commits;
+mod config_origin;
 mod config_source;
 mod config_watch;
 mod coordinator;
--- a/components/flow_entry/src/messages.rs
+++ b/components/flow_entry/src/messages.rs
@@ -1,5 +1,6 @@
 //! Messages to the control thread of an entry.
 
+use crate::config_origin::ConfigOrigin;
 use crate::handle::PhaseAnswer;
 use actix::Message;
 use backing::{Row, StoreError};
@@ -93,7 +94,14 @@
 /// Configuration read from its source or received from the scheduler, new or not.
 #[derive(Message)]
 #[rtype(result = "()")]
-pub(crate) struct NewConfig(pub FlowConfig);
+pub(crate) struct NewConfig {
+    /// The configuration.
+    pub config: FlowConfig,
+    /// How it was obtained.
+    pub origin: ConfigOrigin,
+    /// Time from the request for it to its arrival, in milliseconds.
+    pub spent_ms: u64,
+}
 
 /// Result of a call to the table, of which only the availability of the table matters.
 #[derive(Message)]
--- a/components/flow_entry/src/metrics.rs
+++ b/components/flow_entry/src/metrics.rs
@@ -33,6 +33,10 @@
     pub(crate) flows: Gauge,
     /// Version of the configuration in force.
     pub(crate) config: Gauge,
+    /// Time of a read of the configuration, its wait for a change included, in seconds.
+    pub(crate) config_read_seconds: Histogram,
+    /// Reads of the configuration that failed or were not answered in time.
+    pub(crate) config_read_failures: Counter,
     /// Time from a submission's arrival to its answer, in seconds.
     pub(crate) submit_seconds: Histogram,
     /// Time from the first attempt of a group commit until it is known to be durable, in seconds.
@@ -51,6 +55,8 @@
             terms_started: Counter::default(),
             flows: Gauge::default(),
             config: Gauge::default(),
+            config_read_seconds: buckets(),
+            config_read_failures: Counter::default(),
             submit_seconds: buckets(),
             commit_seconds: buckets(),
         }
@@ -95,6 +101,16 @@
             "Number of the configuration in force",
             self.config.clone(),
         );
+        registry.register(
+            "flow_config_read_seconds",
+            "Time of a read of the configuration, its wait for a change included",
+            self.config_read_seconds.clone(),
+        );
+        registry.register(
+            "flow_config_read_failures",
+            "Reads of the configuration that failed",
+            self.config_read_failures.clone(),
+        );
         registry.register(
             "flow_submit_seconds",
             "Time of a submission",
--- a/components/telemetry/src/event.rs
+++ b/components/telemetry/src/event.rs
@@ -41,6 +41,10 @@
     TicketRefused = 401,
     /// A configuration number came into force.
     ConfigInForce = 402,
+    /// A read of the configuration failed or was not answered in time.
+    ConfigReadFailed = 403,
+    /// The configuration can't be decoded; the one in force stays.
+    ConfigUnreadable = 404,
     /// The platform's table can't be reached.
     StoreDown = 500,
     /// The platform's table answers again.
