Poll the feed of flows again beside a poll that is late

Callers could see: an acknowledged cancellation whose tasks run on, when the entry that stored it could not notify the scheduler. Cause, as for the configuration: the scheduler had one poll of the feed at a time, with its wait of 1.5 s and a time limit that an outage doubles up to 3 s, so that a lost poll hid changes for 4.5 s; the bound on cancellations is 3 s. Change: polls overlap like the reads of the configuration; only the first waits for a change. A complete read after dropped history does not overlap.

--- a/components/flow_entry/src/feed_watch.rs
+++ b/components/flow_entry/src/feed_watch.rs
@@ -2,6 +2,7 @@
 
 use crate::coordinator::Coordinator;
 use crate::messages::{FlowsChanged, StoreObserved};
+use crate::overlapping_reads::{PATIENCE, first_answer};
 use crate::reads::read_flows;
 use crate::rows::FLOW_PREFIX;
 use actix::Addr;
@@ -9,8 +10,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-/// Longest time that the feed waits for a change, in milliseconds.
-const WAIT_MS: u64 = 1_500;
+/// Longest time that the feed waits for a change.
+const WAIT: Duration = Duration::from_millis(1_500);
 /// Pause after a failed read.
 const RETRY_PAUSE: Duration = Duration::from_millis(250);
 
@@ -28,9 +29,14 @@
 ) {
     let mut from = version;
     loop {
-        let result = next_changes(feed.as_ref(), table.as_ref(), from).await;
-        let (rows, version) = match result {
-            Ok(changes) => changes,
+        let changes = first_answer(
+            WAIT + PATIENCE,
+            |attempt| read_feed(feed.as_ref(), from, attempt),
+            |error| control.do_send(StoreObserved(Err(error))),
+        )
+        .await;
+        let (rows, version) = match changed_rows(table.as_ref(), changes).await {
+            Ok(changed) => changed,
             Err(error) => {
                 control.do_send(StoreObserved(Err(error)));
                 actix_rt::time::sleep(RETRY_PAUSE).await;
@@ -45,14 +51,20 @@
     }
 }
 
-/// Reads the changes after `from` and the version that they lead to. If the feed has dropped
-/// changes, reads all rows of flows instead.
-async fn next_changes(
-    feed: &dyn TableFeed,
+/// Reads the changes after `from`. Only the first attempt waits for one.
+async fn read_feed(feed: &dyn TableFeed, from: u64, attempt: u32) -> Result<Changes, StoreError> {
+    let wait = if attempt == 0 { WAIT } else { Duration::ZERO };
+    feed.changes(FLOW_PREFIX, from, wait.as_millis() as u64)
+        .await
+}
+
+/// Changed rows and the version that they lead to. If the feed has dropped changes, reads all rows
+/// of flows instead.
+async fn changed_rows(
     table: &dyn TableStore,
-    from: u64,
+    changes: Changes,
 ) -> Result<(Vec<Changed>, u64), StoreError> {
-    match feed.changes(FLOW_PREFIX, from, WAIT_MS).await? {
+    match changes {
         Changes::Rows { rows, version } => {
             let rows = rows.into_iter().map(|row| (row.key, row.value)).collect();
             Ok((rows, version))
