Deny a queue only while the configuration is confirmed

Callers saw: 404, which says that there is no such queue, from an entry that had not been able to read the configuration for seconds. Class of the incident: an answer given from a view, however old the view is. A 404 is final for a caller; 503 with a Retry-After is not. Change: the view of the configuration carries when the last answered read of it was sent; a queue it lacks is denied for at most 2 s after that, the platform's bound. Queues that it has are served as before: what an outage prevents is refused elsewhere.

--- a/components/flow_entry/src/config_watch.rs
+++ b/components/flow_entry/src/config_watch.rs
@@ -3,7 +3,7 @@
 use crate::config_origin::ConfigOrigin;
 use crate::config_source::{ConfigSource, ConfigUpdate};
 use crate::coordinator::Coordinator;
-use crate::messages::{NewConfig, StoreObserved};
+use crate::messages::{ConfigConfirmed, NewConfig, StoreObserved};
 use crate::metrics::Metrics;
 use crate::overlapping_reads::{PATIENCE, first_answer};
 use actix::Addr;
@@ -25,6 +25,8 @@
     update: ConfigUpdate,
     /// How it was read.
     origin: ConfigOrigin,
+    /// When the read was sent.
+    sent_ms: u64,
     /// Time until the answer, in milliseconds.
     spent_ms: u64,
 }
@@ -55,6 +57,9 @@
                 spent_ms: read.spent_ms,
             });
         }
+        control.do_send(ConfigConfirmed {
+            at_ms: read.sent_ms,
+        });
     }
 }
 
@@ -78,6 +83,7 @@
         Ok(update) => Ok(Read {
             update,
             origin,
+            sent_ms,
             spent_ms,
         }),
         Err(error) => {
--- a/components/flow_entry/src/coordinator.rs
+++ b/components/flow_entry/src/coordinator.rs
@@ -3,24 +3,23 @@
 
 use crate::config_origin::ConfigOrigin;
 use crate::config_source::ConfigSource;
+use crate::config_view::ConfigView;
 use crate::config_watch;
 use crate::election::Election;
 use crate::leadership::Leadership;
 use crate::messages::{
-    Drain, GetReadiness, LeaseRead, NewConfig, PeerProbe, ProbeDone, StoreObserved,
+    ConfigConfirmed, Drain, GetReadiness, LeaseRead, NewConfig, PeerProbe, ProbeDone, StoreObserved,
 };
 use crate::metrics::Metrics;
 use crate::reads::read_row;
 use crate::rows::LEASE_KEY;
 use crate::store_health::StoreHealth;
 use actix::{Actor, AsyncContext, Context, Handler, MessageResult};
-use arc_swap::ArcSwap;
 use backing::{TableFeed, TableStore};
 use flow::FlowConfig;
 use settings::FlowEntrySettings;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::sync::Arc;
 use std::time::Duration;
 use telemetry::{Event, log_event};
 use utils::boot_ms;
@@ -51,7 +50,7 @@
     /// Source from which the configuration is polled.
     configs: Rc<dyn ConfigSource>,
     /// Configuration in force, shared with the HTTP servers.
-    pub(crate) config: Arc<ArcSwap<FlowConfig>>,
+    pub(crate) config: ConfigView,
     /// Availability of the table as seen by this entry.
     pub(crate) store_health: StoreHealth,
     /// Last known state of the scheduler's lease.
@@ -93,7 +92,7 @@
         settings: FlowEntrySettings,
         incarnation: u64,
         dependencies: Dependencies,
-        config: Arc<ArcSwap<FlowConfig>>,
+        config: ConfigView,
         metrics: Metrics,
     ) -> Self {
         Self {
@@ -311,11 +310,19 @@
         if let Some(leadership) = self.leadership.as_mut() {
             leadership.scheduler.set_config(config.clone());
         }
-        self.config.store(Arc::new(config));
+        self.config.store(config);
         self.request_scheduling_pass(context);
     }
 }
 
+impl Handler<ConfigConfirmed> for Coordinator {
+    type Result = ();
+
+    fn handle(&mut self, ConfigConfirmed { at_ms }: ConfigConfirmed, _: &mut Self::Context) {
+        self.config.confirm(at_ms);
+    }
+}
+
 impl Handler<StoreObserved> for Coordinator {
     type Result = ();
 
--- a/components/flow_entry/src/handle.rs
+++ b/components/flow_entry/src/handle.rs
@@ -1,10 +1,10 @@
 //! Interface of an entry for the servers that callers connect to.
 
+use crate::config_view::ConfigView;
 use crate::coordinator::Coordinator;
 use crate::messages::{Cancel, CountQueued, GetPhase, GetReadiness, Submit};
 use crate::metrics::Metrics;
 use actix::Addr;
-use arc_swap::ArcSwap;
 use flow::{FlowConfig, FlowJob, FlowPhase, QueueKey};
 use model::JobId;
 use std::sync::Arc;
@@ -28,7 +28,7 @@
     /// Address of the control thread.
     pub(crate) control: Addr<Coordinator>,
     /// Configuration in force.
-    pub(crate) config: Arc<ArcSwap<FlowConfig>>,
+    pub(crate) config: ConfigView,
     /// Metrics that the entry exports.
     pub(crate) metrics: Metrics,
 }
@@ -36,7 +36,13 @@
 impl EntryHandle {
     /// The configuration in force; its version is 0 until one was read.
     pub fn config(&self) -> Arc<FlowConfig> {
-        self.config.load_full()
+        self.config.load()
+    }
+
+    /// Whether the configuration in force was confirmed so recently that a queue it lacks can be
+    /// denied. Otherwise the queue may have been added meanwhile.
+    pub fn is_config_confirmed(&self) -> bool {
+        self.config.is_confirmed(boot_ms())
     }
 
     /// Whether callers may be routed to this entry: it has a configuration, is not draining, and
--- a/components/flow_entry/src/lib.rs
+++ b/components/flow_entry/src/lib.rs
@@ -5,6 +5,7 @@
 mod commits;
 mod config_origin;
 mod config_source;
+mod config_view;
 mod config_watch;
 mod coordinator;
 mod election;
--- a/components/flow_entry/src/messages.rs
+++ b/components/flow_entry/src/messages.rs
@@ -103,6 +103,14 @@
     pub spent_ms: u64,
 }
 
+/// A read of the configuration was answered; a change that it found was sent before.
+#[derive(Message)]
+#[rtype(result = "()")]
+pub(crate) struct ConfigConfirmed {
+    /// When the read was sent.
+    pub at_ms: u64,
+}
+
 /// Result of a call to the table, of which only the availability of the table matters.
 #[derive(Message)]
 #[rtype(result = "()")]
--- a/components/flow_entry/src/run.rs
+++ b/components/flow_entry/src/run.rs
@@ -1,16 +1,14 @@
 //! Start and drain of an entry for flows.
 
+use crate::config_view::ConfigView;
 use crate::coordinator::{Coordinator, Dependencies};
 use crate::handle::EntryHandle;
 use crate::messages::Drain;
 use crate::metrics::Metrics;
 use crate::rpc::Rpc;
 use actix::Actor;
-use arc_swap::ArcSwap;
-use flow::FlowConfig;
 use rand::RngExt;
 use settings::FlowEntrySettings;
-use std::sync::Arc;
 use std::time::Duration;
 use telemetry::{Event, log_event};
 use wire::serve_scheduler;
@@ -28,7 +26,7 @@
 ) -> std::io::Result<EntryHandle> {
     let incarnation = rand::rng().random();
     let metrics = Metrics::default();
-    let config = Arc::new(ArcSwap::from_pointee(FlowConfig::default()));
+    let config = ConfigView::default();
     let control = Coordinator::new(
         settings.clone(),
         incarnation,
