--- a/components/flow/tests/common/mod.rs
+++ b/components/flow/tests/common/mod.rs
@@ -22,6 +22,10 @@
 const REPORT_MS: u64 = 100;
 /// Time over a target from which all fillers of a worker are to be halted, in milliseconds.
 const HALT_MS: u64 = 1_500;
+/// Time for which a worker that crashed refuses connections, in milliseconds.
+const DOWN_MS: u64 = 3_000;
+/// Time after which the scheduler notices that a worker refuses connections, in milliseconds.
+const NOTICE_MS: u64 = 60;
 /// Duration of a commit, in milliseconds.
 const COMMIT_MS: u64 = 20;
 
@@ -43,6 +47,10 @@
     pub run_ms: BTreeMap<String, u64>,
     /// Flows of which every run fails.
     pub always_failing: BTreeSet<JobId>,
+    /// Tasks that crash each worker that starts them.
+    pub deadly: BTreeSet<TaskKey>,
+    /// Number of crashes by the task that caused them.
+    pub crashes: BTreeMap<TaskKey, u32>,
     /// Pairs of images: a filler, and a latency-critical task that it disturbs.
     pub disturbs: BTreeSet<(String, String)>,
     /// Starts whose answers are lost; the value states whether the start is executed.
@@ -129,6 +137,8 @@
                 next_end: 1,
                 reported_ms: 0,
                 latency_ms: BTreeMap::new(),
+                down_until_ms: 0,
+                is_crash_noticed: true,
             };
             (AgentId::from(name), worker)
         });
@@ -141,6 +151,8 @@
             commit: None,
             run_ms: BTreeMap::new(),
             always_failing: BTreeSet::new(),
+            deadly: BTreeSet::new(),
+            crashes: BTreeMap::new(),
             disturbs: BTreeSet::new(),
             lose_starts: Vec::new(),
             table_up: true,
@@ -215,6 +227,28 @@
         worker.latency_ms.clear();
     }
 
+    /// Crashes a worker, which then refuses connections for [`DOWN_MS`].
+    pub fn crash_for_a_while(&mut self, agent: &AgentId) {
+        self.crash(agent);
+        let down_until_ms = self.now_ms + DOWN_MS;
+        let worker = self.workers.get_mut(agent).unwrap();
+        worker.down_until_ms = down_until_ms;
+        worker.is_crash_noticed = false;
+    }
+
+    /// Tells the scheduler of workers that refuse connections.
+    fn notice_crashes(&mut self) {
+        for (agent, worker) in &mut self.workers {
+            let noticed_ms = worker.down_until_ms.saturating_sub(DOWN_MS - NOTICE_MS);
+            if !worker.is_crash_noticed && self.now_ms >= noticed_ms {
+                worker.is_crash_noticed = true;
+                let reason = "the worker refuses connections";
+                self.scheduler
+                    .on_worker_terminated(self.now_ms, agent, reason);
+            }
+        }
+    }
+
     /// Expires the lease of an unreachable worker, which ends its runs.
     pub fn expire_lease(&mut self, agent: &AgentId) {
         let worker = self.workers.get_mut(agent).unwrap();
@@ -251,6 +285,7 @@
     pub fn step(&mut self) {
         self.now_ms += STEP_MS;
         self.advance();
+        self.notice_crashes();
         self.send_due_reports();
         self.commit();
         self.carry_out_effects();
@@ -266,7 +301,8 @@
         for agent in agents {
             let worker = &self.workers[&agent];
             let is_due = self.now_ms >= worker.reported_ms + REPORT_MS;
-            if !is_due || worker.mode == Mode::Partitioned {
+            let is_down = self.now_ms < worker.down_until_ms;
+            if !is_due || is_down || worker.mode == Mode::Partitioned {
                 continue;
             }
             self.send_report(&agent);
@@ -395,7 +431,8 @@
         let used = self.used(&run.agent);
         let now_ms = self.now_ms;
         let worker = self.workers.get_mut(&run.agent).unwrap();
-        if worker.mode == Mode::Partitioned || worker.incarnation != run.incarnation {
+        let is_down = now_ms < worker.down_until_ms;
+        if is_down || worker.mode == Mode::Partitioned || worker.incarnation != run.incarnation {
             return StartOutcome::Unavailable;
         }
         if worker
@@ -422,6 +459,10 @@
             pace: 100,
         };
         worker.running.insert(run.task.clone(), started);
+        if self.deadly.contains(&run.task) {
+            *self.crashes.entry(run.task.clone()).or_default() += 1;
+            self.crash_for_a_while(&run.agent);
+        }
         StartOutcome::Started
     }
 
--- a/components/flow/tests/common/worker.rs
+++ b/components/flow/tests/common/worker.rs
@@ -50,6 +50,10 @@
     pub(super) next_end: u64,
     /// When it last sent a report, in milliseconds.
     pub(super) reported_ms: u64,
+    /// Until when it refuses connections after a crash, in milliseconds.
+    pub(super) down_until_ms: u64,
+    /// Whether the scheduler was told of its last crash.
+    pub(super) is_crash_noticed: bool,
     /// Latency of each latency-critical task; approaches the value that its interference implies.
     pub(super) latency_ms: BTreeMap<TaskKey, f64>,
 }
--- /dev/null
+++ b/tests/common/flow_fleet.rs
@@ -0,0 +1,201 @@
+//! Entries and agents as processes, with stand-ins for the platform.
+
+use super::{Process, sleep_ms};
+use platform_standin::caller::Caller;
+use platform_standin::store::StoreStandIn;
+use platform_standin::worker::{Execution, WorkerStandIn};
+use platform_standin::{AgentAddresses, EntryAddresses};
+use serde_json::Value;
+use std::collections::BTreeMap;
+use std::path::PathBuf;
+use std::time::{Duration, Instant};
+use tempfile::TempDir;
+
+/// Time after which a wait fails.
+pub const WAIT_LIMIT: Duration = Duration::from_secs(30);
+/// Timeout of one call.
+const CALL_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// A process that can be restarted with its settings file.
+pub struct Node {
+    /// Subcommand that starts the process.
+    pub role: &'static str,
+    /// Path of the settings file.
+    pub settings: PathBuf,
+    /// The current process.
+    pub process: Process,
+}
+
+impl Node {
+    pub fn start(role: &'static str, id: &str, settings: &Value, folder: &TempDir) -> Self {
+        let path = folder.path().join(format!("{id}.json"));
+        std::fs::write(&path, settings.to_string()).unwrap();
+        let process = Self::run(role, &path);
+        Self {
+            role,
+            settings: path,
+            process,
+        }
+    }
+
+    fn run(role: &'static str, settings: &std::path::Path) -> Process {
+        Process::start(&[role, "--settings", settings.to_str().unwrap()])
+    }
+
+    pub fn restart(&mut self) {
+        self.process.kill();
+        self.process = Self::run(self.role, &self.settings);
+    }
+}
+
+/// Entries, agents and stand-in workers that share one stand-in store.
+pub struct Fleet {
+    /// Stand-in for the platform's store.
+    pub store: StoreStandIn,
+    /// Entries, by index.
+    pub entries: Vec<(EntryAddresses, Node)>,
+    /// Agents, by index.
+    pub agents: Vec<(AgentAddresses, Node)>,
+    /// Stand-in workers, in the order of their agents.
+    pub workers: Vec<WorkerStandIn>,
+    /// HTTP client of the entries.
+    pub caller: Caller,
+    /// Folder of the settings files, deleted on drop.
+    _folder: TempDir,
+}
+
+impl Fleet {
+    /// Starts all processes and waits until every entry has a scheduler.
+    pub async fn start(entries: usize, agents: usize) -> Self {
+        let folder = TempDir::new().unwrap();
+        let store = StoreStandIn::start();
+        store.configure(3);
+        let entries = (0..entries).map(|number| {
+            let addresses = EntryAddresses::free();
+            let id = format!("e{number}");
+            let settings = addresses.settings(&id, store.address);
+            (addresses, Node::start("entry", &id, &settings, &folder))
+        });
+        let entries = entries.collect();
+        let agents: Vec<(AgentAddresses, Node)> = (0..agents)
+            .map(|number| {
+                let addresses = AgentAddresses::free();
+                let id = format!("a{number}");
+                let settings = addresses.settings(&id, store.address);
+                (addresses, Node::start("agent", &id, &settings, &folder))
+            })
+            .collect();
+        let numbered = agents.iter().enumerate();
+        let workers = numbered
+            .map(|(number, (addresses, _))| WorkerStandIn::start(&format!("w{number}"), *addresses))
+            .collect();
+        let fleet = Self {
+            store,
+            entries,
+            agents,
+            workers,
+            caller: Caller::new(CALL_TIMEOUT),
+            _folder: folder,
+        };
+        fleet.wait_until_ready().await;
+        fleet
+    }
+
+    pub async fn wait_until_ready(&self) {
+        let started = Instant::now();
+        for (addresses, _) in &self.entries {
+            while !self.caller.is_ready(addresses.ready).await {
+                assert!(started.elapsed() < WAIT_LIMIT, "an entry is not ready");
+                sleep_ms(50).await;
+            }
+        }
+        for entry in 0..self.entries.len() {
+            while self.call("GET", entry, "", &Value::Null).await.0 != 200 {
+                assert!(started.elapsed() < WAIT_LIMIT, "there is no scheduler");
+                sleep_ms(50).await;
+            }
+        }
+    }
+
+    /// Calls an entry; returns the status, or 0 without an answer, and the body with the
+    /// retry-after.
+    pub async fn call(&self, method: &str, entry: usize, id: &str, body: &Value) -> (u16, Value) {
+        let front = self.entries[entry].0.front;
+        self.caller.call(method, front, id, body).await
+    }
+
+    /// Submits a job and repeats that until an entry gives a final answer; returns its status.
+    pub async fn submit(&self, entry: usize, id: &str, body: &Value) -> u16 {
+        let started = Instant::now();
+        loop {
+            let (status, _) = self.call("POST", entry, id, body).await;
+            let is_final = !matches!(status, 0 | 429 | 502 | 503 | 504);
+            if is_final || started.elapsed() > WAIT_LIMIT {
+                return status;
+            }
+            sleep_ms(100).await;
+        }
+    }
+
+    /// State of a job according to an entry; empty if the answer states none.
+    pub async fn state(&self, entry: usize, id: &str) -> String {
+        self.caller.state(self.entries[entry].0.front, id).await
+    }
+
+    /// Waits until the first entry reports each of these jobs as completed.
+    pub async fn wait_until_completed(&self, ids: &[String]) {
+        let started = Instant::now();
+        for id in ids {
+            while self.state(0, id).await != "completed" {
+                assert!(
+                    started.elapsed() < WAIT_LIMIT,
+                    "{id} is {}",
+                    self.state(0, id).await
+                );
+                sleep_ms(50).await;
+            }
+        }
+    }
+
+    /// All runs that the workers have started.
+    pub fn executions(&self) -> Vec<Execution> {
+        self.workers
+            .iter()
+            .flat_map(WorkerStandIn::executions)
+            .collect()
+    }
+
+    /// Index of the entry that holds the scheduler's lease.
+    pub fn scheduler(&self) -> usize {
+        let rows = self.store.values("lease");
+        let row: Value = serde_json::from_str(&rows[0].1).unwrap();
+        row["owner"].as_str().unwrap()[1..].parse().unwrap()
+    }
+
+    /// Asserts that no two runs of a task overlapped and that no task ran after its success.
+    pub fn assert_no_duplicate_runs(&self) {
+        let mut by_task: BTreeMap<String, Vec<Execution>> = BTreeMap::new();
+        for execution in self.executions() {
+            by_task
+                .entry(execution.task.clone())
+                .or_default()
+                .push(execution);
+        }
+        for (task, runs) in &mut by_task {
+            runs.sort_by_key(|run| run.started);
+            for pair in runs.windows(2) {
+                let ended = pair[0].ended.expect("a run ended before the next one");
+                assert!(
+                    ended <= pair[1].started,
+                    "{task} ran twice at once: {pair:?}"
+                );
+                assert_ne!(pair[0].outcome, "done", "{task} ran after its success");
+            }
+        }
+    }
+}
+
+/// Ids of `count` jobs.
+pub fn ids(count: usize) -> Vec<String> {
+    (0..count).map(|number| format!("{number:016x}")).collect()
+}
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -1,6 +1,8 @@
 //! Runs a system of separate processes on loopback, with a stand-in of the platform, for tests.
 #![allow(dead_code)]
 
+pub mod flow_fleet;
+
 use awc::Client;
 use client::ClientLimits;
 use cluster::free_ports;
