Start a task alone after a crash of its worker, and give it up after the second

Cause: a run that was lost with its worker was queued again and counted against nobody; only a reported failure used up an attempt. Class: a loss without a culprit is retried for ever, at the cost of everything beside it. Ruled out by the trace: crashes forgotten at a change of the scheduler, crashes that are not recognized. Change: a crash within 0.5 s of a start makes the task a suspect. Suspects start alone, so that a second crash has one possible cause, and are then given up. Crashes of many workers at once count against nobody; four of any kind end the job. The counts are in the flow's record, in a field that former versions ignore. Decided in flow/src/suspects.rs, without clock or network.

--- a/components/flow/src/candidate.rs
+++ b/components/flow/src/candidate.rs
@@ -50,6 +50,11 @@
     pub spare_milli: i64,
     /// Whether a latency-critical task is placed on the worker.
     pub has_latency_critical: bool,
+    /// Suspect for which it is kept free of other new runs.
+    pub held_for: Option<TaskKey>,
+    /// Whether a run on it is so new that a crash might be due to it; only determined while there are
+    /// suspects.
+    pub has_new_runs: bool,
     /// What its latency-critical tasks can bear of fillers; `None` until a filler is to be placed.
     pub slacks: Option<Vec<CriticalSlack>>,
 }
@@ -69,6 +74,7 @@
                 let info = view.info.as_ref().filter(|info| !info.draining)?;
                 let mut candidate = candidate(agent, view, info.capacity);
                 candidate.spare_milli += self.unused_by_pace_milli(view);
+                candidate.held_for = self.held_for(now_ms, agent);
                 Some((info.service.clone(), candidate))
             })
             .collect()
@@ -99,11 +105,15 @@
         let spec = state.step_spec(key.step)?;
         let task = state.task(key)?;
         let need = spec.reserved();
+        let is_suspect = task.crashes.is_suspect() && !spec.gang;
         let mut best: Option<(f64, usize)> = None;
         for (index, (pool, candidate)) in candidates.iter().enumerate() {
             if pool != service || !need.fits_in(&candidate.free) {
                 continue;
             }
+            if !candidate.admits(key, is_suspect) {
+                continue;
+            }
             // Every later term is a penalty >= 0, so a candidate can be rejected early.
             let is_worse = |score: f64| best.is_some_and(|(least, _)| score >= least);
             let score = capacity_score(candidate, spec);
@@ -178,6 +188,12 @@
 }
 
 impl Candidate {
+    /// Whether a task may start here as far as suspects are concerned: they start alone.
+    fn admits(&self, key: &TaskKey, is_suspect: bool) -> bool {
+        let is_free = self.held_for.as_ref().is_none_or(|task| task == key);
+        is_free && (!is_suspect || !self.has_new_runs)
+    }
+
     /// Penalty for the slack that a filler uses up, or `None` if it must not be placed here.
     fn filler_penalty(&self, spec: &StepSpec, filler: &FillerNeed) -> Option<f64> {
         if !has_spare_for(self, spec) {
@@ -234,6 +250,8 @@
         capacity,
         spare_milli,
         has_latency_critical: view.has_latency_critical(),
+        held_for: None,
+        has_new_runs: false,
         slacks: None,
     }
 }
--- a/components/flow/src/effect.rs
+++ b/components/flow/src/effect.rs
@@ -89,6 +89,8 @@
     Paused,
     /// A flow failed.
     Failed,
+    /// The worker crashed so soon after the start of the run that the run may be the cause.
+    Suspected,
     /// A filler is moved away from latency-critical tasks beside which it makes little progress.
     Moved,
 }
--- a/components/flow/src/ends.rs
+++ b/components/flow/src/ends.rs
@@ -79,6 +79,9 @@
             agent,
             end.outcome.to_string(),
         );
+        if matches!(end.outcome, RunEnd::Done | RunEnd::Failed) {
+            self.clear_suspicion(key);
+        }
         self.mark_dirty(&key.job);
         self.update_health(now_ms, agent, end);
         if is_gang && end.outcome == RunEnd::Done {
@@ -90,7 +93,7 @@
             failures
         };
         if end.outcome == RunEnd::Failed && !is_long_running && failures >= limit {
-            self.fail_flow(now_ms, key, agent, failures);
+            self.fail_flow(now_ms, key, agent, format!("{failures} runs failed"));
         }
         if !is_current {
             self.stop_duplicate(now_ms, key);
@@ -139,7 +142,13 @@
     }
 
     /// Fails a flow and stops its runs, unless it has ended.
-    fn fail_flow(&mut self, now_ms: u64, key: &TaskKey, agent: &AgentId, failures: u32) {
+    pub(crate) fn fail_flow(
+        &mut self,
+        now_ms: u64,
+        key: &TaskKey,
+        agent: &AgentId,
+        detail: String,
+    ) {
         let Some(state) = self.flows.get_mut(&key.job) else {
             return;
         };
@@ -147,7 +156,6 @@
             return;
         }
         state.failed = true;
-        let detail = format!("{failures} runs failed");
         self.log_decision(DecisionKind::Failed, key, 0, agent, detail);
         self.stop_flow(now_ms, &key.job);
     }
--- a/components/flow/src/placement.rs
+++ b/components/flow/src/placement.rs
@@ -57,6 +57,7 @@
         }
         order.sort_by(|left, right| left.partial_cmp(right).unwrap_or(std::cmp::Ordering::Equal));
         let mut candidates = self.candidates(now_ms);
+        self.place_suspects(now_ms, &mut candidates);
         for (_, job) in order {
             self.place_flow(now_ms, &job, &mut candidates);
         }
@@ -173,7 +174,8 @@
         service: &ServiceName,
         candidates: &mut [(ServiceName, Candidate)],
     ) {
-        let queued = self.queued_tasks(now_ms, job, occurrence, step);
+        let mut queued = self.queued_tasks(now_ms, job, occurrence, step);
+        queued.retain(|key| !self.suspects.contains_key(key));
         let queued_ms = self.update_queued_ms(now_ms, job, occurrence, step, queued.is_empty());
         let is_idle = self
             .flows
--- a/components/flow/src/record.rs
+++ b/components/flow/src/record.rs
@@ -1,6 +1,9 @@
 //! Record of a flow's progress, as stored in the table.
 
-use crate::{FlowState, Incarnation, OccurrenceState, Placement, RunStage, StepState, TaskState};
+use crate::{
+    CrashCount, FlowState, Incarnation, OccurrenceState, Placement, RunStage, StepState, TaskKey,
+    TaskState,
+};
 use model::AgentId;
 use serde::{Deserialize, Serialize};
 
@@ -17,8 +20,28 @@
     /// Tasks by occurrence, step and index; `None` for a task that was never placed.
     #[serde(rename = "o", default)]
     occurrences: Vec<Vec<Vec<Option<TaskRecord>>>>,
+    /// Tasks under which workers have crashed. Former versions ignore this field.
+    #[serde(rename = "c", default, skip_serializing_if = "Vec::is_empty")]
+    crashes: Vec<CrashRecord>,
 }
 
+/// Crashes of workers under one task.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+struct CrashRecord(
+    /// Occurrence of the task.
+    u32,
+    /// Step of the task.
+    u32,
+    /// Index of the task.
+    u32,
+    /// Crashes soon after a start.
+    u32,
+    /// Those of them whose start was confirmed.
+    u32,
+    /// All crashes.
+    u32,
+);
+
 /// Progress of one task.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 struct TaskRecord(
@@ -39,6 +62,7 @@
     pub fn of(state: &FlowState) -> Self {
         let mut record = Self {
             failed: state.failed,
+            crashes: crash_records(state),
             ..Self::default()
         };
         for occurrence in &state.occurrences {
@@ -122,6 +146,21 @@
                 state.occurrences.push(occurrence);
             }
         }
+        for CrashRecord(occurrence, step, index, soon, confirmed, total) in &self.crashes {
+            let key = TaskKey {
+                job: state.job.id.clone(),
+                occurrence: *occurrence,
+                step: *step,
+                index: *index,
+            };
+            if let Some(task) = state.task_mut(&key) {
+                task.crashes = CrashCount {
+                    soon: *soon,
+                    confirmed: *confirmed,
+                    total: *total,
+                };
+            }
+        }
     }
 
     /// State of a task from its record.
@@ -144,6 +183,7 @@
         TaskState {
             run: *run,
             failures: *failures,
+            crashes: CrashCount::default(),
             done: *done,
             checkpoint: checkpoint.clone(),
             placement,
@@ -152,3 +192,20 @@
         }
     }
 }
+
+/// Records of the tasks under which workers have crashed.
+fn crash_records(state: &FlowState) -> Vec<CrashRecord> {
+    let crashed = state
+        .tasks()
+        .filter(|(_, task)| task.crashes != CrashCount::default() && !task.done);
+    crashed
+        .map(|(key, task)| {
+            let CrashCount {
+                soon,
+                confirmed,
+                total,
+            } = task.crashes;
+            CrashRecord(key.occurrence, key.step, key.index, soon, confirmed, total)
+        })
+        .collect()
+}
--- a/components/flow/src/reports.rs
+++ b/components/flow/src/reports.rs
@@ -22,6 +22,15 @@
     pub now_ms: u64,
 }
 
+/// Why the runs on a worker are lost.
+#[derive(Debug, Clone, Copy)]
+struct Loss<'a> {
+    /// Reason for the log.
+    reason: &'a str,
+    /// Whether a run may have caused it.
+    is_crash: bool,
+}
+
 impl Scheduler {
     /// Applies a worker's report. `info` holds its last heartbeat and is ignored if it is from
     /// another incarnation. A report from an incarnation that can't be identified is dropped.
@@ -98,17 +107,14 @@
         agent: &AgentId,
         incarnation: &Incarnation,
     ) {
-        self.release_lost_runs(
-            now_ms,
-            agent,
-            "the worker began another life",
-            |placed_on| placed_on != incarnation,
-        );
+        let loss = self.loss_of(agent, "the worker began another life");
+        self.release_lost_runs(now_ms, agent, loss, |placed_on| placed_on != incarnation);
     }
 
     /// Releases every run on a worker that is known to run nothing. `reason` goes into the log.
     pub fn on_worker_terminated(&mut self, now_ms: u64, agent: &AgentId, reason: &str) {
-        self.release_lost_runs(now_ms, agent, reason, |_| true);
+        let loss = self.loss_of(agent, reason);
+        self.release_lost_runs(now_ms, agent, loss, |_| true);
         let view = self.worker_mut(agent);
         view.reset(None);
     }
@@ -116,7 +122,11 @@
     /// Releases every run on a worker whose lease is guaranteed to have expired. Its incarnation
     /// may still be alive.
     pub fn on_lease_expired(&mut self, now_ms: u64, agent: &AgentId) {
-        self.release_lost_runs(now_ms, agent, "the lease expired", |_| true);
+        let loss = Loss {
+            reason: "the lease expired",
+            is_crash: false,
+        };
+        self.release_lost_runs(now_ms, agent, loss, |_| true);
         self.worker_mut(agent).is_synced = false;
     }
 
@@ -125,13 +135,22 @@
         self.worker_mut(agent).is_synced = false;
     }
 
+    /// Loss of a worker's incarnation: a crash, unless the worker has announced that it leaves.
+    fn loss_of<'a>(&self, agent: &AgentId, reason: &'a str) -> Loss<'a> {
+        let info = self.worker(agent).and_then(|view| view.info.as_ref());
+        Loss {
+            reason,
+            is_crash: !info.is_some_and(|info| info.draining),
+        }
+    }
+
     /// Releases the runs placed on a worker whose incarnation `is_lost`, and drops allocations
-    /// without a placement there.
+    /// without a placement there. A crash counts against the tasks of the runs.
     fn release_lost_runs(
         &mut self,
         now_ms: u64,
         agent: &AgentId,
-        reason: &str,
+        loss: Loss<'_>,
         is_lost: impl Fn(&Incarnation) -> bool,
     ) {
         let keys: Vec<TaskKey> = match self.worker(agent) {
@@ -149,7 +168,11 @@
             if placement.agent != *agent {
                 self.fleet.release(now_ms, agent, &key);
             } else if is_lost(&placement.incarnation) {
-                self.release_run(now_ms, &key, run, agent, reason);
+                if loss.is_crash {
+                    self.record_crash(now_ms, agent);
+                    self.count_crash(now_ms, &key, agent);
+                }
+                self.release_run(now_ms, &key, run, agent, loss.reason);
             }
         }
     }
--- a/components/flow/src/scheduler.rs
+++ b/components/flow/src/scheduler.rs
@@ -1,6 +1,7 @@
 //! The scheduler of flows: a state machine that uses neither a clock nor the network. Times are
 //! arguments, and actions are returned as effects.
 
+use crate::suspects::suspects;
 use crate::view::{Allocation, Fleet, WorkerView};
 use crate::{
     Decision, DecisionKind, Effect, FlowConfig, FlowJob, FlowPhase, FlowRecord, FlowState,
@@ -36,6 +37,11 @@
     pub(crate) dirty: BTreeSet<JobId>,
     /// Flows with placements that are started once their record is durable.
     pub(crate) uncommitted: BTreeSet<JobId>,
+    /// Tasks that may crash the workers that start them and so are started alone, each with
+    /// the time of the last crash, in milliseconds; 0 if it is not known.
+    pub(crate) suspects: BTreeMap<TaskKey, u64>,
+    /// Recent crashes of workers, each with its time in milliseconds.
+    pub(crate) crashes: Vec<(u64, AgentId)>,
     /// Learned pressures of fillers on latency-critical tasks.
     pub(crate) pressures: PressureModel,
     /// When starved fillers were last searched for, in milliseconds.
@@ -91,6 +97,7 @@
         let placed: Vec<(TaskKey, u32, AgentId)> = placements(state)
             .map(|(key, run, placement)| (key, run, placement.agent.clone()))
             .collect();
+        self.suspects.extend(suspects(state));
         for (key, run, agent) in placed {
             self.allocate(&key, run, &agent);
         }
--- a/components/flow/src/state.rs
+++ b/components/flow/src/state.rs
@@ -1,6 +1,6 @@
 //! State of a flow and of its tasks in the scheduler.
 
-use crate::{FlowJob, FlowPhase, Incarnation, StepSpec, TaskKey};
+use crate::{CrashCount, FlowJob, FlowPhase, Incarnation, StepSpec, TaskKey};
 use interference::MarginTrend;
 use model::AgentId;
 
@@ -58,6 +58,8 @@
     pub run: u32,
     /// Number of failed runs.
     pub failures: u32,
+    /// Crashes of workers under its runs.
+    pub crashes: CrashCount,
     /// Whether a run succeeded; never set for long-running tasks.
     pub done: bool,
     /// Newest checkpoint, if there is one.
--- /dev/null
+++ b/components/flow/src/suspects.rs
@@ -0,0 +1,322 @@
+//! Finds tasks that crash the workers that start them, and contains them.
+//!
+//! A crash ends every run on the worker, so it does not show which one caused it. A run whose worker
+//! crashes soon after its start makes its task a *suspect*. A suspect is started alone: on a worker
+//! without other new runs, which gets none until the suspect's run has outlived the time in which a
+//! crash counts against it. A crash within that time can then hardly be due to another task, and the
+//! suspect is given up. Crashes of many workers at once count against nobody.
+
+use crate::candidate::Candidate;
+use crate::view::Hold;
+use crate::{DecisionKind, FlowState, Placement, RunStage, Scheduler, TaskKey};
+use model::{AgentId, ServiceName};
+
+/// Time after the start of a run within which a crash of its worker counts against its task, in
+/// milliseconds.
+const SOON_MS: u64 = 500;
+/// Time for which a worker is kept free of new runs for a suspect that waits, in milliseconds. It
+/// exceeds the time after which the runs on the worker have outlived [`SOON_MS`].
+const HOLD_MS: u64 = 1_500;
+/// Crashes soon after a confirmed start of a task after which it is given up. All but the first
+/// were isolated.
+const MAX_CONFIRMED_CRASHES: u32 = 2;
+/// Crashes under a task of any kind after which it is given up. The platform allows five starts that
+/// crash a worker.
+const MAX_CRASHES: u32 = 4;
+/// Time after a crash after which it is decided what it says about a task, in milliseconds. Crashes of
+/// other workers at the same time are noticed meanwhile.
+const VERDICT_AFTER_MS: u64 = 300;
+/// Greatest time between crashes that happen at once, in milliseconds.
+const AT_ONCE_MS: u64 = 300;
+/// Time for which crashes are remembered, in milliseconds.
+const CRASHES_KEPT_MS: u64 = 2_000;
+/// Least number of workers that have to crash at once so that no task counts as the cause.
+const MASS_MIN_WORKERS: usize = 3;
+/// Part of all workers that have to crash at once for that: one in this many.
+const MASS_SHARE: usize = 3;
+/// Run time from which a crash no longer counts against a task, in milliseconds.
+const UNSUSPICIOUS_MS: u64 = 10_000;
+
+/// Crashes of workers under a task.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct CrashCount {
+    /// Crashes soon after a start, since a run last outlived that time or ended.
+    pub soon: u32,
+    /// Those of them whose start the worker had confirmed.
+    pub confirmed: u32,
+    /// Crashes under a run that had not worked for long, since a run last ended.
+    pub total: u32,
+}
+
+impl CrashCount {
+    /// Whether the task is to be started alone.
+    pub fn is_suspect(&self) -> bool {
+        self.soon > 0
+    }
+}
+
+/// How old a run was when its worker crashed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum RunAge {
+    /// It was not ordered yet.
+    NotStarted,
+    /// Its start was ordered or confirmed at most [`SOON_MS`] before.
+    New,
+    /// Unknown, as a former scheduler started it.
+    Unknown,
+    /// It had outlived [`SOON_MS`].
+    Working,
+    /// It had worked for [`UNSUSPICIOUS_MS`].
+    Unsuspicious,
+}
+
+/// Age of a placed run. `placed_ms` is 0 if a former scheduler placed it.
+fn run_age(now_ms: u64, placement: &Placement, placed_ms: u64) -> RunAge {
+    let since_ms = match placement.stage {
+        RunStage::Uncommitted => return RunAge::NotStarted,
+        _ if placed_ms == 0 => return RunAge::Unknown,
+        RunStage::Ordered | RunStage::Unconfirmed => return RunAge::New,
+        RunStage::Running { since_ms } => since_ms,
+        RunStage::Stopping { .. } => placed_ms,
+    };
+    match now_ms.saturating_sub(since_ms) {
+        0..=SOON_MS => RunAge::New,
+        UNSUSPICIOUS_MS.. => RunAge::Unsuspicious,
+        _ => RunAge::Working,
+    }
+}
+
+impl Scheduler {
+    /// Counts the crash of a worker against the task of a run that is placed there. Called before
+    /// the placement is removed.
+    pub(crate) fn count_crash(&mut self, now_ms: u64, key: &TaskKey, agent: &AgentId) {
+        let placed_ms = self.placed_ms(key, agent);
+        let Some(task) = self.task_mut(key) else {
+            return;
+        };
+        let run = task.run;
+        let Some(placement) = &task.placement else {
+            return;
+        };
+        let age = run_age(now_ms, placement, placed_ms);
+        let is_confirmed = !matches!(placement.stage, RunStage::Ordered | RunStage::Unconfirmed);
+        match age {
+            RunAge::NotStarted => return,
+            RunAge::New => {
+                task.crashes.soon += 1;
+                task.crashes.confirmed += u32::from(is_confirmed);
+                task.avoided_agent = Some(agent.clone());
+            }
+            RunAge::Unknown => {}
+            RunAge::Working => (task.crashes.soon, task.crashes.confirmed) = (0, 0),
+            RunAge::Unsuspicious => task.crashes = CrashCount::default(),
+        }
+        if age != RunAge::Unsuspicious {
+            task.crashes.total += 1;
+        }
+        let crashes = task.crashes;
+        if crashes.is_suspect() || crashes.total >= MAX_CRASHES {
+            self.suspects.insert(key.clone(), now_ms);
+        }
+        if age == RunAge::New {
+            let detail = format!("crash {} soon after a start", crashes.soon);
+            self.log_decision(DecisionKind::Suspected, key, run, agent, detail);
+        }
+    }
+
+    /// Records that a worker crashed, to tell crashes of many workers at once from others.
+    pub(crate) fn record_crash(&mut self, now_ms: u64, agent: &AgentId) {
+        self.crashes.retain(|(crashed_ms, crashed)| {
+            now_ms <= crashed_ms + CRASHES_KEPT_MS && crashed != agent
+        });
+        self.crashes.push((now_ms, agent.clone()));
+    }
+
+    /// Whether so many workers crashed at about this time that no task can be the cause.
+    fn is_mass_crash(&self, at_ms: u64) -> bool {
+        let at_once = self
+            .crashes
+            .iter()
+            .filter(|(crashed_ms, _)| crashed_ms.abs_diff(at_ms) <= AT_ONCE_MS);
+        let count = at_once.count();
+        count >= MASS_MIN_WORKERS && count * MASS_SHARE >= self.fleet.workers.len()
+    }
+
+    /// Clears a task of suspicion, as its run ended without a crash.
+    pub(crate) fn clear_suspicion(&mut self, key: &TaskKey) {
+        if let Some(task) = self.task_mut(key) {
+            task.crashes = CrashCount::default();
+        }
+        self.suspects.remove(key);
+    }
+
+    /// Places each suspect whose turn has come on a worker without other new runs, or keeps one free
+    /// for it. Called before other tasks are placed.
+    pub(crate) fn place_suspects(
+        &mut self,
+        now_ms: u64,
+        candidates: &mut [(ServiceName, Candidate)],
+    ) {
+        if self.suspects.is_empty() {
+            return;
+        }
+        for (_, candidate) in candidates.iter_mut() {
+            candidate.has_new_runs = self.has_new_runs(now_ms, &candidate.agent);
+        }
+        for (key, crashed_ms) in self.suspects.clone() {
+            if self.is_over(&key) {
+                self.suspects.remove(&key);
+            } else if self.is_queued(now_ms, &key) && now_ms >= crashed_ms + VERDICT_AFTER_MS {
+                self.judge_suspect(now_ms, &key, crashed_ms, candidates);
+            }
+        }
+    }
+
+    /// Clears a suspect whose worker crashed together with many others, gives it up if it has crashed
+    /// too many workers, and otherwise starts it alone.
+    fn judge_suspect(
+        &mut self,
+        now_ms: u64,
+        key: &TaskKey,
+        crashed_ms: u64,
+        candidates: &mut [(ServiceName, Candidate)],
+    ) {
+        if self.is_mass_crash(crashed_ms) {
+            self.clear_suspicion(key);
+            return;
+        }
+        let is_gang = self.step_spec(key).is_some_and(|spec| spec.gang);
+        let crashes = self
+            .task(key)
+            .map_or_else(CrashCount::default, |task| task.crashes);
+        let is_proven = crashes.confirmed >= MAX_CONFIRMED_CRASHES && !is_gang;
+        if is_proven || crashes.total >= MAX_CRASHES {
+            self.give_up(now_ms, key, crashes);
+        } else if is_gang {
+            self.suspects.remove(key);
+        } else {
+            self.place_suspect(now_ms, key, candidates);
+        }
+    }
+
+    fn give_up(&mut self, now_ms: u64, key: &TaskKey, crashes: CrashCount) {
+        let CrashCount { soon, total, .. } = crashes;
+        let detail =
+            format!("{total} workers crashed under it, {soon} of them soon after its start");
+        let agent = self.task(key).and_then(|task| task.avoided_agent.clone());
+        let agent = agent.unwrap_or_else(|| "".into());
+        self.suspects.remove(key);
+        self.fail_flow(now_ms, key, &agent, detail);
+    }
+
+    fn place_suspect(
+        &mut self,
+        now_ms: u64,
+        key: &TaskKey,
+        candidates: &mut [(ServiceName, Candidate)],
+    ) {
+        let service = self.flows.get(&key.job).and_then(|state| {
+            let queue = self.config.queue(&state.job.queue)?;
+            Some(queue.service.clone())
+        });
+        let (Some(service), Some(spec)) = (service, self.step_spec(key).cloned()) else {
+            return;
+        };
+        let need = self.filler_need(now_ms, &spec, 0.0, candidates);
+        if let Some(index) = self.best_candidate(key, &service, candidates, None, &need) {
+            let candidate = &mut candidates[index].1;
+            candidate.use_slack(&need.pressures, &spec);
+            self.hold(key, candidate, now_ms);
+            self.assign(now_ms, key, candidate, None, None);
+            return;
+        }
+        let fits = |candidate: &Candidate| {
+            candidate.held_for.is_none() && spec.reserved().fits_in(&candidate.free)
+        };
+        let is_waiting = candidates
+            .iter()
+            .any(|(_, candidate)| candidate.held_for.as_ref() == Some(key));
+        let in_pool = candidates.iter_mut().filter(|(pool, _)| *pool == service);
+        let fitting = in_pool.filter(|(_, candidate)| fits(candidate));
+        let freest = fitting.max_by_key(|(_, candidate)| candidate.free.processors_milli);
+        if let Some((_, candidate)) = freest.filter(|_| !is_waiting) {
+            self.hold(key, candidate, now_ms + HOLD_MS);
+        }
+    }
+
+    /// Keeps a worker free of other new runs until `until_ms`, and while a run of the suspect there is
+    /// new.
+    fn hold(&mut self, key: &TaskKey, candidate: &mut Candidate, until_ms: u64) {
+        candidate.held_for = Some(key.clone());
+        let hold = Hold {
+            task: key.clone(),
+            until_ms,
+        };
+        self.worker_mut(&candidate.agent).hold = Some(hold);
+    }
+
+    /// Suspect for which a worker is kept free of other new runs; `None` if it accepts any run.
+    pub(crate) fn held_for(&self, now_ms: u64, agent: &AgentId) -> Option<TaskKey> {
+        let hold = self.worker(agent)?.hold.as_ref()?;
+        let is_waiting = now_ms < hold.until_ms
+            && !self.is_over(&hold.task)
+            && self.placement(&hold.task).is_none();
+        let is_held = is_waiting || self.is_new_run(now_ms, &hold.task, agent);
+        is_held.then(|| hold.task.clone())
+    }
+
+    /// Whether a worker has runs that have not outlived [`SOON_MS`] yet.
+    fn has_new_runs(&self, now_ms: u64, agent: &AgentId) -> bool {
+        let mut keys = self
+            .worker(agent)
+            .into_iter()
+            .flat_map(|view| view.allocations.keys());
+        keys.any(|key| self.is_new_run(now_ms, key, agent))
+    }
+
+    /// Whether a run is placed on a worker and no report shows that it has outlived [`SOON_MS`].
+    fn is_new_run(&self, now_ms: u64, key: &TaskKey, agent: &AgentId) -> bool {
+        let placement = self.placement(key);
+        let Some(placement) = placement.filter(|placement| placement.agent == *agent) else {
+            return false;
+        };
+        let seen_ms = self.worker(agent).map_or(0, |view| view.last_seen_ms);
+        let age = run_age(seen_ms.min(now_ms), placement, self.placed_ms(key, agent));
+        matches!(age, RunAge::NotStarted | RunAge::New)
+    }
+
+    /// When this scheduler placed a run on a worker; 0 if a former one did.
+    fn placed_ms(&self, key: &TaskKey, agent: &AgentId) -> u64 {
+        let view = self.worker(agent);
+        let allocation = view.and_then(|view| view.allocations.get(key));
+        allocation.map_or(0, |allocation| allocation.since_ms)
+    }
+
+    /// Whether a task needs no further run.
+    fn is_over(&self, key: &TaskKey) -> bool {
+        let state = self.flows.get(&key.job);
+        state.is_none_or(|state| state.is_closed() || state.task(key).is_none_or(|task| task.done))
+    }
+
+    /// Whether a task may be placed now.
+    fn is_queued(&self, now_ms: u64, key: &TaskKey) -> bool {
+        let Some(state) = self.flows.get(&key.job) else {
+            return false;
+        };
+        let is_waiting = state
+            .task(key)
+            .is_some_and(|task| task.placement.is_none() && now_ms >= task.not_before_ms);
+        is_waiting
+            && state.is_step_ready(key.occurrence as usize, key.step as usize)
+            && !self.fleet.has_orphan(key)
+    }
+}
+
+/// Tasks of a restored flow that are to be judged before they start, each with the time of its last
+/// crash, which is not known.
+pub(crate) fn suspects(state: &FlowState) -> impl Iterator<Item = (TaskKey, u64)> {
+    let suspects = state.tasks().filter(|(_, task)| {
+        !task.done && (task.crashes.is_suspect() || task.crashes.total >= MAX_CRASHES)
+    });
+    suspects.map(|(key, _)| (key, 0))
+}
--- a/components/flow/tests/common/mod.rs
+++ b/components/flow/tests/common/mod.rs
@@ -51,6 +51,8 @@
     pub deadly: BTreeSet<TaskKey>,
     /// Number of crashes by the task that caused them.
     pub crashes: BTreeMap<TaskKey, u32>,
+    /// Number of crashes of workers by each task that ran there.
+    pub crashes_under: BTreeMap<TaskKey, u32>,
     /// Pairs of images: a filler, and a latency-critical task that it disturbs.
     pub disturbs: BTreeSet<(String, String)>,
     /// Starts whose answers are lost; the value states whether the start is executed.
@@ -153,6 +155,7 @@
             always_failing: BTreeSet::new(),
             deadly: BTreeSet::new(),
             crashes: BTreeMap::new(),
+            crashes_under: BTreeMap::new(),
             disturbs: BTreeSet::new(),
             lose_starts: Vec::new(),
             table_up: true,
@@ -220,6 +223,9 @@
     pub fn crash(&mut self, agent: &AgentId) {
         let worker = self.workers.get_mut(agent).unwrap();
         worker.incarnation.born_ms += 1;
+        for key in worker.running.keys() {
+            *self.crashes_under.entry(key.clone()).or_default() += 1;
+        }
         worker.running.clear();
         worker.ended.clear();
         worker.superseded_up_to.clear();
@@ -516,6 +522,12 @@
         self.workers[&AgentId::from(agent)].running.len()
     }
 
+    /// Whether two workers have crashed under a task of the flow, so that it may be given up.
+    pub fn may_be_given_up(&self, job: &JobId) -> bool {
+        let mut crashes = self.crashes_under.iter();
+        crashes.any(|(key, crashes)| key.job == *job && *crashes >= 2)
+    }
+
     /// Number of completed flows.
     pub fn completed(&self) -> usize {
         let ended = self.ended_ms.values();
--- a/components/flow_entry/src/commits.rs
+++ b/components/flow_entry/src/commits.rs
@@ -272,6 +272,7 @@
             DecisionKind::Stalled => Event::RunStalled,
             DecisionKind::Paused => Event::WorkerPaused,
             DecisionKind::Failed => Event::FlowFailed,
+            DecisionKind::Suspected => Event::RunSuspected,
             DecisionKind::Moved => Event::RunMoved,
         };
         log_event!(info, event, job = %decision.task.job, task = %decision.task, run = decision.run,
