Keep changes of flows that the feed reports while a scheduler loads

Cause: the feed is followed from the claim of the lease on, beside the load. A cancellation that was stored after the load had read its part arrived before the flow was known, was dropped, and the load then added the flow as it had been. No later read repairs it. Ruled out: submissions (an early one was added and the load changed nothing) and ends (written by schedulers only, a superseded one can't commit). Change: changes before the end of the load are kept and applied after the loaded rows.

--- a/components/flow_entry/src/feed_watch.rs
+++ b/components/flow_entry/src/feed_watch.rs
@@ -1,7 +1,7 @@
 //! Watches the table for flows and cancellations that other entries stored.
 
 use crate::coordinator::Coordinator;
-use crate::messages::{FlowsChanged, StoreObserved};
+use crate::messages::{ChangedFlow, FlowsChanged, StoreObserved};
 use crate::overlapping_reads::{PATIENCE, first_answer};
 use crate::reads::read_flows;
 use crate::rows::FLOW_PREFIX;
@@ -15,9 +15,6 @@
 /// Pause after a failed read.
 const RETRY_PAUSE: Duration = Duration::from_millis(250);
 
-/// Key and value of a changed row; the value is `None` for a deleted row.
-type Changed = (String, Option<String>);
-
 /// Sends changes after `version` to the control thread, as long as this entry is the scheduler of
 /// `epoch`.
 pub(crate) async fn run(
@@ -63,7 +60,7 @@
 async fn changed_rows(
     table: &dyn TableStore,
     changes: Changes,
-) -> Result<(Vec<Changed>, u64), StoreError> {
+) -> Result<(Vec<ChangedFlow>, u64), StoreError> {
     match changes {
         Changes::Rows { rows, version } => {
             let rows = rows.into_iter().map(|row| (row.key, row.value)).collect();
--- a/components/flow_entry/src/leadership.rs
+++ b/components/flow_entry/src/leadership.rs
@@ -3,7 +3,7 @@
 use crate::agents::AgentConnection;
 use crate::coordinator::Coordinator;
 use crate::feed_watch;
-use crate::messages::{ClaimDone, InFlightCommit, StateLoaded, StoredRows};
+use crate::messages::{ChangedFlow, ClaimDone, InFlightCommit, StateLoaded, StoredRows};
 use crate::reads::{read_all, read_flows, read_row};
 use crate::rows::{FlowKey, LEARNED_KEY, LEASE_KEY, LeaseRow, RECORD_PREFIX};
 use actix::{AsyncContext, Context, Handler};
@@ -42,6 +42,8 @@
     pub scheduler: Scheduler,
     /// Whether the state that earlier schedulers wrote is loaded; nothing is placed before.
     pub is_loaded: bool,
+    /// Changes of flows that the feed reported before that. They may be newer than the loaded rows.
+    pub early_changes: Vec<ChangedFlow>,
     /// When this entry became the scheduler.
     pub acquired_ms: u64,
     /// Commit whose outcome is not known yet; at most one at a time.
@@ -158,6 +160,7 @@
             confirmed_ms,
             scheduler,
             is_loaded: false,
+            early_changes: Vec::new(),
             acquired_ms: now_ms,
             in_flight: None,
             last_commit_ms: now_ms,
@@ -283,6 +286,9 @@
         for row in &records {
             restore_record(leadership, now_ms, row);
         }
+        for (key, value) in std::mem::take(&mut leadership.early_changes) {
+            apply_flow_row(leadership, now_ms, &key, value.as_deref());
+        }
         match learned.map(|row| PressureModel::parse(&row.value)) {
             Some(Ok(pressures)) => leadership.scheduler.set_learned(pressures),
             Some(Err(error)) => {
--- a/components/flow_entry/src/messages.rs
+++ b/components/flow_entry/src/messages.rs
@@ -168,14 +168,17 @@
     pub rows: Result<StoredRows, StoreError>,
 }
 
+/// Key and value of a changed row; the value is `None` for a deleted row.
+pub(crate) type ChangedFlow = (String, Option<String>);
+
 /// Changed rows of flows. Returns false once the watch has to end.
 #[derive(Message)]
 #[rtype(result = "bool")]
 pub(crate) struct FlowsChanged {
     /// Epoch of the scheduler that watches them.
     pub epoch: u64,
-    /// Key and value of each row; the value is `None` for a deleted row.
-    pub rows: Vec<(String, Option<String>)>,
+    /// The changed rows, oldest change first.
+    pub rows: Vec<ChangedFlow>,
 }
 
 /// Result of a read of the registered agents.
--- a/components/flow_entry/src/requests.rs
+++ b/components/flow_entry/src/requests.rs
@@ -414,6 +414,10 @@
         else {
             return false;
         };
+        if !leadership.is_loaded {
+            leadership.early_changes.extend(changed.rows);
+            return true;
+        }
         for (key, value) in &changed.rows {
             apply_flow_row(leadership, now_ms, key, value.as_deref());
         }
