--- a/components/soak/src/callers.rs
+++ b/components/soak/src/callers.rs
@@ -2,12 +2,13 @@
 
 use crate::fleet::Fleet;
 use platform_standin::caller::Caller;
-use platform_standin::job;
+use platform_standin::{deadly_job, job};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use serde_json::Value;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
+use utils::hash64;
 
 /// Mean interval between two submissions, in milliseconds.
 const MEAN_SUBMIT_INTERVAL_MS: u64 = 60;
@@ -42,6 +43,8 @@
     pub outcome: SubmitOutcome,
     /// Time of the acknowledgement of its cancellation; `None` without one.
     pub cancelled_at: Option<Instant>,
+    /// Whether its task crashes each worker that starts it.
+    pub is_deadly: bool,
     /// Whether the caller tried to cancel the job, even without an acknowledgement.
     pub is_cancel_requested: bool,
     /// Longest time that a refusal took; zero without a refusal.
@@ -54,12 +57,23 @@
     fleet: Rc<Fleet>,
     /// HTTP client of the entries.
     caller: Caller,
+    /// Share of deadly jobs, in percent.
+    deadly_percent: u64,
 }
 
 impl Callers {
-    pub fn new(fleet: Rc<Fleet>) -> Self {
-        let caller = Caller::new(CALL_TIMEOUT);
-        Self { fleet, caller }
+    pub fn new(fleet: Rc<Fleet>, deadly_percent: u64) -> Self {
+        Self {
+            fleet,
+            caller: Caller::new(CALL_TIMEOUT),
+            deadly_percent,
+        }
+    }
+
+    /// Whether the job with this id is deadly. It depends on the id alone, so that a seed leads to the
+    /// same other jobs and faults whatever the share is.
+    fn is_deadly(&self, id: &str) -> bool {
+        hash64(id) % 100 < self.deadly_percent
     }
 
     /// Submits jobs during `load_ms` and returns them after the last caller has finished.
@@ -79,13 +93,18 @@
     }
 
     async fn submit(self: Rc<Self>, id: String, mut random: StdRng) -> SubmittedJob {
-        let body = job(random.random_range(1..4), random.random_range(50..900));
+        let mut body = job(random.random_range(1..4), random.random_range(50..900));
+        let is_deadly = self.is_deadly(&id);
+        if is_deadly {
+            body = deadly_job();
+        }
         let tries_once = random.random_range(0..100) < NO_RETRY_PERCENT;
         let cancels = random.random_range(0..100) < CANCEL_PERCENT;
         let mut submitted = SubmittedJob {
             id,
             outcome: SubmitOutcome::Refused,
             cancelled_at: None,
+            is_deadly,
             is_cancel_requested: false,
             slowest_refusal: Duration::ZERO,
         };
--- a/components/soak/src/check.rs
+++ b/components/soak/src/check.rs
@@ -8,6 +8,9 @@
 /// Time after the acknowledgement of a cancellation from which no task of the job may start.
 const CANCEL_LIMIT: Duration = Duration::from_secs(3);
 
+/// Most starts of a task that crashes each worker that starts it.
+const MAX_DEADLY_STARTS: usize = 5;
+
 /// A promise of the system that a run checks.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, strum::Display)]
 #[strum(serialize_all = "kebab-case")]
@@ -20,6 +23,9 @@
     RefusedIsNotRun,
     /// No task of a job starts more than 3 s after its cancellation was acknowledged.
     CancelledStops,
+    /// A task that crashes the workers that start it is not started three times more after three
+    /// have crashed.
+    DeadlyIsGivenUp,
     /// An accepted job ends, completed or cancelled as requested, after the faults have ended.
     AcceptedEnds,
     /// Every entry reports the final state of a job.
@@ -120,6 +126,11 @@
         let run = own.next()?;
         return Some(Breach::new(Promise::RefusedIsNotRun, run.task.clone()));
     }
+    if job.is_deadly {
+        let starts = own.count();
+        let detail = format!("{} started {starts} times", job.id);
+        return (starts > MAX_DEADLY_STARTS).then(|| Breach::new(Promise::DeadlyIsGivenUp, detail));
+    }
     let limit = job.cancelled_at? + CANCEL_LIMIT;
     let late = own.find(|run| run.started > limit)?;
     Some(Breach::new(Promise::CancelledStops, late.task.clone()))
--- a/components/soak/src/fault.rs
+++ b/components/soak/src/fault.rs
@@ -62,6 +62,7 @@
 ///     entries: 3,
 ///     agents: 4,
 ///     faults: 6,
+///     deadly_percent: 0,
 ///     durations: soak::PhaseDurations::for_load(10_000),
 /// };
 /// assert_eq!(soak::plan_faults(1, &options), soak::plan_faults(1, &options));
--- a/components/soak/src/main.rs
+++ b/components/soak/src/main.rs
@@ -29,6 +29,11 @@
             "Number of agents, each with a worker",
         ))
         .arg(number("faults", "7", "Number of faults in a run"))
+        .arg(number(
+            "deadly-percent",
+            "1",
+            "Share of the jobs that crash each worker that starts them",
+        ))
         .arg(number(
             "load-ms",
             "10000",
@@ -61,6 +66,7 @@
         entries: number(matches, "entries") as usize,
         agents: number(matches, "agents") as usize,
         faults: number(matches, "faults") as usize,
+        deadly_percent: number(matches, "deadly-percent"),
         durations: PhaseDurations::for_load(number(matches, "load-ms")),
     })
 }
--- a/components/soak/src/options.rs
+++ b/components/soak/src/options.rs
@@ -16,6 +16,8 @@
     pub agents: usize,
     /// Number of faults to inject.
     pub faults: usize,
+    /// Share of the jobs whose task crashes each worker that starts it, in percent.
+    pub deadly_percent: u64,
     /// Durations of the phases of the run.
     pub durations: PhaseDurations,
 }
--- a/components/soak/src/run.rs
+++ b/components/soak/src/run.rs
@@ -51,7 +51,7 @@
 /// A process could not be started, signalled or killed, or the system was not ready in time.
 pub async fn run(seed: u64, options: &Options) -> Result<Outcome, SoakError> {
     let fleet = Rc::new(Fleet::start(options).await?);
-    let callers = Rc::new(Callers::new(fleet.clone()));
+    let callers = Rc::new(Callers::new(fleet.clone(), options.deadly_percent));
     wait_until_ready(&callers, &fleet).await?;
     let faults = plan_faults(seed, options);
     let load = callers.clone().run(seed, options.durations.load_ms);
@@ -133,10 +133,12 @@
     breaches
 }
 
-/// Whether a final state fits the job: completed, or cancelled if that was requested.
+/// Whether a final state fits the job: completed, or failed if it is deadly, or cancelled if that was
+/// requested.
 fn is_expected(job: &SubmittedJob, state: &str) -> bool {
     match state {
-        "completed" => true,
+        "completed" => !job.is_deadly,
+        "failed" => job.is_deadly,
         "cancelled" => job.is_cancel_requested,
         _ => false,
     }
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -7,7 +7,7 @@
 const REFUSAL_LIMIT: Duration = Duration::from_secs(3);
 
 /// Runs one seed with three entries and asserts that no promise was broken.
-async fn soak(seed: u64, agents: usize, faults: usize, load_ms: u64) {
+async fn soak(seed: u64, agents: usize, faults: usize, load_ms: u64, deadly_percent: u64) {
     let folder = tempfile::tempdir().unwrap();
     let options = Options {
         program: env!("CARGO_BIN_EXE_parsleythread").into(),
@@ -15,6 +15,7 @@
         entries: 3,
         agents,
         faults,
+        deadly_percent,
         durations: PhaseDurations::for_load(load_ms),
     };
     let outcome = soak::run(seed, &options).await.unwrap();
@@ -34,7 +35,7 @@
 #[actix_rt::test]
 async fn seeded_faults_break_no_promise() {
     for seed in 1..=3 {
-        soak(seed, 3, 4, 4_000).await;
+        soak(seed, 3, 4, 4_000, 0).await;
     }
 }
 
@@ -43,5 +44,14 @@
 /// two tasks ran again.
 #[actix_rt::test]
 async fn seed_22_a_worker_that_starts_a_new_incarnation() {
-    soak(22, 4, 7, 10_000).await;
+    soak(22, 4, 7, 10_000, 0).await;
+}
+
+/// Guards against jobs that crash worker after worker, or that are lost beside them, while processes,
+/// workers and the store fail.
+#[actix_rt::test]
+async fn deadly_jobs_beside_seeded_faults_are_given_up() {
+    for seed in 51..=52 {
+        soak(seed, 5, 4, 4_000, 3).await;
+    }
 }
