--- a/components/soak/tests/check.rs
+++ b/components/soak/tests/check.rs
@@ -21,6 +21,7 @@
         id: "j".to_owned(),
         outcome,
         cancelled_at,
+        is_deadly: false,
         is_cancel_requested: cancelled_at.is_some(),
         slowest_refusal: Duration::ZERO,
     }
@@ -117,3 +118,24 @@
     let in_time = [run(base, "j.0.0.0", 1, 2_900, 4_100)];
     assert_eq!(broken_promises(&in_time, &cancelled), []);
 }
+
+/// Guards against a check that misses a deadly job which is started once more than the pages allow,
+/// or that counts the starts of other jobs.
+#[test]
+fn a_sixth_start_of_a_deadly_job_is_detected() {
+    let base = Instant::now();
+    let broken = (0..6).map(|number| Execution {
+        outcome: "broken",
+        ..run(base, "j.0.0.0", number + 1, number * 100, number * 100 + 10)
+    });
+    let broken: Vec<Execution> = broken.collect();
+    let deadly = SubmittedJob {
+        is_deadly: true,
+        ..submitted(SubmitOutcome::Accepted, None)
+    };
+    let jobs = [deadly];
+    assert_eq!(broken_promises(&broken, &jobs), [Promise::DeadlyIsGivenUp]);
+    assert_eq!(broken_promises(&broken[..5], &jobs), []);
+    let other = [submitted(SubmitOutcome::Accepted, None)];
+    assert_eq!(broken_promises(&broken, &other), []);
+}
