--- a/components/soak/src/check.rs
+++ b/components/soak/src/check.rs
@@ -126,10 +126,10 @@
         let run = own.next()?;
         return Some(Breach::new(Promise::RefusedIsNotRun, run.task.clone()));
     }
-    if job.is_deadly {
-        let starts = own.count();
+    let starts = own.clone().count();
+    if job.is_deadly && starts > MAX_DEADLY_STARTS {
         let detail = format!("{} started {starts} times", job.id);
-        return (starts > MAX_DEADLY_STARTS).then(|| Breach::new(Promise::DeadlyIsGivenUp, detail));
+        return Some(Breach::new(Promise::DeadlyIsGivenUp, detail));
     }
     let limit = job.cancelled_at? + CANCEL_LIMIT;
     let late = own.find(|run| run.started > limit)?;
