Count crashes of many workers at once in the total of a task

Found by a new test: 24 deadly tasks at once crash so many of 11 workers together that each crash counted as one that no task caused, and cleared the tasks, which were then started for ever (flows did not end within 120 s). Flows under which workers crash for another cause still survive (the test for that is unchanged). The test failed before and passes now.

--- a/components/flow/src/suspects.rs
+++ b/components/flow/src/suspects.rs
@@ -4,7 +4,8 @@
 //! crashes soon after its start makes its task a *suspect*. A suspect is started alone: on a worker
 //! without other new runs, which gets none until the suspect's run has outlived the time in which a
 //! crash counts against it. A crash within that time can then hardly be due to another task, and the
-//! suspect is given up. Crashes of many workers at once count against nobody.
+//! suspect is given up. Crashes of many workers at once make nobody a suspect. A task that is neither
+//! isolated nor cleared is given up after more crashes under it, whatever they show.
 
 use crate::candidate::Candidate;
 use crate::view::Hold;
@@ -50,6 +51,10 @@
 
 impl CrashCount {
     /// Whether the task is to be started alone.
+    ///
+    /// ```
+    /// assert!(!flow::CrashCount::default().is_suspect());
+    /// ```
     pub fn is_suspect(&self) -> bool {
         self.soon > 0
     }
@@ -172,8 +177,8 @@
         }
     }
 
-    /// Clears a suspect whose worker crashed together with many others, gives it up if it has crashed
-    /// too many workers, and otherwise starts it alone.
+    /// Gives a suspect up if it has crashed too many workers, and otherwise starts it alone, unless its
+    /// worker crashed together with many others.
     fn judge_suspect(
         &mut self,
         now_ms: u64,
@@ -181,18 +186,19 @@
         crashed_ms: u64,
         candidates: &mut [(ServiceName, Candidate)],
     ) {
-        if self.is_mass_crash(crashed_ms) {
-            self.clear_suspicion(key);
+        let is_mass_crash = self.is_mass_crash(crashed_ms);
+        let is_gang = self.step_spec(key).is_some_and(|spec| spec.gang);
+        let Some(task) = self.task_mut(key) else {
             return;
+        };
+        if is_mass_crash {
+            (task.crashes.soon, task.crashes.confirmed) = (0, 0);
         }
-        let is_gang = self.step_spec(key).is_some_and(|spec| spec.gang);
-        let crashes = self
-            .task(key)
-            .map_or_else(CrashCount::default, |task| task.crashes);
+        let crashes = task.crashes;
         let is_proven = crashes.confirmed >= MAX_CONFIRMED_CRASHES && !is_gang;
         if is_proven || crashes.total >= MAX_CRASHES {
             self.give_up(now_ms, key, crashes);
-        } else if is_gang {
+        } else if is_gang || !crashes.is_suspect() {
             self.suspects.remove(key);
         } else {
             self.place_suspect(now_ms, key, candidates);
--- a/components/flow/tests/deadly.rs
+++ b/components/flow/tests/deadly.rs
@@ -60,6 +60,29 @@
     }
 }
 
+/// Guards against tasks that are started for ever because so many of them crash workers at once that
+/// the crashes count against nobody.
+#[test]
+fn many_deadly_tasks_at_once_are_given_up_too() {
+    for deadly_every in [1, 2] {
+        let mut sim = Sim::new(11);
+        for number in 0..24 {
+            let job = sim.submit(&format!("f{number:02}"), vec![step(4, 1_000, 800)]);
+            if number % deadly_every == 0 {
+                sim.deadly.insert(only_task(&job));
+            }
+        }
+        assert!(sim.run_until_ended(120_000), "{:?}", sim.crashes);
+        for (task, crashes) in &sim.crashes {
+            assert!(*crashes <= MAX_STARTS, "{task} crashed {crashes} workers");
+        }
+        for (job, (_, phase)) in &sim.ended_ms {
+            let is_allowed = *phase == FlowPhase::Completed || sim.may_be_given_up(job);
+            assert!(is_allowed, "{job} is {phase}");
+        }
+    }
+}
+
 /// Guards against crashes that a scheduler forgets when it replaces the one that counted them.
 #[test]
 fn a_new_scheduler_remembers_the_crashes_of_a_task() {
