Isolate suspects also when many workers crash at once

Crashes of three workers within 0.3 s counted as one that no task causes, which with several deadly jobs among few workers is the usual case; the runs were then started among others again, and crashed with them until their total was used up. Change: crashes at once are treated like others. What the exception was for is no longer needed: an innocent task would have to be started alone twice just as its worker crashes, and groups of six keep the delay after a crash of all workers short.

--- a/components/flow/src/reports.rs
+++ b/components/flow/src/reports.rs
@@ -169,7 +169,6 @@
                 self.fleet.release(now_ms, agent, &key);
             } else if is_lost(&placement.incarnation) {
                 if loss.is_crash {
-                    self.record_crash(now_ms, agent);
                     self.count_crash(now_ms, &key, agent);
                 }
                 self.release_run(now_ms, &key, run, agent, loss.reason);
--- a/components/flow/src/scheduler.rs
+++ b/components/flow/src/scheduler.rs
@@ -40,8 +40,6 @@
     /// Tasks that may crash the workers that start them and so are started alone, each with
     /// the time of the last crash, in milliseconds; 0 if it is not known.
     pub(crate) suspects: BTreeMap<TaskKey, u64>,
-    /// Recent crashes of workers, each with its time in milliseconds.
-    pub(crate) crashes: Vec<(u64, AgentId)>,
     /// Learned pressures of fillers on latency-critical tasks.
     pub(crate) pressures: PressureModel,
     /// When starved fillers were last searched for, in milliseconds.
--- a/components/flow/src/suspects.rs
+++ b/components/flow/src/suspects.rs
@@ -5,8 +5,8 @@
 //! worker without other new runs, which gets none until theirs have outlived the time in which a
 //! crash counts against them. While there are many, a few start together; after a second crash each
 //! starts alone. A crash soon after a start alone can hardly be due to another task; after two of them
-//! the suspect is given up. Crashes of many workers at once make nobody a suspect. A task under which
-//! workers crash time and again, none of its runs outliving that time, is given up in any case.
+//! the suspect is given up. A task under which workers crash time and again, none of its runs
+//! outliving that time, is given up in any case.
 
 use crate::candidate::Candidate;
 use crate::view::Hold;
@@ -28,18 +28,6 @@
 /// Crashes of any kind under a task, without a run that outlived [`SOON_MS`], after which it is given
 /// up. The platform allows five starts that crash a worker.
 const MAX_CRASHES: u32 = 5;
-/// Time after a crash after which it is decided what it says about a task, in milliseconds. Crashes of
-/// other workers at the same time are noticed meanwhile.
-const VERDICT_AFTER_MS: u64 = 300;
-/// Greatest time between crashes that happen at once, in milliseconds.
-const AT_ONCE_MS: u64 = 300;
-/// Time for which crashes are remembered, in milliseconds.
-const CRASHES_KEPT_MS: u64 = 2_000;
-/// Least number of workers that have to crash at once so that no task counts as the cause.
-const MASS_MIN_WORKERS: usize = 3;
-/// Part of all workers that have to crash at once for that: one in this many.
-const MASS_SHARE: usize = 3;
-
 /// Crashes of workers under a task since one of its runs last outlived [`SOON_MS`] or ended.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct CrashCount {
@@ -146,24 +134,6 @@
         }
     }
 
-    /// Records that a worker crashed, to tell crashes of many workers at once from others.
-    pub(crate) fn record_crash(&mut self, now_ms: u64, agent: &AgentId) {
-        self.crashes.retain(|(crashed_ms, crashed)| {
-            now_ms <= crashed_ms + CRASHES_KEPT_MS && crashed != agent
-        });
-        self.crashes.push((now_ms, agent.clone()));
-    }
-
-    /// Whether so many workers crashed at about this time that no task can be the cause.
-    fn is_mass_crash(&self, at_ms: u64) -> bool {
-        let at_once = self
-            .crashes
-            .iter()
-            .filter(|(crashed_ms, _)| crashed_ms.abs_diff(at_ms) <= AT_ONCE_MS);
-        let count = at_once.count();
-        count >= MASS_MIN_WORKERS && count * MASS_SHARE >= self.fleet.workers.len()
-    }
-
     /// Clears a task of suspicion, as its run ended without a crash.
     pub(crate) fn clear_suspicion(&mut self, key: &TaskKey) {
         if let Some(task) = self.task_mut(key) {
@@ -191,33 +161,26 @@
             .map(|(key, crashed_ms)| (*crashed_ms, key.clone()))
             .collect();
         suspects.sort();
-        for (crashed_ms, key) in suspects {
+        for (_, key) in suspects {
             if self.is_over(&key) {
                 self.suspects.remove(&key);
-            } else if self.is_queued(now_ms, &key) && now_ms >= crashed_ms + VERDICT_AFTER_MS {
-                self.judge_suspect(now_ms, &key, crashed_ms, candidates);
+            } else if self.is_queued(now_ms, &key) {
+                self.judge_suspect(now_ms, &key, candidates);
             }
         }
     }
 
-    /// Gives a suspect up if it has crashed too many workers, and otherwise starts it alone, unless its
-    /// worker crashed together with many others.
+    /// Gives a suspect up if it has crashed too many workers, and otherwise starts it isolated.
     fn judge_suspect(
         &mut self,
         now_ms: u64,
         key: &TaskKey,
-        crashed_ms: u64,
         candidates: &mut [(ServiceName, Candidate)],
     ) {
-        let is_mass_crash = self.is_mass_crash(crashed_ms);
         let is_gang = self.step_spec(key).is_some_and(|spec| spec.gang);
-        let Some(task) = self.task_mut(key) else {
+        let Some(crashes) = self.task(key).map(|task| task.crashes) else {
             return;
         };
-        if is_mass_crash {
-            (task.crashes.soon, task.crashes.alone) = (0, 0);
-        }
-        let crashes = task.crashes;
         let is_proven = crashes.alone >= MAX_ALONE_CRASHES && !is_gang;
         if is_proven || crashes.total >= MAX_CRASHES {
             self.give_up(now_ms, key, crashes);
