Review: a large job stops all scheduling for good (LOST)

A script with the project's entries and agents as processes and stand-ins of store, workers and clients. The progress record of an accepted job of 4,000 tasks exceeds the store's rowBytes; the store refuses the commit, each scheduler in turn steps down, and nothing of any job is started any more.

--- /dev/null
+++ b/review/2/case.py
@@ -0,0 +1,53 @@
+"""One large job among small ones. Does every accepted job still get its turn?"""
+
+import asyncio
+import sys
+from pathlib import Path
+
+sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "common"))
+from standins import main
+
+LARGE_TASKS = 4_000
+SMALL_TASKS = 36
+FINISH_S = 14
+IDLE_S = 3
+BEFORE, LARGE, AFTER = "00000000000000a1", "00000000000000b2", "00000000000000c3"
+CPU = {BEFORE: 960, LARGE: 100, AFTER: 960}
+
+
+def job(name, tasks, length_ms):
+    step = {"count": tasks, "cpu": CPU[name], "requestedMemoryMb": 10, "estimatedMs": length_ms}
+    return {"taskSpec": str(length_ms), "steps": [step]}
+
+
+async def case(fleet_of, record, trouble):
+    fleet = fleet_of(entries=3, workers=3)
+    await fleet.start()
+    await fleet.submit(BEFORE, job(BEFORE, 6, 850))
+    await fleet.submit(LARGE, job(LARGE, LARGE_TASKS if trouble else SMALL_TASKS, 850))
+    await asyncio.sleep(5)
+    await fleet.submit(AFTER, job(AFTER, 6, 850))
+    await asyncio.sleep(FINISH_S)
+    capacity = sum(worker.cpu for worker in fleet.workers)
+    idle_since, until = None, record.now() + 30
+    while record.now() < until:
+        states = {name: (await fleet.ask("GET", name))[1].get("state") for name in CPU}
+        if all(state == "completed" for state in states.values()):
+            return None
+        has_turn = states[AFTER] != "completed" and not fleet.has_run(AFTER)
+        if has_turn and fleet.used_cpu(CPU) < capacity / 2:
+            idle_since = idle_since or record.now()
+        else:
+            idle_since = None
+        if idle_since and record.now() - idle_since >= IDLE_S:
+            done = sum(run["how"] == "done" for run in fleet.runs())
+            return (
+                f"LOST: {record.now() - idle_since:.1f} s after finish_s nothing of the small job {AFTER} "
+                f"runs, with {fleet.used_cpu(CPU)} of {capacity} in use; states {states}; {done} runs are "
+                f"done; the store refused {len(fleet.store.refused)} transactions"
+            )
+        await asyncio.sleep(0.3)
+    return None
+
+
+main(case)
