Log flows that wait, with the cause (event 723)

Once in 3 s the scheduler now logs each flow without a run for 3 s although the turn of a task has come, and each such task of a long-running flow, with the cause (worker-unreachable, start-unconfirmed, stopping, delayed, orphaned, suspect, no-queue, no-worker, workers-held, no-room) and the agent; the gauge flows_waiting counts them. No decision changes.

--- a/components/flow/src/lib.rs
+++ b/components/flow/src/lib.rs
@@ -27,6 +27,7 @@
 mod suspects;
 mod task_key;
 mod view;
+mod waiting;
 mod worker;
 
 pub use self::interference::LatencyTrace;
@@ -44,4 +45,5 @@
 pub use suspects::CrashCount;
 pub use task_key::TaskKey;
 pub use view::{Allocation, Fleet, Hold, OrphanedRun, PendingAck, WorkerView};
+pub use waiting::{WaitCause, WaitWatch, WaitingFlow};
 pub use worker::{EndedRun, Incarnation, RunEnd, RunningTask, WorkerInfo, WorkerReport};
--- a/components/flow_entry/src/commits.rs
+++ b/components/flow_entry/src/commits.rs
@@ -32,6 +32,8 @@
 const LEARNED_WRITE_INTERVAL_MS: u64 = 1_000;
 /// Interval between two reads of the registered agents, in milliseconds.
 const AGENTS_READ_INTERVAL_MS: u64 = 1_000;
+/// Interval between two searches for flows that wait, in milliseconds.
+const WAITS_SEARCH_INTERVAL_MS: u64 = 3_000;
 /// Interval between two garbage collections of ended rows, in milliseconds.
 const COLLECT_INTERVAL_MS: u64 = 1_500;
 /// Ended flows whose rows one transaction replaces by a small one; each takes three rows of the
@@ -57,6 +59,29 @@
             self.collect_ended_rows(now_ms, context);
         }
         self.run_scheduling_pass(context);
+        self.log_waiting_flows(now_ms);
+    }
+
+    /// Logs the flows that wait, and counts them.
+    fn log_waiting_flows(&mut self, now_ms: u64) {
+        let Some(leadership) = self
+            .leadership
+            .as_mut()
+            .filter(|leadership| leadership.is_loaded)
+        else {
+            return;
+        };
+        if now_ms < leadership.waits_searched_ms + WAITS_SEARCH_INTERVAL_MS {
+            return;
+        }
+        leadership.waits_searched_ms = now_ms;
+        let waiting = leadership.wait_watch.observe(now_ms, &leadership.scheduler);
+        self.metrics.flows_waiting.set(waiting.len() as i64);
+        for flow in waiting {
+            let agent = flow.agent.as_ref().map_or("", |agent| agent.as_str());
+            log_event!(warn, Event::FlowWaiting, job = %flow.task.job, task = %flow.task,
+                run = flow.run, agent, cause = %flow.cause, waited_ms = flow.waited_ms);
+        }
     }
 
     /// Requests a scheduling pass behind the messages that are already in the mailbox, so that one
--- a/components/flow_entry/src/leadership.rs
+++ b/components/flow_entry/src/leadership.rs
@@ -8,7 +8,7 @@
 use crate::rows::{FlowKey, LEARNED_KEY, LEASE_KEY, LeaseRow, RECORD_PREFIX};
 use actix::{AsyncContext, Context, Handler};
 use backing::{Row, StoreError, TableStore, Transaction};
-use flow::{FlowEnd, FlowJob, FlowPhase, FlowRecord, FlowRow, LeaseTerms, Scheduler};
+use flow::{FlowEnd, FlowJob, FlowPhase, FlowRecord, FlowRow, LeaseTerms, Scheduler, WaitWatch};
 use interference::PressureModel;
 use model::{AgentId, JobId};
 use std::collections::{BTreeMap, VecDeque};
@@ -66,6 +66,10 @@
     pub collected_ms: u64,
     /// When the learned statistics were last added to a commit.
     pub learned_written_ms: u64,
+    /// Finds flows that wait, for the log.
+    pub wait_watch: WaitWatch,
+    /// When it last looked for them.
+    pub waits_searched_ms: u64,
     /// Whether a scheduling pass is already in the mailbox.
     pub is_pass_requested: bool,
 }
@@ -172,6 +176,8 @@
             is_collecting: false,
             collected_ms: now_ms,
             learned_written_ms: now_ms,
+            wait_watch: WaitWatch::default(),
+            waits_searched_ms: now_ms,
             is_pass_requested: false,
         });
         self.load(epoch, context);
--- a/components/flow_entry/src/metrics.rs
+++ b/components/flow_entry/src/metrics.rs
@@ -31,6 +31,8 @@
     pub(crate) terms_started: Counter,
     /// Flows that have not ended, by the scheduler; not updated in other entries.
     pub(crate) flows: Gauge,
+    /// Flows of which nothing runs although a task could, by the scheduler.
+    pub(crate) flows_waiting: Gauge,
     /// Version of the configuration in force.
     pub(crate) config: Gauge,
     /// Time of a read of the configuration, its wait for a change included, in seconds.
@@ -54,6 +56,7 @@
             is_scheduler: Gauge::default(),
             terms_started: Counter::default(),
             flows: Gauge::default(),
+            flows_waiting: Gauge::default(),
             config: Gauge::default(),
             config_read_seconds: buckets(),
             config_read_failures: Counter::default(),
@@ -96,6 +99,11 @@
             self.terms_started.clone(),
         );
         registry.register("flows", "Flows that are not over", self.flows.clone());
+        registry.register(
+            "flows_waiting",
+            "Flows of which nothing has run for a while although a task could",
+            self.flows_waiting.clone(),
+        );
         registry.register(
             "flow_config",
             "Number of the configuration in force",
--- a/components/telemetry/src/event.rs
+++ b/components/telemetry/src/event.rs
@@ -151,6 +151,8 @@
     PairJudged = 721,
     /// A worker crashed soon after the start of a run, whose task is now isolated.
     RunSuspected = 722,
+    /// Nothing of a flow has run for a while although a task of it could.
+    FlowWaiting = 723,
     /// An agent refused a start order: its worker is draining or has another incarnation.
     OrderRefused = 719,
     /// A span ended.
