Count each offer of a lease once, and offer none to a worker that does not answer

Tasks on a worker that can't be reached were never started elsewhere, for the rest of the scheduler's term.

Cause: the time at which a worker's leases have certainly expired was moved ahead before each poll, by the lease that the poll offered, whether the poll could arrive or not. An unreachable agent is polled again every 120 ms, so that the time always stayed some 4 s ahead. Class: a deadline that each retry moves.

Change: offers have numbers (Leases). An offer counts while its call is in flight, and for good if the call may have arrived, once; not if the connection failed. A worker whose last poll was not answered is polled without an offer until it answers, so that its leases end. Leases of former schedulers are a floor that no report takes back; a worker that answers but whose ends are not all read (Contact::Reading) is neither synced nor unreachable. Orphans of a worker end with its leases. Polls and offers are decided in flow::contact, without a network.

Tests: the model's workers now hold leases on clocks of their own (2 % slow at most) and lapse by themselves; the scheduler under test polls them, and calls may arrive late or their answers get lost. The call of the lapse by the tests is gone with expire_lease; all that the tests asserted stays. New: no flow is lost with workers that stay away. The stand-in of a worker now ends runs also while nobody calls it; before, their end was only noticed at the next call.

--- a/components/flow/src/candidate.rs
+++ b/components/flow/src/candidate.rs
@@ -66,7 +66,7 @@
     /// Workers that accept new runs now, each with its pool: synced, neither paused nor draining.
     pub(crate) fn candidates(&self, now_ms: u64) -> Vec<(ServiceName, Candidate)> {
         let accepts_work = |view: &&WorkerView| {
-            view.is_synced
+            view.is_synced()
                 && now_ms >= view.not_before_ms
                 && view.health.accepts_work(now_ms, view.runs_since_pause())
         };
--- a/components/flow/src/lease.rs
+++ b/components/flow/src/lease.rs
@@ -2,7 +2,11 @@
 //! expired.
 //!
 //! All bounds are counted from a past event that both sides observed, so that delayed messages or
-//! paused processes can only make a lease shorter.
+//! paused processes can only make a lease shorter. A worker holds at most the latest lease that was
+//! offered to it in a call that may have arrived, so that an offer counts once, whatever becomes of
+//! later calls.
+
+use std::collections::BTreeMap;
 
 /// Slowest assumed rate of a worker's clock, in thousandths of the true rate.
 const SLOWEST_CLOCK_RATE_MILLI: u64 = 975;
@@ -90,3 +94,76 @@
         self.outage_term_ms.max(self.term_ms) + self.slack_ms
     }
 }
+
+/// Latest end of a lease that the scheduler may grant now, on its own clock.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct LeaseLimit {
+    /// End of the lease, in milliseconds.
+    pub until_ms: u64,
+    /// Time after the end by which the worker has stopped its runs, in milliseconds.
+    pub slack_ms: u64,
+}
+
+/// Number of an offer of a lease, unique per worker.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct OfferId(u64);
+
+/// Whether the call that carried an offer may have arrived.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Delivery {
+    /// It may have arrived, or may still arrive.
+    Possible,
+    /// It was never sent.
+    Impossible,
+}
+
+/// The leases that were offered to a worker.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Leases {
+    /// When every lease that may have arrived is guaranteed to have expired, in milliseconds.
+    settled_ms: u64,
+    /// The same for each offer in a call that has not been answered and has not failed.
+    in_flight_ms: BTreeMap<OfferId, u64>,
+    /// Number of the next offer.
+    next: u64,
+}
+
+impl Leases {
+    /// Records the offer of a lease that is guaranteed to have expired at `expired_ms`.
+    ///
+    /// ```
+    /// let mut leases = flow::Leases::default();
+    /// leases.offer(4_000);
+    /// assert_eq!(leases.expired_ms(), 4_000);
+    /// ```
+    pub fn offer(&mut self, expired_ms: u64) -> OfferId {
+        let id = OfferId(self.next);
+        self.next += 1;
+        self.in_flight_ms.insert(id, expired_ms);
+        id
+    }
+
+    /// Records what became of the call that carried an offer. An offer that can't have arrived does
+    /// not count.
+    ///
+    /// ```
+    /// let mut leases = flow::Leases::default();
+    /// let offer = leases.offer(4_000);
+    /// leases.settle(offer, flow::Delivery::Impossible);
+    /// assert_eq!(leases.expired_ms(), 0);
+    /// ```
+    pub fn settle(&mut self, offer: OfferId, delivery: Delivery) {
+        let expired_ms = self.in_flight_ms.remove(&offer).unwrap_or(0);
+        match delivery {
+            Delivery::Possible => self.settled_ms = self.settled_ms.max(expired_ms),
+            Delivery::Impossible => {}
+        }
+    }
+
+    /// When every lease that the worker may hold is guaranteed to have expired, in milliseconds; 0
+    /// if none was offered.
+    pub fn expired_ms(&self) -> u64 {
+        let in_flight_ms = self.in_flight_ms.values().copied().max();
+        self.settled_ms.max(in_flight_ms.unwrap_or(0))
+    }
+}
--- a/components/flow/src/lib.rs
+++ b/components/flow/src/lib.rs
@@ -4,6 +4,7 @@
 
 mod candidate;
 mod config;
+mod contact;
 mod effect;
 mod ends;
 mod gang;
@@ -32,10 +33,11 @@
 
 pub use self::interference::LatencyTrace;
 pub use config::{FlowConfig, Pool, Queue};
+pub use contact::{LapsedWorker, LeaseOffer, PollPlan};
 pub use effect::{Decision, DecisionKind, Effect, RunRef, StartInput};
 pub use health::Health;
 pub use job::{FlowEnd, FlowJob, FlowPhase, FlowRow, QueueKey};
-pub use lease::{ClockSample, LeaseTerms};
+pub use lease::{ClockSample, Delivery, LeaseLimit, LeaseTerms, Leases, OfferId};
 pub use messages::{PaceOrder, PollReply, PollRequest, StartOrder, StartOutcome, StopOrder};
 pub use record::FlowRecord;
 pub use reports::ReportTimes;
@@ -44,6 +46,6 @@
 pub use state::{FlowState, OccurrenceState, Placement, RunStage, StepState, TaskState};
 pub use suspects::CrashCount;
 pub use task_key::TaskKey;
-pub use view::{Allocation, Fleet, Hold, OrphanedRun, PendingAck, WorkerView};
+pub use view::{Allocation, Contact, Fleet, Hold, OrphanedRun, PendingAck, WorkerView};
 pub use waiting::{WaitCause, WaitWatch, WaitingFlow};
 pub use worker::{EndedRun, Incarnation, RunEnd, RunningTask, WorkerInfo, WorkerReport};
--- a/components/flow/src/reports.rs
+++ b/components/flow/src/reports.rs
@@ -3,8 +3,8 @@
 
 use crate::view::OrphanedRun;
 use crate::{
-    ClockSample, DecisionKind, Effect, Incarnation, RunRef, RunStage, RunningTask, Scheduler,
-    TaskKey, WorkerInfo, WorkerReport,
+    ClockSample, Contact, DecisionKind, Effect, Incarnation, RunRef, RunStage, RunningTask,
+    Scheduler, TaskKey, WorkerInfo, WorkerReport,
 };
 use model::{AgentId, Resources};
 use utils::Map;
@@ -66,7 +66,10 @@
         }
         self.reconcile(times, agent, &running, report.has_more_ends);
         self.stop_orphans(times.now_ms, agent, &running);
-        self.worker_mut(agent).is_synced = !report.has_more_ends;
+        self.worker_mut(agent).contact = match report.has_more_ends {
+            true => Contact::Reading,
+            false => Contact::Synced,
+        };
         self.end_probation(times.now_ms, agent, &running);
         self.stop_stalled_runs(times.now_ms, agent, &running);
         self.limit_interference(times.now_ms, agent, &running);
@@ -119,20 +122,17 @@
         view.reset(None);
     }
 
-    /// Releases every run on a worker whose lease is guaranteed to have expired. Its incarnation
-    /// may still be alive.
-    pub fn on_lease_expired(&mut self, now_ms: u64, agent: &AgentId) {
+    /// Releases every run on a worker whose leases are guaranteed to have expired, placed there or
+    /// not. Its incarnation may still be alive.
+    pub(crate) fn on_lease_expired(&mut self, now_ms: u64, agent: &AgentId) {
         let loss = Loss {
             reason: "the lease expired",
             is_crash: false,
         };
         self.release_lost_runs(now_ms, agent, loss, |_| true);
-        self.worker_mut(agent).is_synced = false;
-    }
-
-    /// Marks a worker as unreachable, so that nothing is placed on it until its next report.
-    pub fn on_unreachable(&mut self, agent: &AgentId) {
-        self.worker_mut(agent).is_synced = false;
+        let view = self.worker_mut(agent);
+        view.orphans.clear();
+        view.contact = Contact::Unreachable;
     }
 
     /// Loss of a worker's incarnation: a crash, unless the worker has announced that it leaves.
--- a/components/flow/src/scheduler.rs
+++ b/components/flow/src/scheduler.rs
@@ -44,6 +44,8 @@
     pub(crate) pressures: PressureModel,
     /// When starved fillers were last searched for, in milliseconds.
     pub(crate) starved_searched_ms: u64,
+    /// When every lease that former schedulers granted is guaranteed to have expired, in milliseconds.
+    pub(crate) former_leases_expired_ms: u64,
     /// Effects since the last call of [`Scheduler::take_effects`].
     pub(crate) effects: Vec<Effect>,
 }
--- a/components/flow/src/view.rs
+++ b/components/flow/src/view.rs
@@ -2,7 +2,7 @@
 
 use crate::health::Health;
 use crate::interference::LatencyTrace;
-use crate::{ClockSample, Incarnation, TaskKey, WorkerInfo};
+use crate::{ClockSample, Incarnation, Leases, TaskKey, WorkerInfo};
 use model::{AgentId, JobId, Resources};
 use std::collections::{BTreeMap, VecDeque};
 
@@ -51,6 +51,35 @@
     pub record: Option<(JobId, u64)>,
 }
 
+/// Whether a worker can be reached, and how far its report was read.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum Contact {
+    /// This scheduler has not heard of it yet.
+    #[default]
+    Unknown,
+    /// It answers, but its report has more ends than were read.
+    Reading,
+    /// It answers, and its report is complete. Only then it gets runs.
+    Synced,
+    /// Its last poll failed.
+    Unreachable,
+}
+
+impl Contact {
+    /// Whether the last poll was answered.
+    ///
+    /// ```
+    /// assert!(flow::Contact::Reading.is_answering());
+    /// assert!(!flow::Contact::Unknown.is_answering());
+    /// ```
+    pub fn is_answering(self) -> bool {
+        match self {
+            Self::Reading | Self::Synced => true,
+            Self::Unknown | Self::Unreachable => false,
+        }
+    }
+}
+
 /// What the scheduler knows about a worker.
 #[derive(Debug, Default)]
 pub struct WorkerView {
@@ -59,8 +88,8 @@
     /// Incarnation of the last applied report; `None` before the first one and once the worker is
     /// known to run nothing.
     pub incarnation: Option<Incarnation>,
-    /// Whether a complete report was applied and the worker is reachable, so that it may get runs.
-    pub is_synced: bool,
+    /// Whether it can be reached, and how far its report was read.
+    pub contact: Contact,
     /// Allocations of the runs that are placed on it.
     pub allocations: BTreeMap<TaskKey, Allocation>,
     /// Runs that it reports although they are not placed on it.
@@ -73,8 +102,8 @@
     pub pending_acks: VecDeque<PendingAck>,
     /// Newest sample of its clock.
     pub clock: Option<ClockSample>,
-    /// When every lease granted to it is guaranteed to have expired, in milliseconds.
-    pub lease_expired_ms: u64,
+    /// Leases that this scheduler offered to it.
+    pub leases: Leases,
     /// When its last report arrived, in milliseconds.
     pub last_seen_ms: u64,
     /// Health by the ends and the progress of its runs.
@@ -112,6 +141,11 @@
 }
 
 impl WorkerView {
+    /// Whether a complete report was applied and the worker answers, so that it may get runs.
+    pub fn is_synced(&self) -> bool {
+        self.contact == Contact::Synced
+    }
+
     /// Resources reserved for placed and orphaned runs.
     pub fn reserved(&self) -> Resources {
         let placed = self
@@ -165,16 +199,15 @@
     }
 
     /// Clears the state that belongs to an earlier incarnation and sets the new one. The heartbeat,
-    /// the allocations, the latencies and the times of the last report stay.
+    /// the allocations, the latencies, the offered leases and the times of the last report stay.
     pub fn reset(&mut self, incarnation: Option<Incarnation>) {
         self.incarnation = incarnation;
-        self.is_synced = false;
+        self.contact = Contact::Unknown;
         self.orphans.clear();
         self.last_end = 0;
         self.acknowledged = 0;
         self.pending_acks.clear();
         self.clock = None;
-        self.lease_expired_ms = 0;
         self.health = Health::default();
     }
 }
--- a/components/flow/src/waiting.rs
+++ b/components/flow/src/waiting.rs
@@ -1,6 +1,6 @@
 //! Finds flows of which nothing runs although a task could, and why, for the log.
 
-use crate::{FlowState, RunStage, Scheduler, TaskKey, TaskState};
+use crate::{FlowState, RunStage, Scheduler, TaskKey, TaskState, WorkerView};
 use model::{AgentId, JobId};
 use std::collections::BTreeMap;
 
@@ -118,7 +118,7 @@
         task.placement.as_ref().is_some_and(|placement| {
             let view = self.worker(&placement.agent);
             matches!(placement.stage, RunStage::Running { .. })
-                && view.is_some_and(|view| view.is_synced)
+                && view.is_some_and(WorkerView::is_synced)
         })
     }
 
@@ -138,7 +138,7 @@
         if let Some(placement) = self.placement(key) {
             let agent = Some(placement.agent.clone());
             let view = self.worker(&placement.agent);
-            if !view.is_some_and(|view| view.is_synced) {
+            if !view.is_some_and(WorkerView::is_synced) {
                 return (WaitCause::WorkerUnreachable, agent);
             }
             return match placement.stage {
--- a/components/flow/tests/common/advance.rs
+++ b/components/flow/tests/common/advance.rs
@@ -11,6 +11,8 @@
     pub(super) fn advance(&mut self) {
         let agents: Vec<AgentId> = self.workers.keys().cloned().collect();
         for agent in agents {
+            let worker = self.workers.get_mut(&agent).unwrap();
+            worker.expire_lease(self.now_ms);
             let keys: Vec<TaskKey> = self.workers[&agent].running.keys().cloned().collect();
             let images: Vec<(String, u32)> = keys
                 .iter()
@@ -84,7 +86,7 @@
         let is_faulty = match worker.mode {
             Mode::FailsAll => true,
             Mode::FailsFrom(from_ms) => run.started_ms >= from_ms,
-            Mode::Healthy | Mode::Stalls | Mode::Partitioned => false,
+            Mode::Healthy | Mode::Stalls | Mode::Partitioned | Mode::Mute => false,
         };
         let fails = is_faulty || is_always_failing;
         run.done_micro += STEP_MS * 10_000 * u64::from(run.pace) / run_ms;
--- a/components/flow/tests/common/mod.rs
+++ b/components/flow/tests/common/mod.rs
@@ -4,12 +4,13 @@
 
 mod advance;
 mod checks;
+mod polls;
 mod worker;
 
 use flow::{
-    Effect, FlowConfig, FlowJob, FlowPhase, FlowRecord, FlowSpec, Incarnation, Pool, Queue,
-    QueueKey, RecordRow, ReportTimes, RunEnd, RunRef, RunningTask, Scheduler, StartOutcome,
-    StepSpec, TaskKey, WorkerInfo, WorkerReport,
+    Delivery, Effect, EndedRun, FlowConfig, FlowJob, FlowPhase, FlowRecord, FlowSpec, Incarnation,
+    LeaseTerms, Pool, Queue, QueueKey, RecordRow, ReportTimes, RunEnd, RunRef, RunningTask,
+    Scheduler, StartOutcome, StepSpec, TaskKey, WorkerInfo, WorkerReport,
 };
 use model::{AgentId, JobId, Resources};
 use std::collections::{BTreeMap, BTreeSet};
@@ -18,8 +19,19 @@
 
 /// Length of one simulation step, in milliseconds.
 pub const STEP_MS: u64 = 20;
-/// Time between two reports of a worker, in milliseconds.
-const REPORT_MS: u64 = 100;
+/// Time between two polls of a worker, in milliseconds.
+const POLL_INTERVAL_MS: u64 = 100;
+/// Time between two confirmations of leadership, in milliseconds.
+const RENEW_INTERVAL_MS: u64 = 500;
+/// Rates of the workers' clocks, in thousandths of the true rate, in turn.
+const CLOCK_RATES_MILLI: [u64; 3] = [1_000, 980, 990];
+/// Lengths of the leases that workers get.
+pub const LEASE_TERMS: LeaseTerms = LeaseTerms {
+    term_ms: 4_000,
+    outage_term_ms: 5_700,
+    outage_after_ms: 900,
+    slack_ms: 300,
+};
 /// Time over a target from which all fillers of a worker are to be halted, in milliseconds.
 const HALT_MS: u64 = 1_500;
 /// Time for which a worker that crashed refuses connections, in milliseconds.
@@ -59,6 +71,10 @@
     pub lose_starts: Vec<bool>,
     /// Whether the table is available.
     pub table_up: bool,
+    /// When the scheduler last confirmed its leadership, in milliseconds.
+    confirmed_ms: u64,
+    /// Most ends in one report of a worker.
+    pub ends_per_report: usize,
     /// Flows that were cancelled; durable from the start.
     cancelled: BTreeSet<JobId>,
     /// Tasks whose success the scheduler has acknowledged.
@@ -137,7 +153,10 @@
                 ended: Vec::new(),
                 superseded_up_to: BTreeMap::new(),
                 next_end: 1,
-                reported_ms: 0,
+                polled_ms: 0,
+                clock_rate_milli: CLOCK_RATES_MILLI[number % CLOCK_RATES_MILLI.len()],
+                lease_until_ms: 0,
+                delayed_polls: Vec::new(),
                 latency_ms: BTreeMap::new(),
                 down_until_ms: 0,
                 is_crash_noticed: true,
@@ -159,6 +178,8 @@
             disturbs: BTreeSet::new(),
             lose_starts: Vec::new(),
             table_up: true,
+            confirmed_ms: 1_000,
+            ends_per_report: 500,
             cancelled: BTreeSet::new(),
             acknowledged_done: BTreeSet::new(),
             ended_ms: BTreeMap::new(),
@@ -198,6 +219,8 @@
         self.commit = None;
         let mut scheduler = Scheduler::default();
         scheduler.set_config(config());
+        let former_leases_expired_ms = self.now_ms + LEASE_TERMS.takeover_wait_ms();
+        scheduler.set_former_leases_expired_ms(former_leases_expired_ms);
         for job in self.jobs.values() {
             match self.ended_ms.get(&job.id) {
                 Some((_, phase)) => scheduler.add_ended(job.id.clone(), *phase),
@@ -217,6 +240,7 @@
             scheduler.cancel(self.now_ms, job);
         }
         self.scheduler = scheduler;
+        self.confirmed_ms = self.now_ms;
     }
 
     /// Crashes a worker and restarts it as a new incarnation.
@@ -230,6 +254,8 @@
         worker.ended.clear();
         worker.superseded_up_to.clear();
         worker.next_end = 1;
+        worker.lease_until_ms = 0;
+        worker.delayed_polls.clear();
         worker.latency_ms.clear();
     }
 
@@ -255,17 +281,6 @@
         }
     }
 
-    /// Expires the lease of an unreachable worker, which ends its runs.
-    pub fn expire_lease(&mut self, agent: &AgentId) {
-        let worker = self.workers.get_mut(agent).unwrap();
-        let keys: Vec<TaskKey> = worker.running.keys().cloned().collect();
-        for key in keys {
-            worker.end(&key, RunEnd::Lapsed);
-        }
-        self.scheduler.on_unreachable(agent);
-        self.scheduler.on_lease_expired(self.now_ms, agent);
-    }
-
     /// Advances the simulation by `span_ms`.
     pub fn run_for(&mut self, span_ms: u64) {
         let until_ms = self.now_ms + span_ms;
@@ -292,7 +307,8 @@
         self.now_ms += STEP_MS;
         self.advance();
         self.notice_crashes();
-        self.send_due_reports();
+        self.send_due_polls();
+        self.scheduler.release_lapsed(self.now_ms);
         self.commit();
         self.carry_out_effects();
         self.check_invariants();
@@ -302,38 +318,20 @@
         self.jobs[&key.job].spec.steps[key.step as usize].clone()
     }
 
-    fn send_due_reports(&mut self) {
-        let agents: Vec<AgentId> = self.workers.keys().cloned().collect();
-        for agent in agents {
-            let worker = &self.workers[&agent];
-            let is_due = self.now_ms >= worker.reported_ms + REPORT_MS;
-            let is_down = self.now_ms < worker.down_until_ms;
-            if !is_due || is_down || worker.mode == Mode::Partitioned {
-                continue;
-            }
-            self.send_report(&agent);
-        }
-    }
-
+    /// Has the scheduler apply a worker's report.
     fn send_report(&mut self, agent: &AgentId) {
-        let view = self.scheduler.worker(agent);
-        let acknowledged = view.map_or(0, |view| {
-            let is_same = view.incarnation.as_ref() == Some(&self.workers[agent].incarnation);
-            if is_same { view.acknowledged } else { 0 }
-        });
         let specs: BTreeMap<TaskKey, StepSpec> = self.workers[agent]
             .running
             .keys()
             .map(|key| (key.clone(), self.spec(key)))
             .collect();
-        let worker = self.workers.get_mut(agent).unwrap();
-        worker.reported_ms = self.now_ms;
-        for end in worker.ended.iter().filter(|end| end.number <= acknowledged) {
-            if end.outcome == RunEnd::Done {
-                self.acknowledged_done.insert(end.task.clone());
-            }
-        }
-        worker.ended.retain(|end| end.number > acknowledged);
+        let worker = &self.workers[agent];
+        let ended: Vec<EndedRun> = worker
+            .ended
+            .iter()
+            .take(self.ends_per_report)
+            .cloned()
+            .collect();
         let info = WorkerInfo {
             incarnation: worker.incarnation.clone(),
             service: "pool".into(),
@@ -366,10 +364,10 @@
         });
         let report = WorkerReport {
             born_ms: worker.incarnation.born_ms,
-            clock_ms: self.now_ms,
+            clock_ms: worker.clock_ms(self.now_ms),
             running: running.collect(),
-            ended: worker.ended.clone(),
-            has_more_ends: false,
+            has_more_ends: ended.len() >= self.ends_per_report,
+            ended,
         };
         let times = ReportTimes {
             requested_ms: self.now_ms,
@@ -382,6 +380,9 @@
         if !self.table_up {
             return;
         }
+        if self.now_ms >= self.confirmed_ms + RENEW_INTERVAL_MS {
+            self.confirmed_ms = self.now_ms;
+        }
         if let Some((due_ms, rows)) = self.commit.take() {
             if self.now_ms < due_ms {
                 self.commit = Some((due_ms, rows));
@@ -417,30 +418,41 @@
     }
 
     fn start(&mut self, run: &RunRef) {
-        let outcome = match self.lose_starts.pop() {
-            Some(true) => {
-                self.execute(run);
-                StartOutcome::Unknown
+        let now_ms = self.now_ms;
+        let limit = self.lease_limit();
+        let outcome = match self.scheduler.offer_start_lease(&run.agent, limit) {
+            None => StartOutcome::Late,
+            Some(lease) => {
+                let outcome = match self.lose_starts.pop() {
+                    Some(true) => {
+                        self.execute(run, lease.until_clock_ms);
+                        StartOutcome::Unknown
+                    }
+                    Some(false) => StartOutcome::Unknown,
+                    None => self.execute(run, lease.until_clock_ms),
+                };
+                let delivery = Delivery::Possible;
+                self.scheduler.settle_lease(&run.agent, lease.id, delivery);
+                outcome
             }
-            Some(false) => StartOutcome::Unknown,
-            None => self.execute(run),
         };
-        let now_ms = self.now_ms;
         self.scheduler
             .on_start(now_ms, &run.agent, &run.task, run.run, outcome);
     }
 
     /// Executes a start order on its worker, and checks that the run fits and that its task is not
     /// acknowledged as done.
-    fn execute(&mut self, run: &RunRef) -> StartOutcome {
+    fn execute(&mut self, run: &RunRef, lease_until_ms: u64) -> StartOutcome {
         let need = self.spec(&run.task).reserved();
         let used = self.used(&run.agent);
         let now_ms = self.now_ms;
         let worker = self.workers.get_mut(&run.agent).unwrap();
         let is_down = now_ms < worker.down_until_ms;
-        if is_down || worker.mode == Mode::Partitioned || worker.incarnation != run.incarnation {
+        let is_cut_off = matches!(worker.mode, Mode::Partitioned | Mode::Mute);
+        if is_down || is_cut_off || worker.incarnation != run.incarnation {
             return StartOutcome::Unavailable;
         }
+        worker.lease_until_ms = worker.lease_until_ms.max(lease_until_ms);
         if worker
             .superseded_up_to
             .get(&run.task)
@@ -481,7 +493,8 @@
 
     fn stop(&mut self, run: &RunRef) {
         let worker = self.workers.get_mut(&run.agent).unwrap();
-        if worker.mode == Mode::Partitioned || worker.incarnation != run.incarnation {
+        let is_cut_off = matches!(worker.mode, Mode::Partitioned | Mode::Mute);
+        if is_cut_off || worker.incarnation != run.incarnation {
             return;
         }
         let newest = worker.superseded_up_to.entry(run.task.clone()).or_default();
--- a/components/flow/tests/common/worker.rs
+++ b/components/flow/tests/common/worker.rs
@@ -1,9 +1,12 @@
 //! Model of a worker.
 
-use flow::{EndedRun, Incarnation, RunEnd, TaskKey};
+use flow::{EndedRun, Incarnation, PollPlan, RunEnd, TaskKey};
 use model::Resources;
 use std::collections::BTreeMap;
 
+/// Difference between the clocks of workers and of the scheduler, in milliseconds.
+const CLOCK_ORIGIN_MS: u64 = 50_000;
+
 /// How a worker behaves.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Mode {
@@ -15,8 +18,11 @@
     FailsFrom(u64),
     /// Runs make no progress.
     Stalls,
-    /// The worker is unreachable; its runs continue until its lease expires.
+    /// The worker is unreachable; its runs continue until its lease expires. Polls arrive when it is
+    /// reachable again.
     Partitioned,
+    /// Polls arrive, but their answers are lost.
+    Mute,
 }
 
 /// A run in progress on a model worker.
@@ -48,8 +54,14 @@
     pub(super) superseded_up_to: BTreeMap<TaskKey, u32>,
     /// Number of the next end.
     pub(super) next_end: u64,
-    /// When it last sent a report, in milliseconds.
-    pub(super) reported_ms: u64,
+    /// When it was last polled, in milliseconds.
+    pub(super) polled_ms: u64,
+    /// Rate of its clock, in thousandths of the true rate.
+    pub(super) clock_rate_milli: u64,
+    /// End of its lease on its own clock, in milliseconds.
+    pub(super) lease_until_ms: u64,
+    /// Polls that have not arrived yet, oldest first.
+    pub(super) delayed_polls: Vec<PollPlan>,
     /// Until when it refuses connections after a crash, in milliseconds.
     pub(super) down_until_ms: u64,
     /// Whether the scheduler was told of its last crash.
@@ -59,6 +71,21 @@
 }
 
 impl ModelWorker {
+    /// Its clock, in milliseconds.
+    pub(super) fn clock_ms(&self, now_ms: u64) -> u64 {
+        CLOCK_ORIGIN_MS + now_ms * self.clock_rate_milli / 1_000
+    }
+
+    /// Ends all runs once the lease has expired.
+    pub(super) fn expire_lease(&mut self, now_ms: u64) {
+        if self.clock_ms(now_ms) >= self.lease_until_ms {
+            let keys: Vec<TaskKey> = self.running.keys().cloned().collect();
+            for key in keys {
+                self.end(&key, RunEnd::Lapsed);
+            }
+        }
+    }
+
     pub(super) fn end(&mut self, key: &TaskKey, outcome: RunEnd) {
         let Some(run) = self.running.remove(key) else {
             return;
--- a/components/flow/tests/interleavings.rs
+++ b/components/flow/tests/interleavings.rs
@@ -24,7 +24,9 @@
     Crash(usize),
     /// A worker becomes unreachable.
     Partition(usize),
-    /// A worker is reachable again, after its lease has expired.
+    /// Polls reach a worker, but their answers are lost.
+    Mute(usize),
+    /// A worker is reachable again.
     Reconnect(usize),
     /// Another scheduler takes over.
     TakeOver,
@@ -47,6 +49,7 @@
         1 => (0_usize..20).prop_map(Event::Cancel),
         1 => (0_usize..4).prop_map(Event::Crash),
         1 => (0_usize..4).prop_map(Event::Partition),
+        1 => (0_usize..4).prop_map(Event::Mute),
         2 => (0_usize..4).prop_map(Event::Reconnect),
         1 => Just(Event::TakeOver),
         2 => any::<bool>().prop_map(|executed| Event::LoseStartAnswer { executed }),
@@ -92,7 +95,9 @@
         Event::Crash(number) => sim.crash(&agent(number)),
         Event::Partition(number) => {
             sim.workers.get_mut(&agent(number)).unwrap().mode = Mode::Partitioned;
-            sim.scheduler.on_unreachable(&agent(number));
+        }
+        Event::Mute(number) => {
+            sim.workers.get_mut(&agent(number)).unwrap().mode = Mode::Mute;
         }
         Event::Reconnect(number) => reconnect(sim, number),
         Event::TakeOver => sim.take_over(),
@@ -103,12 +108,41 @@
     }
 }
 
-/// Reconnects a partitioned worker after its lease has expired.
+/// Makes a worker reachable again.
 fn reconnect(sim: &mut Sim, number: usize) {
-    let agent = agent(number);
-    if sim.workers[&agent].mode == Mode::Partitioned {
-        sim.expire_lease(&agent);
-        sim.workers.get_mut(&agent).unwrap().mode = Mode::Healthy;
+    sim.workers.get_mut(&agent(number)).unwrap().mode = Mode::Healthy;
+}
+
+/// Applies events and then lets the flows end, with the last `gone` workers unreachable for good: the
+/// last one gets polls that it can't answer, the others get none.
+fn assert_all_flows_end(events: &[Event], gone: usize) {
+    let mut sim = Sim::new(4);
+    for event in events {
+        apply(&mut sim, event);
+    }
+    sim.table_up = true;
+    sim.lose_starts.clear();
+    for number in 0..4 {
+        if number < 4 - gone {
+            reconnect(&mut sim, number);
+        } else if number == 3 {
+            apply(&mut sim, &Event::Mute(number));
+        } else {
+            apply(&mut sim, &Event::Partition(number));
+        }
+    }
+    let has_ended = sim.run_until_ended(60_000);
+    assert!(
+        has_ended,
+        "not ended: {:?} of {:?}",
+        sim.ended_ms,
+        sim.jobs.keys()
+    );
+    for (job, (_, phase)) in &sim.ended_ms {
+        assert!(
+            matches!(phase, FlowPhase::Completed | FlowPhase::Cancelled),
+            "{job} ended as {phase}"
+        );
     }
 }
 
@@ -119,21 +153,15 @@
     /// takeovers, lost answers and table outages come in any order.
     #[test]
     fn nothing_runs_twice_and_no_flow_is_lost(events in prop::collection::vec(event(), 1..60)) {
-        let mut sim = Sim::new(4);
-        for event in &events {
-            apply(&mut sim, event);
-        }
-        sim.table_up = true;
-        sim.lose_starts.clear();
-        for number in 0..4 {
-            reconnect(&mut sim, number);
-        }
-        prop_assert!(sim.run_until_ended(60_000), "not ended: {:?} of {:?}", sim.ended_ms, sim.jobs.keys());
-        for (job, (_, phase)) in &sim.ended_ms {
-            prop_assert!(
-                matches!(phase, FlowPhase::Completed | FlowPhase::Cancelled),
-                "{} ended as {}", job, phase
-            );
-        }
+        assert_all_flows_end(&events, 0);
+    }
+
+    /// Guards against flows that wait for ever for workers that are gone for good.
+    #[test]
+    fn no_flow_is_lost_with_workers_that_stay_away(
+        events in prop::collection::vec(event(), 1..40),
+        gone in 1_usize..3,
+    ) {
+        assert_all_flows_end(&events, gone);
     }
 }
--- a/components/flow/tests/patterns.rs
+++ b/components/flow/tests/patterns.rs
@@ -318,7 +318,7 @@
         sim.submit("s1", vec![service("fragile")]);
         sim.run_for(400);
         sim.workers.get_mut(&"w1".into()).unwrap().mode = Mode::Partitioned;
-        sim.expire_lease(&"w1".into());
+        sim.run_for(200);
         let long_filler = StepSpec {
             estimate_ms: 8_000,
             ..filler("loud")
--- a/components/flow/tests/waiting.rs
+++ b/components/flow/tests/waiting.rs
@@ -26,7 +26,7 @@
     assert_eq!(watch_for(&mut sim, &mut watch, 5_000), []);
     let agent = "w0".into();
     sim.workers.get_mut(&agent).unwrap().mode = Mode::Partitioned;
-    sim.scheduler.on_unreachable(&agent);
+    sim.run_for(200);
     let expected = [("flow.0.0.0".to_owned(), WaitCause::WorkerUnreachable)];
     assert_eq!(watch_for(&mut sim, &mut watch, 4_000), expected);
 }
@@ -42,7 +42,7 @@
     assert_eq!(watch_for(&mut sim, &mut watch, 4_000), no_room);
     let agent = "w0".into();
     sim.workers.get_mut(&agent).unwrap().mode = Mode::Partitioned;
-    sim.scheduler.on_unreachable(&agent);
+    sim.run_for(200);
     let no_worker = [("big.0.0.0".to_owned(), WaitCause::NoWorker)];
     assert_eq!(watch_for(&mut sim, &mut watch, 4_000), no_worker);
 }
@@ -60,7 +60,7 @@
     assert_eq!(watch_for(&mut sim, &mut watch, 5_000), []);
     let agent = "w1".into();
     sim.workers.get_mut(&agent).unwrap().mode = Mode::Partitioned;
-    sim.scheduler.on_unreachable(&agent);
+    sim.run_for(200);
     let found = watch_for(&mut sim, &mut watch, 4_000);
     assert_eq!(found.len(), 1, "{found:?}");
     assert_eq!(found[0].1, WaitCause::WorkerUnreachable);
--- a/components/flow_entry/src/agents.rs
+++ b/components/flow_entry/src/agents.rs
@@ -6,8 +6,8 @@
 use crate::reads::read_all;
 use actix::{AsyncContext, Context, Handler};
 use flow::{
-    PaceOrder, PollReply, PollRequest, ReportTimes, RunRef, StartInput, StartOrder, StartOutcome,
-    StopOrder,
+    Delivery, OfferId, PaceOrder, PollReply, PollRequest, ReportTimes, RunRef, StartInput,
+    StartOrder, StartOutcome, StopOrder,
 };
 use model::AgentId;
 use std::net::SocketAddr;
@@ -16,10 +16,6 @@
 use utils::boot_ms;
 use wire::{AGENT_ROW_PREFIX, LinkError, WorkerLink};
 
-/// Longest time that a worker with runs holds a poll until a run ends, in milliseconds.
-const BUSY_WAIT_MS: u64 = 400;
-/// Longest time that a worker without runs holds a poll, in milliseconds.
-const IDLE_WAIT_MS: u64 = 1_000;
 /// Timeout of a poll in addition to the time for which the worker may hold it.
 const POLL_SLACK: Duration = Duration::from_millis(700);
 /// Timeout of an order to an agent.
@@ -88,10 +84,7 @@
         else {
             return;
         };
-        let until_ms = leadership
-            .lease_terms
-            .until_ms(now_ms, leadership.confirmed_ms);
-        let slack_ms = leadership.lease_terms.slack_ms;
+        let lease_limit = leadership.lease_limit(now_ms);
         let Some(connection) = leadership
             .agents
             .get_mut(agent)
@@ -102,32 +95,17 @@
         connection.is_polling = true;
         connection.is_awaiting_ack = false;
         let link = connection.link.clone();
-        let view = leadership.scheduler.worker_mut(agent);
-        let clock = view.clock.filter(|clock| until_ms > clock.received_ms);
-        let lease = clock.map(|clock| clock.lease_until(until_ms));
-        if let (Some(clock), Some(lease)) = (clock, lease) {
-            let expired_ms = clock.expired_ms(lease) + slack_ms;
-            view.lease_expired_ms = view.lease_expired_ms.max(expired_ms);
-        }
-        let wait_ms = if !view.is_synced || !view.pending_acks.is_empty() {
-            0
-        } else if view.allocations.is_empty() {
-            IDLE_WAIT_MS
-        } else {
-            BUSY_WAIT_MS
-        };
+        let plan = leadership.scheduler.plan_poll(agent, lease_limit);
         let request = PollRequest {
             fence: leadership.epoch,
-            lease_until_clock_ms: lease,
-            born_ms: view
-                .incarnation
-                .as_ref()
-                .map(|incarnation| incarnation.born_ms),
-            acknowledged: view.acknowledged,
-            wait_ms,
+            lease_until_clock_ms: plan.lease.map(|lease| lease.until_clock_ms),
+            born_ms: plan.born_ms,
+            acknowledged: plan.acknowledged,
+            wait_ms: plan.wait_ms,
         };
+        let offer = plan.lease.map(|lease| lease.id);
         let (epoch, agent, control) = (leadership.epoch, agent.clone(), context.address());
-        let limit = Duration::from_millis(wait_ms) + POLL_SLACK;
+        let limit = Duration::from_millis(plan.wait_ms) + POLL_SLACK;
         actix_rt::spawn(async move {
             let call = link.call(limit, |client, context| async move {
                 client.poll(context, request).await
@@ -137,6 +115,7 @@
                 epoch,
                 agent,
                 requested_ms: now_ms,
+                offer,
                 reply,
             });
         });
@@ -161,30 +140,28 @@
         let Some(leadership) = self.leadership.as_mut() else {
             return;
         };
-        let until_ms = leadership
-            .lease_terms
-            .until_ms(now_ms, leadership.confirmed_ms);
-        let slack_ms = leadership.lease_terms.slack_ms;
+        let lease_limit = leadership.lease_limit(now_ms);
         let epoch = leadership.epoch;
         let link = leadership
             .agents
             .get(&run.agent)
+            .filter(|_| lease_limit.until_ms >= now_ms + MIN_START_LEASE_MS)
             .map(|connection| connection.link.clone());
-        let view = leadership.scheduler.worker_mut(&run.agent);
-        let clock = view
-            .clock
-            .filter(|_| view.is_synced && until_ms >= now_ms + MIN_START_LEASE_MS);
-        let (Some(clock), Some(link)) = (clock, link) else {
-            context.notify(start_done(epoch, &run, StartOutcome::Late));
+        let Some(link) = link else {
+            context.notify(start_done(epoch, &run, None, StartOutcome::Late));
+            return;
+        };
+        let lease = leadership
+            .scheduler
+            .offer_start_lease(&run.agent, lease_limit);
+        let Some(lease) = lease else {
+            context.notify(start_done(epoch, &run, None, StartOutcome::Late));
             return;
         };
-        let lease_until_clock_ms = clock.lease_until(until_ms);
-        let expired_ms = clock.expired_ms(lease_until_clock_ms) + slack_ms;
-        view.lease_expired_ms = view.lease_expired_ms.max(expired_ms);
         let order = StartOrder {
             fence: epoch,
             incarnation: run.incarnation.clone(),
-            lease_until_clock_ms,
+            lease_until_clock_ms: lease.until_clock_ms,
             task: run.task.clone(),
             run: run.run,
             payload: input.payload,
@@ -195,12 +172,14 @@
             let call = link.call(ORDER_TIMEOUT, |client, context| async move {
                 client.start(context, order).await
             });
-            let outcome = match call.await {
+            let reply = call.await;
+            let settled = Some((lease.id, delivery(&reply)));
+            let outcome = match reply {
                 Ok(outcome) => outcome,
                 Err(LinkError::Connect(_) | LinkError::Refused(_)) => StartOutcome::Unavailable,
                 Err(LinkError::NoAnswer(_)) => StartOutcome::Unknown,
             };
-            control.do_send(start_done(epoch, &run, outcome));
+            control.do_send(start_done(epoch, &run, settled, outcome));
         });
     }
 
@@ -279,28 +258,32 @@
         else {
             return;
         };
-        let expired: Vec<AgentId> = leadership
-            .scheduler
-            .workers()
-            .filter(|(_, view)| {
-                !view.is_synced && !view.allocations.is_empty() && now_ms >= view.lease_expired_ms
-            })
-            .map(|(agent, _)| agent.clone())
-            .collect();
-        for agent in expired {
-            let view = leadership.scheduler.worker_mut(&agent);
-            let (expired_ms, runs) = (view.lease_expired_ms, view.allocations.len());
-            log_event!(warn, Event::WorkerLapsed, agent = %agent, runs, over_ms = expired_ms,
-                now_ms);
-            leadership.scheduler.on_lease_expired(now_ms, &agent);
+        for lapsed in leadership.scheduler.release_lapsed(now_ms) {
+            log_event!(warn, Event::WorkerLapsed, agent = %lapsed.agent, runs = lapsed.runs,
+                over_ms = lapsed.expired_ms, now_ms);
         }
     }
 }
 
-/// Message with the outcome of an order to start `run`.
-fn start_done(epoch: u64, run: &RunRef, outcome: StartOutcome) -> StartDone {
+/// Whether a call with this result may have arrived.
+fn delivery<T>(result: &Result<T, LinkError>) -> Delivery {
+    match result {
+        Ok(_) | Err(LinkError::NoAnswer(_)) => Delivery::Possible,
+        Err(LinkError::Connect(_) | LinkError::Refused(_)) => Delivery::Impossible,
+    }
+}
+
+/// Message with the outcome of an order to start `run`, and what became of the offer of a lease in
+/// it, if it had one.
+fn start_done(
+    epoch: u64,
+    run: &RunRef,
+    settled: Option<(OfferId, Delivery)>,
+    outcome: StartOutcome,
+) -> StartDone {
     StartDone {
         epoch,
+        settled,
         agent: run.agent.clone(),
         task: run.task.clone(),
         run: run.run,
@@ -358,12 +341,18 @@
         else {
             return;
         };
+        if let Some(offer) = done.offer {
+            let delivery = delivery(&done.reply);
+            leadership
+                .scheduler
+                .settle_lease(&done.agent, offer, delivery);
+        }
         let Some(connection) = leadership.agents.get_mut(&done.agent) else {
             return;
         };
         connection.is_polling = false;
         let agent = done.agent;
-        let was_synced = leadership.scheduler.worker_mut(&agent).is_synced;
+        let was_synced = leadership.scheduler.worker_mut(&agent).is_synced();
         let pause = match done.reply {
             Ok(PollReply::Alive { info, report }) => {
                 let times = ReportTimes {
@@ -372,7 +361,7 @@
                 };
                 let has_ends = !report.ended.is_empty();
                 leadership.scheduler.on_report(times, &agent, info, &report);
-                let is_synced = leadership.scheduler.worker_mut(&agent).is_synced;
+                let is_synced = leadership.scheduler.worker_mut(&agent).is_synced();
                 if is_synced && !was_synced {
                     log_event!(info, Event::WorkerReached, agent = %agent, born_ms = report.born_ms,
                         running = report.running.len(), ended = report.ended.len());
@@ -457,6 +446,11 @@
         else {
             return;
         };
+        if let Some((offer, delivery)) = done.settled {
+            leadership
+                .scheduler
+                .settle_lease(&done.agent, offer, delivery);
+        }
         leadership
             .scheduler
             .on_start(now_ms, &done.agent, &done.task, done.run, done.outcome);
--- a/components/flow_entry/src/leadership.rs
+++ b/components/flow_entry/src/leadership.rs
@@ -8,7 +8,9 @@
 use crate::rows::{FlowKey, LEARNED_KEY, LEASE_KEY, LeaseRow, RECORD_PREFIX};
 use actix::{AsyncContext, Context, Handler};
 use backing::{Row, StoreError, TableStore, Transaction};
-use flow::{FlowEnd, FlowJob, FlowPhase, FlowRecord, FlowRow, LeaseTerms, Scheduler, WaitWatch};
+use flow::{
+    FlowEnd, FlowJob, FlowPhase, FlowRecord, FlowRow, LeaseLimit, LeaseTerms, Scheduler, WaitWatch,
+};
 use interference::PressureModel;
 use model::{AgentId, JobId};
 use std::collections::{BTreeMap, VecDeque};
@@ -74,6 +76,16 @@
     pub is_pass_requested: bool,
 }
 
+impl Leadership {
+    /// Latest end of a lease that a worker may get now.
+    pub(crate) fn lease_limit(&self, now_ms: u64) -> LeaseLimit {
+        LeaseLimit {
+            until_ms: self.lease_terms.until_ms(now_ms, self.confirmed_ms),
+            slack_ms: self.lease_terms.slack_ms,
+        }
+    }
+}
+
 impl Coordinator {
     fn lease_terms(&self) -> LeaseTerms {
         let leases = &self.settings.leases;
@@ -303,15 +315,10 @@
             None => {}
         }
         let wait_ms = leadership.lease_terms.takeover_wait_ms();
-        let agents: Vec<AgentId> = leadership
+        let former_expired_ms = leadership.acquired_ms + wait_ms;
+        leadership
             .scheduler
-            .workers()
-            .map(|(agent, _)| agent.clone())
-            .collect();
-        for agent in agents {
-            leadership.scheduler.worker_mut(&agent).lease_expired_ms =
-                leadership.acquired_ms + wait_ms;
-        }
+            .set_former_leases_expired_ms(former_expired_ms);
         leadership.is_loaded = true;
         log_event!(
             info,
--- a/components/flow_entry/src/messages.rs
+++ b/components/flow_entry/src/messages.rs
@@ -4,7 +4,9 @@
 use crate::handle::PhaseAnswer;
 use actix::Message;
 use backing::{Row, StoreError};
-use flow::{FlowConfig, FlowJob, PollReply, QueueKey, RecordRow, StartOutcome, TaskKey};
+use flow::{
+    Delivery, FlowConfig, FlowJob, OfferId, PollReply, QueueKey, RecordRow, StartOutcome, TaskKey,
+};
 use model::{AgentId, JobId};
 use wire::{
     CancelOutcome, LinkError, PhaseReply, QueuedCountReply, SchedulerProbe, SchedulerProbeReply,
@@ -245,6 +247,8 @@
     pub agent: AgentId,
     /// When the poll was sent.
     pub requested_ms: u64,
+    /// Offer of a lease that the poll carried; `None` if it carried none.
+    pub offer: Option<OfferId>,
     /// Reply of the agent.
     pub reply: Result<PollReply, LinkError>,
 }
@@ -261,6 +265,9 @@
     pub task: TaskKey,
     /// Number of the run.
     pub run: u32,
+    /// Offer of a lease that the order carried, and whether it may have arrived; `None` without a
+    /// call.
+    pub settled: Option<(OfferId, Delivery)>,
     /// Outcome that the agent reported, or that follows from the failed call.
     pub outcome: StartOutcome,
 }
