--- a/components/flow/tests/common/mod.rs
+++ b/components/flow/tests/common/mod.rs
@@ -289,6 +289,14 @@
         }
     }
 
+    /// Advances the workers by `span_ms` while there is no scheduler.
+    pub fn run_without_scheduler(&mut self, span_ms: u64) {
+        for _ in 0..span_ms / STEP_MS {
+            self.now_ms += STEP_MS;
+            self.advance();
+        }
+    }
+
     /// Advances the simulation until every flow has ended. Returns whether that took at most
     /// `limit_ms`.
     pub fn run_until_ended(&mut self, limit_ms: u64) -> bool {
