Flow: members of a gang count those chosen in the same pass

A gang of fillers could start on one worker whose spare processors bear a single member.

Cause: choose_candidates chooses a worker for each member before the first is assigned, and subtracted only the reserved capacity. The limit was asked of the worker's view, which lists assigned runs; processors that a filler is expected to use and what it takes from latency-critical tasks were not subtracted.

Change: members are chosen on a copy of the candidates, on which each counts as placed (Candidate::choose): capacity, spare processors, slack, and number of the step's runs. assign takes up capacity by the same function.

Evidence: components/flow/tests/gangs.rs before: a_gang_that_exceeds_max_per_worker_...: "gang.0.0.0 exceeds max_per_worker" (the simulation's invariant) a_gang_of_fillers_is_spread_over_the_spare_processors: "left: 4, right: 1" members on one worker members_of_a_gang_keep_to_max_per_worker passed before too, as plain tasks are spread while there are workers enough. After: all pass, and so do all tests of the crate.

Conclusion: a choice that several members share has to see the earlier ones; the copy makes that so for each rule at once.

--- a/components/flow/src/candidate.rs
+++ b/components/flow/src/candidate.rs
@@ -1,9 +1,10 @@
 //! Scoring of candidate workers for a task by free capacity, placement rules, locality and
 //! interference between fillers and latency-critical tasks. The lowest score wins.
 
+use crate::scheduler::allocation_for;
 use crate::slack::{CriticalSlack, image_of};
 use crate::suspects::Isolation;
-use crate::view::WorkerView;
+use crate::view::{Allocation, WorkerView};
 use crate::{Scheduler, StepSpec, TaskKey};
 use model::{AgentId, Resources, ServiceName};
 
@@ -24,8 +25,6 @@
 const OTHER_IMAGE_PENALTY: f64 = 2.0;
 /// Least share of a filler's declared processors that must be spare on a worker to place it there.
 const MIN_FILLER_SPARE_SHARE: f64 = 0.5;
-/// Greatest reserved share of a pool's processors at which it counts as mostly free, in percent.
-const MOSTLY_FREE_MAX_USED_PERCENT: u64 = 60;
 
 /// What a filler needs of the worker that it is placed on.
 #[derive(Debug, Clone, Default, PartialEq)]
@@ -39,6 +38,7 @@
 }
 
 /// A worker that accepts new runs, with its free capacity during one scheduling pass.
+#[derive(Debug, Clone)]
 pub(crate) struct Candidate {
     /// Agent of the worker.
     pub agent: AgentId,
@@ -51,6 +51,8 @@
     pub spare_milli: i64,
     /// Whether a latency-critical task is placed on the worker.
     pub has_latency_critical: bool,
+    /// Tasks that are to be placed on it, and count as if they were.
+    pub chosen_for: Vec<TaskKey>,
     /// Suspects for which it is kept free of other new runs.
     pub held_for: Vec<TaskKey>,
     /// How many more suspects may start on it together in this pass.
@@ -170,7 +172,7 @@
                 } else {
                     0.0
                 };
-            if is_worse(score) || !may_run(view, key, spec, rack) {
+            if is_worse(score) || !may_run(view, key, spec, rack, &candidate.chosen_for) {
                 continue;
             }
             let Some(penalty) = interference_penalty(view, candidate, spec, filler) else {
@@ -260,6 +262,20 @@
         paces.fold(f64::INFINITY, f64::min)
     }
 
+    /// Takes up what a task needs that is to be placed here later.
+    pub(crate) fn choose(&mut self, key: &TaskKey, spec: &StepSpec, filler: &FillerNeed) {
+        self.take_up(&allocation_for(0, spec, 0));
+        self.use_slack(&filler.pressures, spec);
+        self.chosen_for.push(key.clone());
+    }
+
+    /// Takes up the capacity of a run.
+    pub(crate) fn take_up(&mut self, allocation: &Allocation) {
+        self.free = self.free.minus(&allocation.reserved);
+        self.spare_milli -= allocation.expected_milli();
+        self.has_latency_critical |= allocation.latency_target_ms.is_some();
+    }
+
     /// Adds a filler that is placed here to those that use up slack.
     pub(crate) fn use_slack(&mut self, pressures: &[f64], spec: &StepSpec) {
         let share = self.processor_share(spec);
@@ -295,6 +311,7 @@
         capacity,
         spare_milli,
         has_latency_critical: view.has_latency_critical(),
+        chosen_for: Vec::new(),
         held_for: Vec::new(),
         open_places: 0,
         has_new_runs: false,
@@ -304,20 +321,24 @@
     }
 }
 
-/// Whether label, rack and `max_per_worker` allow a task on a worker, regardless of its capacity.
+/// Whether label, rack and `max_per_worker` allow a task on a worker, regardless of its capacity. The
+/// tasks that it is `chosen_for` count as placed.
 pub(crate) fn may_run(
     view: &WorkerView,
     key: &TaskKey,
     spec: &StepSpec,
     rack: Option<&str>,
+    chosen_for: &[TaskKey],
 ) -> bool {
     let Some(info) = &view.info else {
         return false;
     };
     let is_in_rack = rack.is_none_or(|rack| info.rack() == Some(rack));
-    let is_below_limit = spec
-        .max_per_worker
-        .is_none_or(|limit| view.count_step_runs(&key.job, key.occurrence, key.step) < limit);
+    let chosen = chosen_for.iter().filter(|other| other.is_of_step_of(key));
+    let is_below_limit = spec.max_per_worker.is_none_or(|limit| {
+        let placed = view.count_step_runs(&key.job, key.occurrence, key.step);
+        placed + (chosen.count() as u32) < limit
+    });
     has_label(view, spec) && is_in_rack && is_below_limit
 }
 
@@ -328,20 +349,6 @@
     spec.label.as_ref().is_none_or(has)
 }
 
-/// Whether most processors of a pool's candidates are not reserved.
-pub(crate) fn is_mostly_free(
-    service: &ServiceName,
-    candidates: &[(ServiceName, Candidate)],
-) -> bool {
-    let pool = candidates.iter().filter(|(pool, _)| pool == service);
-    let (mut free, mut total) = (0, 0);
-    for (_, candidate) in pool {
-        free += u64::from(candidate.free.processors_milli);
-        total += u64::from(candidate.capacity.processors_milli);
-    }
-    (total - free.min(total)) * 100 <= total * MOSTLY_FREE_MAX_USED_PERCENT
-}
-
 /// Whether enough processors are spare for a filler.
 fn has_spare_for(candidate: &Candidate, spec: &StepSpec) -> bool {
     candidate.spare_milli as f64 >= f64::from(spec.need.processors_milli) * MIN_FILLER_SPARE_SHARE
--- a/components/flow/src/gang.rs
+++ b/components/flow/src/gang.rs
@@ -1,9 +1,9 @@
 //! Placement of gangs: all tasks of a step at once, or none.
 
-use crate::candidate::Candidate;
+use crate::candidate::{Candidate, FillerNeed};
 use crate::placement::MIN_PLACED_PACE;
 use crate::{Scheduler, StepSpec, TaskKey};
-use model::{AgentId, JobId, Resources, ServiceName};
+use model::{AgentId, JobId, ServiceName};
 
 impl Scheduler {
     /// Places all members of a gang with one common run number and checkpoint, or none of them.
@@ -39,20 +39,16 @@
         } else {
             vec![None]
         };
+        let filler = self.filler_need(now_ms, &spec, MIN_PLACED_PACE, candidates);
         for rack in racks.iter().chain([&None]) {
-            let free_before: Vec<Resources> = candidates
-                .iter()
-                .map(|(_, candidate)| candidate.free)
-                .collect();
-            let chosen =
-                self.choose_candidates(now_ms, &keys, &spec, service, candidates, rack.as_deref());
-            for ((_, candidate), free) in candidates.iter_mut().zip(free_before) {
-                candidate.free = free;
-            }
+            let rack = rack.as_deref();
+            let chosen = self.choose_candidates(&keys, &spec, service, candidates, rack, &filler);
             if let Some(chosen) = chosen {
                 for (key, index) in keys.iter().zip(chosen) {
                     let checkpoint = Some(checkpoint.clone());
-                    self.assign(now_ms, key, &mut candidates[index].1, Some(run), checkpoint);
+                    let candidate = &mut candidates[index].1;
+                    candidate.use_slack(&filler.pressures, &spec);
+                    self.assign(now_ms, key, candidate, Some(run), checkpoint);
                 }
                 return;
             }
@@ -76,22 +72,22 @@
         self.worker(agent)?.info.as_ref()?.rack()
     }
 
-    /// Index of a candidate for each member, or `None` if one member fits nowhere. The chosen
-    /// capacity is subtracted from `candidates`.
+    /// Index of a candidate for each member, or `None` if one member fits nowhere. Each counts as placed
+    /// when the next one's is chosen.
     fn choose_candidates(
-        &mut self,
-        now_ms: u64,
+        &self,
         keys: &[TaskKey],
         spec: &StepSpec,
         service: &ServiceName,
-        candidates: &mut [(ServiceName, Candidate)],
+        candidates: &[(ServiceName, Candidate)],
         rack: Option<&str>,
+        filler: &FillerNeed,
     ) -> Option<Vec<usize>> {
-        let filler = self.filler_need(now_ms, spec, MIN_PLACED_PACE, candidates);
+        let mut candidates = candidates.to_vec();
         let mut chosen = Vec::new();
         for key in keys {
-            let index = self.best_candidate(key, service, candidates, rack, &filler)?;
-            candidates[index].1.free = candidates[index].1.free.minus(&spec.reserved());
+            let index = self.best_candidate(key, service, &candidates, rack, filler)?;
+            candidates[index].1.choose(key, spec, filler);
             chosen.push(index);
         }
         Some(chosen)
--- a/components/flow/src/holds.rs
+++ b/components/flow/src/holds.rs
@@ -80,7 +80,7 @@
             && spec
                 .reserved()
                 .fits_in(&info.capacity.minus(&view.reserved()))
-            && may_run(view, key, spec, None)
+            && may_run(view, key, spec, None, &[])
     }
 
     /// Whether a run was started on a worker without any other new run.
--- a/components/flow/src/placement.rs
+++ b/components/flow/src/placement.rs
@@ -1,6 +1,6 @@
 //! Scheduling pass: orders the flows and places their queued tasks on candidate workers.
 
-use crate::candidate::{Candidate, FillerNeed, is_mostly_free};
+use crate::candidate::{Candidate, FillerNeed};
 use crate::{
     DecisionKind, FlowState, Placement, Queue, RunStage, Scheduler, TaskKey,
     scheduler::allocation_for,
@@ -16,6 +16,8 @@
 /// The same limit while most of the pool is free, in milliseconds.
 const MAX_UNDISTURBED_WAIT_FREE_POOL_MS: u64 = 1_500;
 
+/// Greatest reserved share of a pool's processors at which it counts as mostly free, in percent.
+const MOSTLY_FREE_MAX_USED_PERCENT: u64 = 60;
 /// Share of its full pace that a filler must be able to keep on the worker where it is placed. It is above 1
 /// because loads grow while the filler runs.
 pub(crate) const MIN_PLACED_PACE: f64 = 1.5;
@@ -303,9 +305,7 @@
         let run = task.run;
         self.uncommitted.insert(key.job.clone());
         let allocation = allocation_for(now_ms, &spec, run);
-        candidate.free = candidate.free.minus(&allocation.reserved);
-        candidate.spare_milli -= allocation.expected_milli();
-        candidate.has_latency_critical |= allocation.latency_target_ms.is_some();
+        candidate.take_up(&allocation);
         let free = candidate.free;
         let agent = candidate.agent.clone();
         let is_isolated = self.suspects.contains_key(key);
@@ -328,3 +328,14 @@
 fn objective_ms(queue: &Queue, state: &FlowState) -> f64 {
     queue.stretch * state.job.spec.chain_ms() as f64 + queue.latency_target_ms as f64
 }
+
+/// Whether most processors of a pool's candidates are not reserved.
+fn is_mostly_free(service: &ServiceName, candidates: &[(ServiceName, Candidate)]) -> bool {
+    let pool = candidates.iter().filter(|(pool, _)| pool == service);
+    let (mut free, mut total) = (0, 0);
+    for (_, candidate) in pool {
+        free += u64::from(candidate.free.processors_milli);
+        total += u64::from(candidate.capacity.processors_milli);
+    }
+    (total - free.min(total)) * 100 <= total * MOSTLY_FREE_MAX_USED_PERCENT
+}
--- a/components/flow/src/task_key.rs
+++ b/components/flow/src/task_key.rs
@@ -39,6 +39,17 @@
             index,
         })
     }
+
+    /// Whether two tasks belong to the same occurrence of the same step.
+    ///
+    /// ```
+    /// let key = |text| flow::TaskKey::parse(text).unwrap();
+    /// assert!(key("a.0.1.2").is_of_step_of(&key("a.0.1.3")));
+    /// assert!(!key("a.0.1.2").is_of_step_of(&key("a.0.2.2")));
+    /// ```
+    pub fn is_of_step_of(&self, other: &Self) -> bool {
+        self.job == other.job && self.occurrence == other.occurrence && self.step == other.step
+    }
 }
 
 impl fmt::Display for TaskKey {
