Flow: one search moves only as many fillers as the other worker takes

What callers saw: several fillers that crawled beside a service were stopped at once although the other worker had room for one of them. The others lost what they had not saved, and started again where they were.

Cause: move_filler subtracts the slack that a moved filler takes from latency-critical tasks, but not its processors and memory, so that each further filler of the same search found the same room.

Ruled out: place_step and place_suspects assign each task before they choose for the next one.

Change: a moved filler counts as placed on the worker for which it is moved, by the same function as the members of a gang.

Evidence: only_as_many_starved_fillers_move_as_the_other_worker_takes before: "one of them is moved, left: 4, right: 3" starts. After: passes, with the crate's patterns.

--- a/components/flow/src/starved.rs
+++ b/components/flow/src/starved.rs
@@ -70,7 +70,7 @@
             && is_cheap
     }
 
-    /// Stops a filler if another worker has slack for it, and uses up that slack. Returns whether the
+    /// Stops a filler if another worker has slack for it, and takes up what it needs there. Returns whether the
     /// stop was ordered.
     fn move_filler(
         &mut self,
@@ -102,7 +102,7 @@
         if candidate.agent == placement.agent {
             return false;
         }
-        candidate.use_slack(&filler.pressures, &spec);
+        candidate.choose(key, &spec, &filler);
         let detail = format!(
             "pace {}% beside latency-critical tasks; progress {}%",
             placement.pace, placement.percent
--- a/components/flow/tests/gangs.rs
+++ b/components/flow/tests/gangs.rs
@@ -66,3 +66,38 @@
         assert_eq!(sim.run_count(&format!("w{number}")), 1);
     }
 }
+
+/// Guards against fillers that are moved in one search to a worker with spare processors for one of
+/// them only, so that the others lose their work for nothing.
+#[test]
+fn only_as_many_starved_fillers_move_as_the_other_worker_takes() {
+    let mut sim = Sim::new(2);
+    let service = StepSpec {
+        long_running: true,
+        latency_target_ms: Some(50),
+        image: Some("fragile".to_owned()),
+        ..step(3, 5_000, 100)
+    };
+    sim.submit("service", vec![service]);
+    sim.run_for(400);
+    let w1 = "w1".into();
+    sim.workers.get_mut(&w1).unwrap().mode = Mode::Partitioned;
+    sim.workers.get_mut(&w1).unwrap().capacity = Resources::new(4_000, 64_000, 0);
+    sim.expire_lease(&w1);
+    let filler = StepSpec {
+        filler: true,
+        saves_progress: true,
+        image: Some("loud".to_owned()),
+        ..step(2, 3_000, 8_000)
+    };
+    let job = sim.submit("loud", vec![filler]);
+    sim.run_for(600);
+    let pair = ("loud".to_owned(), "fragile".to_owned());
+    sim.disturbs.insert(pair);
+    sim.run_for(3_400);
+    assert_eq!(sim.starts[&job], 2);
+    sim.workers.get_mut(&w1).unwrap().mode = Mode::Healthy;
+    sim.run_for(800);
+    assert_eq!(sim.run_count("w1"), 1);
+    assert_eq!(sim.starts[&job], 3, "one of them is moved");
+}
