--- a/components/flow/src/candidate.rs
+++ b/components/flow/src/candidate.rs
@@ -73,9 +73,11 @@
     /// Workers that accept new runs now, each with its pool: synced, neither paused nor draining.
     pub(crate) fn candidates(&self, now_ms: u64) -> Vec<(ServiceName, Candidate)> {
         let accepts_work = |view: &&WorkerView| {
+            let allocations = view.allocations.values();
+            let newest_ms = allocations.map(|allocation| allocation.since_ms).max();
             view.is_synced
                 && now_ms >= view.not_before_ms
-                && view.health.accepts_work(now_ms, view.runs_since_pause())
+                && view.health.accepts_work(now_ms, newest_ms)
         };
         let workers = self.fleet.workers.iter();
         workers
--- a/components/flow/src/health.rs
+++ b/components/flow/src/health.rs
@@ -11,6 +11,9 @@
 /// Upper limit of a pause, in milliseconds. A long-running task has to run again within 6 s, also
 /// on a worker that has recovered.
 const MAX_PAUSE_MS: u64 = 4_000;
+/// Time after which a worker on probation gets new runs although the newest has not ended, in
+/// milliseconds. A flow must not wait for 3 s while workers are free.
+const PROBATION_RUN_MS: u64 = 2_000;
 
 /// Recent failures of a worker, and the pause and the probation that follow from them.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
@@ -23,7 +26,7 @@
     pauses: u32,
     /// End of the pause, in milliseconds; no new run is placed before.
     pub paused_until_ms: u64,
-    /// Whether the worker gets only one new run at a time until a run succeeds.
+    /// Whether the worker gets new runs one after another until a run succeeds.
     pub is_on_probation: bool,
 }
 
@@ -81,13 +84,23 @@
         self.failed_flows.clear();
     }
 
-    /// Whether the worker accepts a new run while it has `runs_since_pause` runs that were placed
-    /// since its last pause. Older runs do not count, because they may last for ever.
+    /// Whether the worker accepts new runs. `newest_run_ms` is when its newest run was placed, in
+    /// milliseconds; `None` if it has none. On probation it accepts further ones only some time after
+    /// the newest, until one succeeds. It does not wait for their ends, because they may last for ever.
     ///
     /// ```
-    /// assert!(flow::Health::default().accepts_work(0, 10));
+    /// let mut health = flow::Health::default();
+    /// assert!(health.accepts_work(0, Some(0)));
+    /// health.pause(0);
+    /// let end_ms = health.paused_until_ms;
+    /// assert!(health.accepts_work(end_ms, None));
+    /// assert!(!health.accepts_work(end_ms + 100, Some(end_ms)));
+    /// assert!(health.accepts_work(end_ms + 5_000, Some(end_ms)));
     /// ```
-    pub fn accepts_work(&self, now_ms: u64, runs_since_pause: usize) -> bool {
-        now_ms >= self.paused_until_ms && (!self.is_on_probation || runs_since_pause == 0)
+    pub fn accepts_work(&self, now_ms: u64, newest_run_ms: Option<u64>) -> bool {
+        let is_watching = newest_run_ms.is_some_and(|placed_ms| {
+            placed_ms >= self.paused_until_ms && now_ms < placed_ms + PROBATION_RUN_MS
+        });
+        now_ms >= self.paused_until_ms && !(self.is_on_probation && is_watching)
     }
 }
