--- a/components/flow/src/candidate.rs
+++ b/components/flow/src/candidate.rs
@@ -1,9 +1,10 @@
 //! Scoring of candidate workers for a task by free capacity, placement rules, locality and
 //! interference between fillers and latency-critical tasks. The lowest score wins.
 
+use crate::scheduler::allocation_for;
 use crate::slack::{CriticalSlack, image_of};
 use crate::suspects::Isolation;
-use crate::view::WorkerView;
+use crate::view::{Allocation, WorkerView};
 use crate::{Scheduler, StepSpec, TaskKey};
 use model::{AgentId, Resources, ServiceName};
 
@@ -24,8 +25,6 @@
 const OTHER_IMAGE_PENALTY: f64 = 2.0;
 /// Least share of a filler's declared processors that must be spare on a worker to place it there.
 const MIN_FILLER_SPARE_SHARE: f64 = 0.5;
-/// Greatest reserved share of a pool's processors at which it counts as mostly free, in percent.
-const MOSTLY_FREE_MAX_USED_PERCENT: u64 = 60;
 
 /// What a filler needs of the worker that it is placed on.
 #[derive(Debug, Clone, Default, PartialEq)]
@@ -39,6 +38,7 @@
 }
 
 /// A worker that accepts new runs, with its free capacity during one scheduling pass.
+#[derive(Debug, Clone)]
 pub(crate) struct Candidate {
     /// Agent of the worker.
     pub agent: AgentId,
@@ -51,6 +51,8 @@
     pub spare_milli: i64,
     /// Whether a latency-critical task is placed on the worker.
     pub has_latency_critical: bool,
+    /// Tasks that are to be placed on it, and count as if they were.
+    pub chosen_for: Vec<TaskKey>,
     /// Suspects for which it is kept free of other new runs.
     pub held_for: Vec<TaskKey>,
     /// How many more suspects may start on it together in this pass.
@@ -58,6 +60,11 @@
     /// Whether a run on it is so new that a crash might be due to it; only determined while there are
     /// suspects.
     pub has_new_runs: bool,
+    /// Whether other tasks had their turn since it was last kept free, and its new runs will be so no
+    /// longer soon; only determined while there are suspects.
+    pub is_holdable: bool,
+    /// Whether it may be kept free for the suspect that is being placed.
+    pub accepts_hold: bool,
     /// What its latency-critical tasks can bear of fillers; `None` until a filler is to be placed.
     pub slacks: Option<Vec<CriticalSlack>>,
 }
@@ -66,9 +73,11 @@
     /// Workers that accept new runs now, each with its pool: synced, neither paused nor draining.
     pub(crate) fn candidates(&self, now_ms: u64) -> Vec<(ServiceName, Candidate)> {
         let accepts_work = |view: &&WorkerView| {
+            let allocations = view.allocations.values();
+            let newest_ms = allocations.map(|allocation| allocation.since_ms).max();
             view.is_synced()
                 && now_ms >= view.not_before_ms
-                && view.health.accepts_work(now_ms, view.runs_since_pause())
+                && view.health.accepts_work(now_ms, newest_ms)
         };
         let workers = self.fleet.workers.iter();
         workers
@@ -103,21 +112,49 @@
         candidates: &[(ServiceName, Candidate)],
         rack: Option<&str>,
         filler: &FillerNeed,
+    ) -> Option<usize> {
+        let isolation = match self.step_spec(key)?.gang {
+            true => Isolation::None,
+            false => self.task(key)?.crashes.isolation(),
+        };
+        let admits = |candidate: &Candidate| candidate.admits(key, isolation);
+        self.best_admitting(key, service, candidates, rack, filler, admits)
+    }
+
+    /// Index of the candidate to keep free for a suspect: by the same rules, regardless of the new runs
+    /// there.
+    pub(crate) fn best_hold(
+        &self,
+        key: &TaskKey,
+        service: &ServiceName,
+        candidates: &[(ServiceName, Candidate)],
+        filler: &FillerNeed,
+    ) -> Option<usize> {
+        let admits = |candidate: &Candidate| candidate.accepts_hold;
+        self.best_admitting(key, service, candidates, None, filler, admits)
+    }
+
+    /// Index of the candidate with the lowest score among those that `admits` accepts; `None` as for
+    /// [`Scheduler::best_candidate`].
+    fn best_admitting(
+        &self,
+        key: &TaskKey,
+        service: &ServiceName,
+        candidates: &[(ServiceName, Candidate)],
+        rack: Option<&str>,
+        filler: &FillerNeed,
+        admits: impl Fn(&Candidate) -> bool,
     ) -> Option<usize> {
         let state = self.flows.get(&key.job)?;
         let spec = state.step_spec(key.step)?;
         let task = state.task(key)?;
         let need = spec.reserved();
-        let isolation = match spec.gang {
-            true => Isolation::None,
-            false => task.crashes.isolation(),
-        };
         let mut best: Option<(f64, usize)> = None;
         for (index, (pool, candidate)) in candidates.iter().enumerate() {
             if pool != service || !need.fits_in(&candidate.free) {
                 continue;
             }
-            if !candidate.admits(key, isolation) {
+            if !admits(candidate) {
                 continue;
             }
             // Every later term is a penalty >= 0, so a candidate can be rejected early.
@@ -137,7 +174,7 @@
                 } else {
                     0.0
                 };
-            if is_worse(score) || !may_run(view, key, spec, rack) {
+            if is_worse(score) || !may_run(view, key, spec, rack, &candidate.chosen_for) {
                 continue;
             }
             let Some(penalty) = interference_penalty(view, candidate, spec, filler) else {
@@ -196,11 +233,13 @@
 impl Candidate {
     /// Whether a task may start here as far as suspects are concerned.
     fn admits(&self, key: &TaskKey, isolation: Isolation) -> bool {
-        let is_free = self.held_for.iter().all(|task| task == key);
+        let is_held_for_it =
+            !self.held_for.is_empty() && self.held_for.iter().all(|task| task == key);
+        let isolates = !self.has_new_runs && (is_held_for_it || self.accepts_hold);
         match isolation {
             Isolation::None => self.held_for.is_empty(),
-            Isolation::Alone => is_free && !self.has_new_runs,
-            Isolation::Group => self.open_places > 0 || (is_free && !self.has_new_runs),
+            Isolation::Alone => isolates,
+            Isolation::Group => self.open_places > 0 || isolates,
         }
     }
 
@@ -225,6 +264,20 @@
         paces.fold(f64::INFINITY, f64::min)
     }
 
+    /// Takes up what a task needs that is to be placed here later.
+    pub(crate) fn choose(&mut self, key: &TaskKey, spec: &StepSpec, filler: &FillerNeed) {
+        self.take_up(&allocation_for(0, spec, 0));
+        self.use_slack(&filler.pressures, spec);
+        self.chosen_for.push(key.clone());
+    }
+
+    /// Takes up the capacity of a run.
+    pub(crate) fn take_up(&mut self, allocation: &Allocation) {
+        self.free = self.free.minus(&allocation.reserved);
+        self.spare_milli -= allocation.expected_milli();
+        self.has_latency_critical |= allocation.latency_target_ms.is_some();
+    }
+
     /// Adds a filler that is placed here to those that use up slack.
     pub(crate) fn use_slack(&mut self, pressures: &[f64], spec: &StepSpec) {
         let share = self.processor_share(spec);
@@ -260,41 +313,42 @@
         capacity,
         spare_milli,
         has_latency_critical: view.has_latency_critical(),
+        chosen_for: Vec::new(),
         held_for: Vec::new(),
         open_places: 0,
         has_new_runs: false,
+        is_holdable: true,
+        accepts_hold: true,
         slacks: None,
     }
 }
 
-/// Whether label, rack and `max_per_worker` allow a task on a worker, regardless of its capacity.
-fn may_run(view: &WorkerView, key: &TaskKey, spec: &StepSpec, rack: Option<&str>) -> bool {
+/// Whether label, rack and `max_per_worker` allow a task on a worker, regardless of its capacity. The
+/// tasks that it is `chosen_for` count as placed.
+pub(crate) fn may_run(
+    view: &WorkerView,
+    key: &TaskKey,
+    spec: &StepSpec,
+    rack: Option<&str>,
+    chosen_for: &[TaskKey],
+) -> bool {
     let Some(info) = &view.info else {
         return false;
     };
-    let has_label = spec
-        .label
-        .as_ref()
-        .is_none_or(|label| info.labels.contains(label));
     let is_in_rack = rack.is_none_or(|rack| info.rack() == Some(rack));
-    let is_below_limit = spec
-        .max_per_worker
-        .is_none_or(|limit| view.count_step_runs(&key.job, key.occurrence, key.step) < limit);
-    has_label && is_in_rack && is_below_limit
+    let chosen = chosen_for.iter().filter(|other| other.is_of_step_of(key));
+    let is_below_limit = spec.max_per_worker.is_none_or(|limit| {
+        let placed = view.count_step_runs(&key.job, key.occurrence, key.step);
+        placed + (chosen.count() as u32) < limit
+    });
+    has_label(view, spec) && is_in_rack && is_below_limit
 }
 
-/// Whether most processors of a pool's candidates are not reserved.
-pub(crate) fn is_mostly_free(
-    service: &ServiceName,
-    candidates: &[(ServiceName, Candidate)],
-) -> bool {
-    let pool = candidates.iter().filter(|(pool, _)| pool == service);
-    let (mut free, mut total) = (0, 0);
-    for (_, candidate) in pool {
-        free += u64::from(candidate.free.processors_milli);
-        total += u64::from(candidate.capacity.processors_milli);
-    }
-    (total - free.min(total)) * 100 <= total * MOSTLY_FREE_MAX_USED_PERCENT
+/// Whether a worker has the label that a step's tasks need, if they need one.
+pub(crate) fn has_label(view: &WorkerView, spec: &StepSpec) -> bool {
+    let labels = view.info.as_ref().map(|info| &info.labels);
+    let has = |label| labels.is_some_and(|labels| labels.contains(label));
+    spec.label.as_ref().is_none_or(has)
 }
 
 /// Whether enough processors are spare for a filler.
--- a/components/flow/src/view.rs
+++ b/components/flow/src/view.rs
@@ -170,15 +170,6 @@
         i64::from(capacity_milli) - used.sum::<i64>() - orphan_milli
     }
 
-    /// Number of runs placed on it since its last pause ended.
-    pub fn runs_since_pause(&self) -> usize {
-        let since_ms = self.health.paused_until_ms;
-        let allocations = self.allocations.values();
-        allocations
-            .filter(|allocation| allocation.since_ms >= since_ms)
-            .count()
-    }
-
     /// How long a latency target has been missed on it, in milliseconds; 0 while all are met.
     pub fn over_target_ms(&self, now_ms: u64) -> u64 {
         let since_ms = self.over_target_since_ms;
--- a/components/flow/tests/common/mod.rs
+++ b/components/flow/tests/common/mod.rs
@@ -69,6 +69,8 @@
     pub disturbs: BTreeSet<(String, String)>,
     /// Starts whose answers are lost; the value states whether the start is executed.
     pub lose_starts: Vec<bool>,
+    /// Whether orders to stop a run are lost.
+    pub stops_are_lost: bool,
     /// Whether the table is available.
     pub table_up: bool,
     /// When the scheduler last confirmed its leadership, in milliseconds.
@@ -149,6 +151,7 @@
                 mode: Mode::Healthy,
                 incarnation: incarnation(&name, 1),
                 capacity: Resources::new(16_000, 64_000, 0),
+                labels: vec!["a".to_owned(), "r1".to_owned()],
                 running: BTreeMap::new(),
                 ended: Vec::new(),
                 superseded_up_to: BTreeMap::new(),
@@ -177,6 +180,7 @@
             crashes_under: BTreeMap::new(),
             disturbs: BTreeSet::new(),
             lose_starts: Vec::new(),
+            stops_are_lost: false,
             table_up: true,
             confirmed_ms: 1_000,
             ends_per_report: 500,
@@ -345,7 +349,7 @@
             service: "pool".into(),
             domain: "d".into(),
             capacity: worker.capacity,
-            labels: vec!["a".to_owned(), "r1".to_owned()],
+            labels: worker.labels.clone(),
             draining: false,
             drain_remaining_ms: None,
         };
@@ -502,7 +506,7 @@
     fn stop(&mut self, run: &RunRef) {
         let worker = self.workers.get_mut(&run.agent).unwrap();
         let is_cut_off = matches!(worker.mode, Mode::Partitioned | Mode::Mute);
-        if is_cut_off || worker.incarnation != run.incarnation {
+        if self.stops_are_lost || is_cut_off || worker.incarnation != run.incarnation {
             return;
         }
         let newest = worker.superseded_up_to.entry(run.task.clone()).or_default();
@@ -529,6 +533,19 @@
         }
     }
 
+    /// Has a worker carry out an old order to start a run, which the scheduler has given up on.
+    pub fn start_late(&mut self, agent: &AgentId, task: &TaskKey, run: u32) {
+        let worker = self.workers.get_mut(agent).unwrap();
+        worker.lease_until_ms = worker.clock_ms(self.now_ms) + LEASE_TERMS.term_ms;
+        let started = ModelRun {
+            run,
+            started_ms: self.now_ms,
+            done_micro: 0,
+            pace: 100,
+        };
+        worker.running.insert(task.clone(), started);
+    }
+
     /// Number of runs of a flow in progress.
     pub fn running(&self, job: &JobId) -> usize {
         let workers = self.workers.values();
