--- a/components/utils/src/lib.rs
+++ b/components/utils/src/lib.rs
@@ -7,6 +7,7 @@
 mod collections;
 mod ewma;
 mod hop_headers;
+mod recent_set;
 mod rendezvous;
 mod wait_until_drained;
 
@@ -17,5 +18,6 @@
 pub use collections::{Map, Set};
 pub use ewma::Ewma;
 pub use hop_headers::is_hop_header;
+pub use recent_set::RecentSet;
 pub use rendezvous::{hash64, rank};
 pub use wait_until_drained::wait_until_drained;
