Entries: an agent's odd address is not called, and logged once

What was seen: a row of an agent with port 0, or with an unspecified or multicast address, was taken for an agent and polled again and again; one that is no address was logged with each read of the agents, once a second for as long as it stayed.

Cause: every text that parses as an address counted, and the reads kept no memory of what was logged.

Change: such a row names no agent. Each version of an unreadable row is logged once.

--- a/components/flow_entry/src/agents.rs
+++ b/components/flow_entry/src/agents.rs
@@ -4,6 +4,7 @@
 use crate::leadership::Leadership;
 use crate::messages::{AgentsRead, PollDone, StartDone, StopDone};
 use crate::reads::read_all;
+use crate::rows::parse_agent;
 use actix::{AsyncContext, Context, Handler};
 use flow::{
     PaceOrder, PollReply, PollRequest, ReportTimes, RunRef, StartInput, StartOrder, StartOutcome,
@@ -324,12 +325,20 @@
             return;
         };
         for row in rows {
-            let name = row.key.strip_prefix(AGENT_ROW_PREFIX).unwrap_or_default();
-            let Ok(address) = row.value.parse::<SocketAddr>() else {
-                log_event!(error, Event::RowUnreadable, key = %row.key, reason = "no address");
+            let Some((agent, address)) = parse_agent(&row.key, &row.value) else {
+                let (key, version) = (&row.key, row.version);
+                // All rows are read again every second.
+                if self.unreadable_agents.insert(&format!("{key} {version}")) {
+                    log_event!(
+                        error,
+                        Event::RowUnreadable,
+                        key,
+                        version,
+                        reason = "no address"
+                    );
+                }
                 continue;
             };
-            let agent = AgentId::from(name);
             let is_known = leadership
                 .agents
                 .get(&agent)
--- a/components/flow_entry/src/coordinator.rs
+++ b/components/flow_entry/src/coordinator.rs
@@ -22,7 +22,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use telemetry::{Event, log_event};
-use utils::boot_ms;
+use utils::{RecentSet, boot_ms};
 use wire::{LinkError, SchedulerLink, SchedulerProbe, SchedulerProbeReply};
 
 /// Interval at which the control thread checks for due work.
@@ -36,6 +36,8 @@
 /// Time without an answer from the table or the scheduler after which an entry reports that it is
 /// not ready, in milliseconds.
 const ISOLATED_MS: u64 = 2_500;
+/// Most rows that can't be read of which it is known that they are logged.
+const MAX_UNREADABLE_LOGGED: usize = 1_000;
 
 /// Actor that owns the mutable state of an entry.
 pub(crate) struct Coordinator {
@@ -71,6 +73,8 @@
     pub(crate) started_epoch: u64,
     /// State of the scheduler; absent while this entry is not the scheduler.
     pub(crate) leadership: Option<Leadership>,
+    /// Rows of agents that can't be read and are logged, so that each version is logged once.
+    pub(crate) unreadable_agents: RecentSet,
     /// Whether a drain has started; the entry then claims no lease and places nothing.
     pub(crate) is_draining: bool,
     /// Metrics that this entry exports.
@@ -112,6 +116,7 @@
             is_claiming: false,
             started_epoch: 0,
             leadership: None,
+            unreadable_agents: RecentSet::new(MAX_UNREADABLE_LOGGED),
             is_draining: false,
             metrics,
         }
--- a/components/flow_entry/src/rows.rs
+++ b/components/flow_entry/src/rows.rs
@@ -1,10 +1,11 @@
 //! Keys of durable rows, and the row of the lease. A key consists of table, part and name; a
 //! transaction changes the rows of one part together.
 
-use model::JobId;
+use model::{AgentId, JobId};
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 use utils::hash64;
+use wire::AGENT_ROW_PREFIX;
 
 /// Key of the scheduler's lease.
 pub(crate) const LEASE_KEY: &str = "lease/scheduler/owner";
@@ -56,6 +57,16 @@
     }
 }
 
+/// Parses the row of a registered agent: its name and its address. `None` if the row names no agent
+/// that can be called.
+pub(crate) fn parse_agent(key: &str, value: &str) -> Option<(AgentId, SocketAddr)> {
+    let name = key.strip_prefix(AGENT_ROW_PREFIX)?;
+    let address: SocketAddr = value.parse().ok()?;
+    let is_callable =
+        address.port() > 0 && !address.ip().is_unspecified() && !address.ip().is_multicast();
+    (is_callable && !name.is_empty()).then(|| (AgentId::from(name), address))
+}
+
 /// Prefix of the keys of flows in one part.
 pub(crate) fn flow_part_prefix(part: u64) -> String {
     format!("{FLOW_PREFIX}{part}/")
