Election: an odd row of the lease is replaced under a higher epoch

What callers saw: after a row of the lease that can't be read, an entry that started anew claimed epoch 1, and climbed by one with each claim that the workers fenced off. It ended at the epoch of the former scheduler: two schedulers with one fencing token, so that a worker accepts a late order of the former one. In a row whose epoch is the largest number, the next epoch began at 0 in a release build.

Cause: the next epoch was one above that in the row, and a row that can't be read counted as none.

Change: over such a row, the next epoch is the row's version. Versions count all transactions and each claim is one, so that it is above every epoch so far. Epochs from 2^53 on make a row unreadable.

Evidence: an_odd_lease_is_replaced_under_a_higher_epoch (tests/odd.rs) failed with "!: Some(2) after 2", and passes; all of tests/odd.rs passes (3 tests in 6.6 s). The end at the largest epoch was not run alone on the code before.

--- a/components/flow_entry/src/election.rs
+++ b/components/flow_entry/src/election.rs
@@ -1,7 +1,8 @@
 //! Election of the scheduler: tracks the lease and its owner, and decides when to claim the lease.
 
-use crate::rows::LeaseRow;
+use crate::rows::{LEASE_KEY, LeaseRow};
 use backing::Row;
+use telemetry::{Event, log_event};
 
 /// Time for which the lease's row has to be unchanged before another entry claims it, in
 /// milliseconds. It exceeds the interval between two renewals.
@@ -20,7 +21,7 @@
 /// The scheduler's lease and its owner, as last seen by this entry.
 #[derive(Debug, Default)]
 pub(crate) struct Election {
-    /// The lease; absent if no entry ever claimed it.
+    /// The lease; absent if no entry ever claimed it, or if its row can't be read.
     pub row: Option<LeaseRow>,
     /// Version of the lease's row; absent before the first read or if there is no row.
     pub version: Option<u64>,
@@ -58,8 +59,17 @@
             return;
         }
         let before = self.row.take();
-        self.row = row.and_then(|row| serde_json::from_str(&row.value).ok());
+        self.row = row.and_then(|row| LeaseRow::parse(&row.value));
         self.version = version;
+        if let (None, Some(version)) = (&self.row, version) {
+            log_event!(
+                error,
+                Event::RowUnreadable,
+                key = LEASE_KEY,
+                version,
+                reason = "no lease"
+            );
+        }
         self.version_seen_ms = now_ms;
         let is_new_owner = before.map(|row| row.epoch) != self.row.as_ref().map(|row| row.epoch);
         if is_new_owner || !self.is_read {
@@ -69,6 +79,16 @@
         self.is_read = true;
     }
 
+    /// Epoch of the next claim, above that of every claim so far. Over a row that can't be read,
+    /// this is the row's version: versions count all transactions, and each claim is one.
+    pub fn next_epoch(&self) -> u64 {
+        match (&self.row, self.version) {
+            (Some(row), _) => row.epoch + 1,
+            (None, Some(version)) => version,
+            (None, None) => 1,
+        }
+    }
+
     /// Records a probe reply of the owner, whose last confirmation of leadership has this age. An
     /// owner that can't renew the lease counts as silent since then.
     pub fn on_answer(&mut self, now_ms: u64, confirmation_age_ms: u64) {
--- a/components/flow_entry/src/leadership.rs
+++ b/components/flow_entry/src/leadership.rs
@@ -84,7 +84,7 @@
 
     /// Claims the lease for the next epoch, on condition that its row is unchanged.
     pub(crate) fn claim(&mut self, now_ms: u64, context: &mut Context<Self>) {
-        let epoch = self.election.row.as_ref().map_or(0, |row| row.epoch) + 1;
+        let epoch = self.election.next_epoch();
         let row = self.lease_row(epoch, 0, false);
         let txn = Transaction::default()
             .require(LEASE_KEY, self.election.version)
--- a/components/flow_entry/src/rows.rs
+++ b/components/flow_entry/src/rows.rs
@@ -17,6 +17,8 @@
 pub(crate) const FLOW_PREFIX: &str = "flows/";
 /// Number of parts over which flows are spread, so that submissions do not wait for each other.
 pub(crate) const FLOW_PARTS: u64 = 4;
+/// Epochs from this one on are of no scheduler; a claim of the next one could not count further.
+const EPOCH_LIMIT: u64 = 1 << 53;
 /// Suffix that turns the key of a flow into the key of its cancellation.
 const CANCEL_SUFFIX: &str = ".cancel";
 
@@ -37,6 +39,14 @@
     pub released: bool,
 }
 
+impl LeaseRow {
+    /// Parses the content of the lease's row; `None` if no entry wrote it.
+    pub fn parse(value: &str) -> Option<Self> {
+        let row: Option<Self> = serde_json::from_str(value).ok();
+        row.filter(|row| row.epoch < EPOCH_LIMIT)
+    }
+}
+
 /// Parsed key under [`FLOW_PREFIX`].
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) enum FlowKey {
--- a/tests/odd.rs
+++ b/tests/odd.rs
@@ -3,6 +3,8 @@
 
 mod common;
 
+use base64::Engine;
+use base64::engine::general_purpose::STANDARD;
 use common::flow_fleet::{Fleet, ids};
 use common::sleep_ms;
 use platform_standin::job;
@@ -93,3 +95,46 @@
     assert_all_run(&mut fleet);
     fleet.assert_no_duplicate_runs();
 }
+
+/// Epoch of the scheduler's lease; `None` if its row can't be read.
+fn lease_epoch(store: &StoreStandIn) -> Option<u64> {
+    let rows = store.values("lease");
+    let row: serde_json::Value = serde_json::from_str(&rows.first()?.1).ok()?;
+    row["epoch"].as_u64()
+}
+
+/// Guards against a row of the lease that can't be read, after which no entry becomes the scheduler,
+/// and against an epoch below that of a former scheduler, whose orders the workers would accept
+/// beside those of the new one. An epoch out of range must not end a process.
+#[actix_rt::test]
+async fn an_odd_lease_is_replaced_under_a_higher_epoch() {
+    let absurd = format!(
+        r#"{{"owner":"x","incarnation":1,"control":"127.0.0.1:1","epoch":{},"sequence":0,
+            "released":true}}"#,
+        u64::MAX
+    );
+    for odd in ["!", "/w==", "bnVsbA==", &STANDARD.encode(absurd)] {
+        let mut fleet = Fleet::start(2, 2).await;
+        let scheduler = fleet.scheduler();
+        fleet.entries[scheduler].1.restart();
+        let ids = ids(4);
+        for id in &ids {
+            assert_eq!(fleet.submit(0, id, &job(2, 600)).await, 200, "{odd}");
+        }
+        fleet.wait_until_ready().await;
+        let before = lease_epoch(&fleet.store).unwrap();
+        for (_, node) in &mut fleet.entries {
+            node.process.kill();
+        }
+        fleet.store.put_encoded("lease", "scheduler", "owner", odd);
+        for (_, node) in &mut fleet.entries {
+            node.restart();
+        }
+        fleet.wait_until_ready().await;
+        let first = lease_epoch(&fleet.store);
+        assert!(first > Some(before), "{odd}: {first:?} after {before}");
+        fleet.wait_until_completed(&ids).await;
+        assert_all_run(&mut fleet);
+        fleet.assert_no_duplicate_runs();
+    }
+}
