Agents: one heartbeat of another writer no longer silences the worker

What callers saw: one well-formed heartbeat with another worker's name and a later start, sent to an agent, took the place of that of its worker. The agent addressed each poll to that name, the worker refused them, and all heartbeats of the worker counted as late from then on: nothing ran on it any more until the agent started anew. With the worker's own name and a later start, all starts were refused; with a number far ahead, later heartbeats, such as those of a drain, were ignored.

Cause: the order of heartbeats was by start and number alone, and nothing corrected it.

Ruled out: a bound on the start by the time of day; clocks may differ and jump.

Change: the worker's own answers correct the order. If it refuses the name of the newest heartbeat, or reports an earlier start, the next heartbeat of any other incarnation counts. A late heartbeat still changes nothing.

--- a/components/flow_agent/src/lib.rs
+++ b/components/flow_agent/src/lib.rs
@@ -2,6 +2,7 @@
 //! the worker and refuses stale ones. It stores nothing: after a restart, it gets its state from
 //! the worker again.
 
+mod heartbeat_order;
 mod metrics;
 mod registration;
 mod relay;
--- a/components/flow_agent/src/relay.rs
+++ b/components/flow_agent/src/relay.rs
@@ -1,9 +1,12 @@
 //! The agent's control thread: it forwards polls and orders to the worker and refuses stale ones.
 
+use crate::heartbeat_order::HeartbeatOrder;
 use crate::metrics::Metrics;
 use crate::worker_client::{WorkerClient, WorkerError, WorkerPoll};
 use actix::{Actor, Context, Handler, Message, ResponseFuture};
-use flow::{PaceOrder, PollReply, PollRequest, StartOrder, StartOutcome, StopOrder, WorkerInfo};
+use flow::{
+    Incarnation, PaceOrder, PollReply, PollRequest, StartOrder, StartOutcome, StopOrder, WorkerInfo,
+};
 use model::AgentId;
 use std::rc::Rc;
 use telemetry::{Event, log_event};
@@ -17,8 +20,8 @@
     worker: Rc<dyn WorkerClient>,
     /// Content of the worker's newest heartbeat; absent before the first one.
     info: Option<WorkerInfo>,
-    /// Sequence number of that heartbeat.
-    sequence: u64,
+    /// Decides which heartbeat is the newest.
+    order: HeartbeatOrder,
     /// Start time of the newest incarnation that a report of the worker showed.
     reported_born_ms: Option<u64>,
     /// Highest fencing token that any call carried.
@@ -35,7 +38,7 @@
             agent,
             worker,
             info: None,
-            sequence: 0,
+            order: HeartbeatOrder::default(),
             reported_born_ms: None,
             fence: 0,
             is_up: true,
@@ -91,13 +94,9 @@
     fn handle(&mut self, heartbeat: Heartbeat, _: &mut Self::Context) {
         self.metrics.heartbeats.inc();
         let born_ms = heartbeat.info.incarnation.born_ms;
-        if let Some(known) = &self.info {
-            let known_ms = known.incarnation.born_ms;
-            let is_late =
-                born_ms < known_ms || (born_ms == known_ms && heartbeat.sequence <= self.sequence);
-            if is_late {
-                return;
-            }
+        let incarnation = &heartbeat.info.incarnation;
+        if !self.order.admit(boot_ms(), incarnation, heartbeat.sequence) {
+            return;
         }
         let changed = self.info.as_ref().is_none_or(|known| {
             known.incarnation != heartbeat.info.incarnation
@@ -109,7 +108,6 @@
                 worker = %info.incarnation.worker, born_ms, draining = info.draining,
                 sequence = heartbeat.sequence);
         }
-        self.sequence = heartbeat.sequence;
         self.info = Some(heartbeat.info);
     }
 }
@@ -147,6 +145,9 @@
     is_up: bool,
     /// Start time of the incarnation in its report; absent without a report.
     born_ms: Option<u64>,
+    /// Incarnation that the poll was meant for, if the answer shows that the worker is another or
+    /// started earlier.
+    disproved: Option<Incarnation>,
 }
 
 impl Handler<WorkerSeen> for Relay {
@@ -154,6 +155,9 @@
 
     fn handle(&mut self, seen: WorkerSeen, _: &mut Self::Context) {
         self.reported_born_ms = self.reported_born_ms.max(seen.born_ms);
+        if let Some(incarnation) = &seen.disproved {
+            self.order.disprove(incarnation);
+        }
         if seen.is_up != self.is_up {
             let event = if seen.is_up {
                 Event::WorkerUp
@@ -198,9 +202,15 @@
             metrics.poll_seconds.observe(spent_ms as f64 / 1_000.0);
             let refused = matches!(result, Err(WorkerError::Refused));
             let born_ms = result.as_ref().ok().map(|report| report.born_ms);
+            let expected = info.as_ref().map(|info| &info.incarnation);
+            let is_disproved = |expected: &&Incarnation| match &result {
+                Ok(report) => report.born_ms < expected.born_ms,
+                Err(error) => *error == WorkerError::OtherIncarnation,
+            };
             relay.do_send(WorkerSeen {
                 is_up: !refused,
                 born_ms,
+                disproved: expected.filter(is_disproved).cloned(),
             });
             match result {
                 Ok(report) => PollReply::Alive { info, report },
