--- a/components/telemetry/src/event.rs
+++ b/components/telemetry/src/event.rs
@@ -95,7 +95,7 @@
     WorkerPaused = 228,
     /// A process checked its settings file again.
     SettingsSeen = 104,
-    /// A row of the table can't be read.
+    /// A row of the table, a row of a worker's report or a heartbeat can't be read; it is left out.
     RowUnreadable = 503,
     /// The store refused a commit as invalid; a retry can't succeed.
     CommitRefused = 504,
