Flows: a row under another key is not taken for a flow

What callers saw: a row of another writer whose content holds the identifier of an accepted flow, but other steps, took the place of that flow for a new scheduler if it was read first. The job completed without most of its tasks.

Cause: the flow was loaded by the identifier in the content, whatever the key of the row.

--- a/components/flow_entry/src/leadership.rs
+++ b/components/flow_entry/src/leadership.rs
@@ -5,7 +5,7 @@
 use crate::feed_watch;
 use crate::messages::{ChangedFlow, ClaimDone, InFlightCommit, StateLoaded, StoredRows};
 use crate::reads::{read_all, read_flows, read_row};
-use crate::rows::{FlowKey, LEARNED_KEY, LEASE_KEY, LeaseRow, RECORD_PREFIX};
+use crate::rows::{FlowKey, LEARNED_KEY, LEASE_KEY, LeaseRow, RECORD_PREFIX, flow_key};
 use actix::{AsyncContext, Context, Handler};
 use backing::{Row, StoreError, TableStore, Transaction};
 use flow::{FlowEnd, FlowJob, FlowPhase, FlowRecord, FlowRow, LeaseTerms, Scheduler};
@@ -333,7 +333,13 @@
     };
     match FlowKey::parse(key) {
         Some(FlowKey::Flow(job)) => match serde_json::from_str::<FlowRow>(value) {
-            Ok(FlowRow::Accepted(flow)) => add_flow(leadership, now_ms, flow),
+            Ok(FlowRow::Accepted(flow)) if flow_key(&flow.id) == key => {
+                add_flow(leadership, now_ms, flow);
+            }
+            Ok(FlowRow::Accepted(flow)) => {
+                log_event!(error, Event::RowUnreadable, key, job = %flow.id,
+                    reason = "the row of another flow");
+            }
             Ok(FlowRow::Ended(end)) => {
                 let is_new = leadership.scheduler.phase(&job).is_none();
                 if is_new {
--- a/tests/odd.rs
+++ b/tests/odd.rs
@@ -101,3 +101,27 @@
         fleet.assert_no_duplicate_runs();
     }
 }
+
+/// Guards against a row of another writer under a key of its own that takes the place of an accepted
+/// flow, because its content holds the identifier of that flow.
+#[actix_rt::test]
+async fn a_row_under_another_key_is_not_taken_for_a_flow() {
+    let mut fleet = Fleet::start(1, 2).await;
+    let id = &ids(1)[0];
+    assert_eq!(fleet.submit(0, id, &job(3, 1_500)).await, 200);
+    fleet.entries[0].1.process.kill();
+    let content = fleet.store.values("flows")[0].1.clone();
+    let odd = content.replace(r#""tasks":3"#, r#""tasks":1"#);
+    assert_ne!(odd, content);
+    for part in ["0", "1", "2", "3"] {
+        fleet.store.put("flows", part, "0", &odd);
+    }
+    fleet.entries[0].1.restart();
+    fleet.wait_until_ready().await;
+    fleet.wait_until_completed(std::slice::from_ref(id)).await;
+    let mut tasks: Vec<String> = fleet.executions().into_iter().map(|run| run.task).collect();
+    tasks.sort();
+    tasks.dedup();
+    assert_eq!(tasks.len(), 6, "{tasks:?}");
+    fleet.assert_no_duplicate_runs();
+}
