Soak: an odd row among those of the agents

Each run leaves one row of another writer among those of the agents, of a kind and at a time that follow from the seed. It is drawn apart from the other faults, which each seed keeps, so that the seeds that guard against former faults still do. It comes in addition to the number of faults in the options.

--- a/components/soak/src/fault.rs
+++ b/components/soak/src/fault.rs
@@ -8,6 +8,8 @@
 
 /// Range of the durations of faults, in milliseconds.
 const LENGTH_MS: std::ops::Range<u64> = 300..4_000;
+/// Kinds of odd rows that are chosen from; the store takes a higher number modulo its own.
+const ODD_ROW_KINDS: usize = 1_000;
 
 /// Kind of an injected fault of a process, a worker or the store.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, EnumIter)]
@@ -36,6 +38,8 @@
     CrashWorker,
     /// A worker carries out its next start but the scheduler gets no answer in time.
     LoseStart,
+    /// Another writer leaves a row of this kind among those of the agents; it stays.
+    OddAgentRow(usize),
     /// All processes are killed with SIGKILL, and restarted when the fault ends.
     KillAll,
 }
@@ -53,7 +57,8 @@
     pub target: usize,
 }
 
-/// Returns the faults of a run, ordered by start; they may overlap.
+/// Returns the faults of a run, ordered by start; they may overlap. One odd row is left in addition to
+/// the number of faults in the options.
 ///
 /// ```
 /// let options = soak::Options {
@@ -70,7 +75,8 @@
 /// ```
 pub fn plan_faults(seed: u64, options: &Options) -> Vec<Fault> {
     let mut random = StdRng::seed_from_u64(seed);
-    let kinds: Vec<FaultKind> = FaultKind::iter().collect();
+    let is_drawn = |kind: &FaultKind| !matches!(kind, FaultKind::OddAgentRow(_));
+    let kinds: Vec<FaultKind> = FaultKind::iter().filter(is_drawn).collect();
     let mut faults: Vec<Fault> = (0..options.faults)
         .map(|_| Fault {
             at_ms: random.random_range(0..options.durations.load_ms),
@@ -79,10 +85,23 @@
             target: random.random_range(0..options.entries + options.agents),
         })
         .collect();
+    faults.push(odd_row(seed, options));
     faults.sort_by_key(|fault| fault.at_ms);
     faults
 }
 
+/// An odd row among those of the agents. It is drawn apart from the other faults, so that each seed
+/// keeps those that it had.
+fn odd_row(seed: u64, options: &Options) -> Fault {
+    let mut random = StdRng::seed_from_u64(!seed);
+    Fault {
+        at_ms: random.random_range(0..options.durations.load_ms),
+        length_ms: 0,
+        kind: FaultKind::OddAgentRow(random.random_range(0..ODD_ROW_KINDS)),
+        target: 0,
+    }
+}
+
 /// Replaces the placeholder mode of a store fault by a random one; other kinds stay.
 fn choose_store_mode(kind: FaultKind, random: &mut StdRng) -> FaultKind {
     match kind {
--- a/components/soak/src/fleet.rs
+++ b/components/soak/src/fleet.rs
@@ -102,6 +102,7 @@
             FaultKind::ChangeConfig => self.change_config(),
             FaultKind::CrashWorker => worker.crash(),
             FaultKind::LoseStart => worker.lose_next_start(),
+            FaultKind::OddAgentRow(kind) => self.store.leave_odd_row("agents", "all", kind),
             FaultKind::KillAll => self.for_each_node(Node::kill)?,
         }
         self.set_store_mode();
@@ -128,6 +129,7 @@
             | FaultKind::DropHistory
             | FaultKind::ChangeConfig
             | FaultKind::CrashWorker
+            | FaultKind::OddAgentRow(_)
             | FaultKind::LoseStart => {}
         }
         self.set_store_mode();
