--- a/components/flow_entry/src/leadership.rs
+++ b/components/flow_entry/src/leadership.rs
@@ -5,7 +5,7 @@
 use crate::feed_watch;
 use crate::messages::{ChangedFlow, ClaimDone, InFlightCommit, StateLoaded, StoredRows};
 use crate::reads::{read_all, read_flows, read_row};
-use crate::rows::{FlowKey, LEARNED_KEY, LEASE_KEY, LeaseRow, RECORD_PREFIX};
+use crate::rows::{FlowKey, LEARNED_KEY, LEASE_KEY, LeaseRow, RECORD_PREFIX, flow_key};
 use actix::{AsyncContext, Context, Handler};
 use backing::{Row, StoreError, TableStore, Transaction};
 use flow::{
@@ -100,7 +100,7 @@
 
     /// Claims the lease for the next epoch, on condition that its row is unchanged.
     pub(crate) fn claim(&mut self, now_ms: u64, context: &mut Context<Self>) {
-        let epoch = self.election.row.as_ref().map_or(0, |row| row.epoch) + 1;
+        let epoch = self.election.next_epoch();
         let row = self.lease_row(epoch, 0, false);
         let txn = Transaction::default()
             .require(LEASE_KEY, self.election.version)
@@ -346,7 +346,13 @@
     };
     match FlowKey::parse(key) {
         Some(FlowKey::Flow(job)) => match serde_json::from_str::<FlowRow>(value) {
-            Ok(FlowRow::Accepted(flow)) => add_flow(leadership, now_ms, flow),
+            Ok(FlowRow::Accepted(flow)) if flow_key(&flow.id) == key => {
+                add_flow(leadership, now_ms, flow);
+            }
+            Ok(FlowRow::Accepted(flow)) => {
+                log_event!(error, Event::RowUnreadable, key, job = %flow.id,
+                    reason = "the row of another flow");
+            }
             Ok(FlowRow::Ended(end)) => {
                 let is_new = leadership.scheduler.phase(&job).is_none();
                 if is_new {
--- a/components/flow_entry/src/rows.rs
+++ b/components/flow_entry/src/rows.rs
@@ -1,10 +1,11 @@
 //! Keys of durable rows, and the row of the lease. A key consists of table, part and name; a
 //! transaction changes the rows of one part together.
 
-use model::JobId;
+use model::{AgentId, JobId};
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 use utils::hash64;
+use wire::AGENT_ROW_PREFIX;
 
 /// Key of the scheduler's lease.
 pub(crate) const LEASE_KEY: &str = "lease/scheduler/owner";
@@ -16,6 +17,8 @@
 pub(crate) const FLOW_PREFIX: &str = "flows/";
 /// Number of parts over which flows are spread, so that submissions do not wait for each other.
 pub(crate) const FLOW_PARTS: u64 = 4;
+/// Epochs from this one on are of no scheduler; a claim of the next one could not count further.
+const EPOCH_LIMIT: u64 = 1 << 53;
 /// Suffix that turns the key of a flow into the key of its cancellation.
 const CANCEL_SUFFIX: &str = ".cancel";
 
@@ -36,6 +39,14 @@
     pub released: bool,
 }
 
+impl LeaseRow {
+    /// Parses the content of the lease's row; `None` if no entry wrote it.
+    pub fn parse(value: &str) -> Option<Self> {
+        let row: Option<Self> = serde_json::from_str(value).ok();
+        row.filter(|row| row.epoch < EPOCH_LIMIT)
+    }
+}
+
 /// Parsed key under [`FLOW_PREFIX`].
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) enum FlowKey {
@@ -56,6 +67,16 @@
     }
 }
 
+/// Parses the row of a registered agent: its name and its address. `None` if the row names no agent
+/// that can be called.
+pub(crate) fn parse_agent(key: &str, value: &str) -> Option<(AgentId, SocketAddr)> {
+    let name = key.strip_prefix(AGENT_ROW_PREFIX)?;
+    let address: SocketAddr = value.parse().ok()?;
+    let is_callable =
+        address.port() > 0 && !address.ip().is_unspecified() && !address.ip().is_multicast();
+    (is_callable && !name.is_empty()).then(|| (AgentId::from(name), address))
+}
+
 /// Prefix of the keys of flows in one part.
 pub(crate) fn flow_part_prefix(part: u64) -> String {
     format!("{FLOW_PREFIX}{part}/")
