Soak: agents that are lost for good, and restarts beside workers with long reports

An agent is killed or suspended for good while its worker's runs go on until their lease expires; no later fault brings it back. A large job ends while all processes are restarted, so that its worker has over 500 ends to report. Both are drawn apart from the other faults, so that seeds keep those that they had.

--- a/components/soak/src/callers.rs
+++ b/components/soak/src/callers.rs
@@ -1,8 +1,10 @@
 //! Simulated callers, which submit jobs to random entries, retry, and cancel some of the jobs.
 
+use crate::Options;
+use crate::fault::LARGE_RUN_MS;
 use crate::fleet::Fleet;
 use platform_standin::caller::Caller;
-use platform_standin::{deadly_job, job};
+use platform_standin::{deadly_job, job, large_job};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use serde_json::Value;
@@ -51,6 +53,20 @@
     pub slowest_refusal: Duration,
 }
 
+impl SubmittedJob {
+    /// A job before its submission.
+    fn new(id: String) -> Self {
+        Self {
+            id,
+            outcome: SubmitOutcome::Refused,
+            cancelled_at: None,
+            is_deadly: false,
+            is_cancel_requested: false,
+            slowest_refusal: Duration::ZERO,
+        }
+    }
+}
+
 /// All callers of one run.
 pub(crate) struct Callers {
     /// The fleet whose entries are called.
@@ -59,14 +75,20 @@
     caller: Caller,
     /// Share of deadly jobs, in percent.
     deadly_percent: u64,
+    /// Tasks of the large job; 0 for none.
+    large_tasks: u32,
+    /// Time from the start of the load to the submission of the large job, in milliseconds.
+    large_job_ms: u64,
 }
 
 impl Callers {
-    pub fn new(fleet: Rc<Fleet>, deadly_percent: u64) -> Self {
+    pub fn new(fleet: Rc<Fleet>, options: &Options) -> Self {
         Self {
             fleet,
             caller: Caller::new(CALL_TIMEOUT),
-            deadly_percent,
+            deadly_percent: options.deadly_percent,
+            large_tasks: options.large_tasks,
+            large_job_ms: options.durations.large_job_ms(),
         }
     }
 
@@ -81,6 +103,9 @@
         let mut random = StdRng::seed_from_u64(seed);
         let started = Instant::now();
         let mut submissions = Vec::new();
+        if self.large_tasks > 0 {
+            submissions.push(actix_rt::spawn(self.clone().submit_large(seed)));
+        }
         while started.elapsed() < Duration::from_millis(load_ms) {
             let own = StdRng::seed_from_u64(random.random());
             let id = format!("{:016x}", random.random::<u64>());
@@ -92,6 +117,18 @@
         finished.into_iter().filter_map(Result::ok).collect()
     }
 
+    /// Submits the large job.
+    async fn submit_large(self: Rc<Self>, seed: u64) -> SubmittedJob {
+        actix_rt::time::sleep(Duration::from_millis(self.large_job_ms)).await;
+        let mut random = StdRng::seed_from_u64(!seed);
+        let id = format!("{:016x}", random.random::<u64>());
+        let body = large_job(self.large_tasks, LARGE_RUN_MS);
+        let mut submitted = SubmittedJob::new(id);
+        self.hand_in(&mut submitted, &body, false, &mut random)
+            .await;
+        submitted
+    }
+
     async fn submit(self: Rc<Self>, id: String, mut random: StdRng) -> SubmittedJob {
         let mut body = job(random.random_range(1..4), random.random_range(50..900));
         let is_deadly = self.is_deadly(&id);
@@ -101,31 +138,39 @@
         let tries_once = random.random_range(0..100) < NO_RETRY_PERCENT;
         let cancels = random.random_range(0..100) < CANCEL_PERCENT;
         let mut submitted = SubmittedJob {
-            id,
-            outcome: SubmitOutcome::Refused,
-            cancelled_at: None,
             is_deadly,
-            is_cancel_requested: false,
-            slowest_refusal: Duration::ZERO,
+            ..SubmittedJob::new(id)
         };
+        self.hand_in(&mut submitted, &body, tries_once, &mut random)
+            .await;
+        if cancels && submitted.outcome == SubmitOutcome::Accepted {
+            self.cancel(&mut submitted, &mut random).await;
+        }
+        submitted
+    }
+
+    /// Submits a job, once or until it is accepted or [`RETRY_LIMIT`] has passed.
+    async fn hand_in(
+        &self,
+        submitted: &mut SubmittedJob,
+        body: &Value,
+        tries_once: bool,
+        random: &mut StdRng,
+    ) {
         let started = Instant::now();
         loop {
             let sent = Instant::now();
-            match self.call("POST", &submitted.id, &body, &mut random).await {
+            match self.call("POST", &submitted.id, body, random).await {
                 200 => submitted.outcome = SubmitOutcome::Accepted,
                 0 | 504 => submitted.outcome = SubmitOutcome::Unknown,
                 _ => submitted.slowest_refusal = submitted.slowest_refusal.max(sent.elapsed()),
             }
             let is_accepted = submitted.outcome == SubmitOutcome::Accepted;
             if is_accepted || tries_once || started.elapsed() > RETRY_LIMIT {
-                break;
+                return;
             }
             actix_rt::time::sleep(RETRY_PAUSE).await;
         }
-        if cancels && submitted.outcome == SubmitOutcome::Accepted {
-            self.cancel(&mut submitted, &mut random).await;
-        }
-        submitted
     }
 
     async fn cancel(&self, submitted: &mut SubmittedJob, random: &mut StdRng) {
--- a/components/soak/src/fault.rs
+++ b/components/soak/src/fault.rs
@@ -8,9 +8,23 @@
 
 /// Range of the durations of faults, in milliseconds.
 const LENGTH_MS: std::ops::Range<u64> = 300..4_000;
+/// Run time of the tasks of a large job, in milliseconds.
+pub(crate) const LARGE_RUN_MS: u64 = 1_500;
+/// Time from the kill of all processes beside a large job to their restart, in milliseconds.
+const RESTART_MS: u64 = 1_000;
 /// Kinds of odd rows that are chosen from; the store takes a higher number modulo its own.
 const ODD_ROW_KINDS: usize = 1_000;
 
+/// How an agent is lost for good. Its worker's runs go on until its lease expires.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum AgentLoss {
+    /// Its process is killed, and connections to it are refused.
+    #[default]
+    Killed,
+    /// Its process is suspended, and connections to it hang.
+    Hangs,
+}
+
 /// Kind of an injected fault of a process, a worker or the store.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, EnumIter)]
 pub enum FaultKind {
@@ -42,6 +56,8 @@
     OddAgentRow(usize),
     /// All processes are killed with SIGKILL, and restarted when the fault ends.
     KillAll,
+    /// An agent is lost and never comes back.
+    LoseAgent(AgentLoss),
 }
 
 /// A fault that is injected during a run.
@@ -57,8 +73,9 @@
     pub target: usize,
 }
 
-/// Returns the faults of a run, ordered by start; they may overlap. One odd row is left in addition to
-/// the number of faults in the options.
+/// Returns the faults of a run, ordered by start; they may overlap. One odd row, the agents that are
+/// lost for good, and the restart of all processes beside a large job come in addition to the number of
+/// faults in the options.
 ///
 /// ```
 /// let options = soak::Options {
@@ -68,6 +85,8 @@
 ///     agents: 4,
 ///     faults: 6,
 ///     deadly_percent: 0,
+///     lost_agents: 1,
+///     large_tasks: 0,
 ///     durations: soak::PhaseDurations::for_load(10_000),
 /// };
 /// assert_eq!(soak::plan_faults(1, &options), soak::plan_faults(1, &options));
@@ -75,7 +94,8 @@
 /// ```
 pub fn plan_faults(seed: u64, options: &Options) -> Vec<Fault> {
     let mut random = StdRng::seed_from_u64(seed);
-    let is_drawn = |kind: &FaultKind| !matches!(kind, FaultKind::OddAgentRow(_));
+    let is_drawn =
+        |kind: &FaultKind| !matches!(kind, FaultKind::OddAgentRow(_) | FaultKind::LoseAgent(_));
     let kinds: Vec<FaultKind> = FaultKind::iter().filter(is_drawn).collect();
     let mut faults: Vec<Fault> = (0..options.faults)
         .map(|_| Fault {
@@ -86,6 +106,10 @@
         })
         .collect();
     faults.push(odd_row(seed, options));
+    faults.extend(lost_agents(seed, options));
+    if options.large_tasks > 0 {
+        faults.push(restart_beside_large_job(options));
+    }
     faults.sort_by_key(|fault| fault.at_ms);
     faults
 }
@@ -102,6 +126,32 @@
     }
 }
 
+/// Losses of distinct agents in the first half of the load, drawn apart as [`odd_row`] is.
+fn lost_agents(seed: u64, options: &Options) -> Vec<Fault> {
+    let mut random = StdRng::seed_from_u64(seed.rotate_left(32));
+    let first = random.random_range(0..options.agents.max(1));
+    let lost = (0..options.lost_agents.min(options.agents)).map(|number| Fault {
+        at_ms: random.random_range(0..options.durations.load_ms / 2),
+        length_ms: 0,
+        kind: FaultKind::LoseAgent(match random.random_range(0..2) {
+            0 => AgentLoss::Killed,
+            _ => AgentLoss::Hangs,
+        }),
+        target: options.entries + (first + number) % options.agents,
+    });
+    lost.collect()
+}
+
+/// A restart of all processes while the ends of a large job's tasks pile up at the workers.
+fn restart_beside_large_job(options: &Options) -> Fault {
+    Fault {
+        at_ms: options.durations.large_job_ms() + LARGE_RUN_MS,
+        length_ms: RESTART_MS,
+        kind: FaultKind::KillAll,
+        target: 0,
+    }
+}
+
 /// Replaces the placeholder mode of a store fault by a random one; other kinds stay.
 fn choose_store_mode(kind: FaultKind, random: &mut StdRng) -> FaultKind {
     match kind {
--- a/components/soak/src/fleet.rs
+++ b/components/soak/src/fleet.rs
@@ -1,13 +1,14 @@
 //! The system under test: entries and agents as processes, with a stand-in store and workers.
 
 use crate::node::Node;
-use crate::{Fault, FaultKind, Options};
+use crate::{AgentLoss, Fault, FaultKind, Options};
 use platform_standin::store::{StoreMode, StoreStandIn};
 use platform_standin::worker::WorkerStandIn;
 use platform_standin::{AgentAddresses, EntryAddresses};
 use rustix::process::Signal;
 use standin::{Relay, RelayMode};
 use std::cell::{Cell, RefCell};
+use std::collections::BTreeSet;
 use std::io;
 use std::net::SocketAddr;
 
@@ -26,6 +27,8 @@
     store_relays: Vec<Relay>,
     /// Stand-in workers, one for each agent.
     pub workers: Vec<WorkerStandIn>,
+    /// Processes that are lost for good: no later fault restarts or resumes them.
+    lost: RefCell<BTreeSet<usize>>,
     /// Version of the newest configuration.
     config: Cell<u64>,
     /// Active faults of the store, oldest first; the newest one is in effect.
@@ -45,6 +48,7 @@
             nodes: Vec::new(),
             store_relays: Vec::new(),
             workers: Vec::new(),
+            lost: RefCell::default(),
             config: Cell::new(FIRST_CONFIG),
             store_faults: RefCell::default(),
             store,
@@ -90,6 +94,7 @@
         let target = fault.target % self.nodes.len();
         let worker = &self.workers[fault.target % self.workers.len()];
         match fault.kind {
+            FaultKind::Kill if self.is_lost(target) => {}
             FaultKind::Kill => self.nodes[target].borrow_mut().kill()?,
             FaultKind::Terminate => self.signal(target, Signal::TERM)?,
             FaultKind::Freeze => self.signal(target, Signal::STOP)?,
@@ -104,6 +109,7 @@
             FaultKind::LoseStart => worker.lose_next_start(),
             FaultKind::OddAgentRow(kind) => self.store.leave_odd_row("agents", "all", kind),
             FaultKind::KillAll => self.for_each_node(Node::kill)?,
+            FaultKind::LoseAgent(loss) => self.lose(target, loss)?,
         }
         self.set_store_mode();
         Ok(())
@@ -113,7 +119,7 @@
     pub fn end_fault(&self, fault: &Fault) -> io::Result<()> {
         let target = fault.target % self.nodes.len();
         match fault.kind {
-            FaultKind::Kill | FaultKind::Terminate => self.nodes[target].borrow_mut().restart()?,
+            FaultKind::Kill | FaultKind::Terminate => self.restart(target)?,
             FaultKind::Freeze => self.signal(target, Signal::CONT)?,
             FaultKind::CutFromStore | FaultKind::SilenceLinks | FaultKind::ResetLinks => {
                 self.store_relays[target].set_mode(RelayMode::Pass);
@@ -130,19 +136,46 @@
             | FaultKind::ChangeConfig
             | FaultKind::CrashWorker
             | FaultKind::OddAgentRow(_)
+            | FaultKind::LoseAgent(_)
             | FaultKind::LoseStart => {}
         }
         self.set_store_mode();
         Ok(())
     }
 
+    /// Loses a process for good.
+    fn lose(&self, target: usize, loss: AgentLoss) -> io::Result<()> {
+        match loss {
+            AgentLoss::Killed => self.nodes[target].borrow_mut().kill()?,
+            AgentLoss::Hangs => self.signal(target, Signal::STOP)?,
+        }
+        self.lost.borrow_mut().insert(target);
+        Ok(())
+    }
+
+    fn is_lost(&self, target: usize) -> bool {
+        self.lost.borrow().contains(&target)
+    }
+
+    fn restart(&self, target: usize) -> io::Result<()> {
+        if self.is_lost(target) {
+            return Ok(());
+        }
+        self.nodes[target].borrow_mut().restart()
+    }
+
     fn signal(&self, target: usize, signal: Signal) -> io::Result<()> {
+        if self.is_lost(target) {
+            return Ok(());
+        }
         self.nodes[target].borrow_mut().signal(signal)
     }
 
+    /// Applies a change to all processes that are not lost.
     fn for_each_node(&self, change: impl Fn(&mut Node) -> io::Result<()>) -> io::Result<()> {
-        let mut nodes = self.nodes.iter();
-        nodes.try_for_each(|node| change(&mut node.borrow_mut()))
+        let numbered = self.nodes.iter().enumerate();
+        let mut present = numbered.filter(|(number, _)| !self.is_lost(*number));
+        present.try_for_each(|(_, node)| change(&mut node.borrow_mut()))
     }
 
     fn change_config(&self) {
@@ -161,6 +194,7 @@
     pub fn exited_nodes(&self) -> Vec<usize> {
         let nodes = self.nodes.iter().enumerate();
         nodes
+            .filter(|(number, _)| !self.is_lost(*number))
             .filter(|(_, node)| !node.borrow_mut().is_running())
             .map(|(number, _)| number)
             .collect()
--- a/components/soak/src/lib.rs
+++ b/components/soak/src/lib.rs
@@ -12,7 +12,7 @@
 
 pub use callers::{SubmitOutcome, SubmittedJob};
 pub use check::{Breach, Promise, check};
-pub use fault::{Fault, FaultKind, plan_faults};
+pub use fault::{AgentLoss, Fault, FaultKind, plan_faults};
 pub use options::Options;
 pub use phase_durations::PhaseDurations;
 pub use run::{Outcome, SoakError, run};
--- a/components/soak/src/main.rs
+++ b/components/soak/src/main.rs
@@ -34,6 +34,16 @@
             "1",
             "Share of the jobs that crash each worker that starts them",
         ))
+        .arg(number(
+            "lost-agents",
+            "1",
+            "Number of agents that are lost for good in a run",
+        ))
+        .arg(number(
+            "large-tasks",
+            "0",
+            "Tasks of a large job that ends while all processes are restarted; 0 for none",
+        ))
         .arg(number(
             "load-ms",
             "10000",
@@ -67,6 +77,8 @@
         agents: number(matches, "agents") as usize,
         faults: number(matches, "faults") as usize,
         deadly_percent: number(matches, "deadly-percent"),
+        lost_agents: number(matches, "lost-agents") as usize,
+        large_tasks: number(matches, "large-tasks") as u32,
         durations: PhaseDurations::for_load(number(matches, "load-ms")),
     })
 }
--- a/components/soak/src/options.rs
+++ b/components/soak/src/options.rs
@@ -18,6 +18,10 @@
     pub faults: usize,
     /// Share of the jobs whose task crashes each worker that starts it, in percent.
     pub deadly_percent: u64,
+    /// Number of agents that are lost for good.
+    pub lost_agents: usize,
+    /// Number of tasks of a large job that ends while all processes are restarted; 0 for none.
+    pub large_tasks: u32,
     /// Durations of the phases of the run.
     pub durations: PhaseDurations,
 }
--- a/components/soak/src/phase_durations.rs
+++ b/components/soak/src/phase_durations.rs
@@ -26,4 +26,13 @@
             settle_ms: SETTLE_MS,
         }
     }
+
+    /// Time from the start of the load to the submission of the large job, in milliseconds.
+    ///
+    /// ```
+    /// assert_eq!(soak::PhaseDurations::for_load(9_000).large_job_ms(), 3_000);
+    /// ```
+    pub fn large_job_ms(&self) -> u64 {
+        self.load_ms / 3
+    }
 }
--- a/components/soak/src/run.rs
+++ b/components/soak/src/run.rs
@@ -51,7 +51,7 @@
 /// A process could not be started, signalled or killed, or the system was not ready in time.
 pub async fn run(seed: u64, options: &Options) -> Result<Outcome, SoakError> {
     let fleet = Rc::new(Fleet::start(options).await?);
-    let callers = Rc::new(Callers::new(fleet.clone(), options.deadly_percent));
+    let callers = Rc::new(Callers::new(fleet.clone(), options));
     wait_until_ready(&callers, &fleet).await?;
     let faults = plan_faults(seed, options);
     let load = callers.clone().run(seed, options.durations.load_ms);
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -1,6 +1,7 @@
 //! A short seeded soak of the real program, and seeds that failed before as regression tests.
 
 use soak::{Options, PhaseDurations};
+use std::path::PathBuf;
 use std::time::Duration;
 
 /// Longest time that a refusal may take.
@@ -8,16 +9,24 @@
 
 /// Runs one seed with three entries and asserts that no promise was broken.
 async fn soak(seed: u64, agents: usize, faults: usize, load_ms: u64, deadly_percent: u64) {
-    let folder = tempfile::tempdir().unwrap();
     let options = Options {
         program: env!("CARGO_BIN_EXE_parsleythread").into(),
-        folder: folder.path().to_owned(),
+        folder: PathBuf::new(),
         entries: 3,
         agents,
         faults,
         deadly_percent,
+        lost_agents: 0,
+        large_tasks: 0,
         durations: PhaseDurations::for_load(load_ms),
     };
+    soak_with(seed, options).await;
+}
+
+/// Runs one seed in a folder of its own and asserts that no promise was broken.
+async fn soak_with(seed: u64, mut options: Options) {
+    let folder = tempfile::tempdir().unwrap();
+    options.folder = folder.path().to_owned();
     let outcome = soak::run(seed, &options).await.unwrap();
     assert!(outcome.accepted > 0, "something was accepted");
     assert!(
@@ -55,3 +64,23 @@
         soak(seed, 5, 4, 4_000, 3).await;
     }
 }
+
+/// Guards against jobs that wait for ever for an agent that is lost for good, and against tasks that
+/// start twice when the scheduler changes while a worker has more ends than one report holds.
+#[actix_rt::test]
+async fn lost_agents_and_long_reports_break_no_promise() {
+    for seed in [71, 72] {
+        let options = Options {
+            program: env!("CARGO_BIN_EXE_parsleythread").into(),
+            folder: PathBuf::new(),
+            entries: 2,
+            agents: 2,
+            faults: 1,
+            deadly_percent: 0,
+            lost_agents: 1,
+            large_tasks: 620,
+            durations: PhaseDurations::for_load(6_000),
+        };
+        soak_with(seed, options).await;
+    }
+}
