Reports: a late one of a former incarnation, and one that can't be attributed

A report whose request is older than that of the last applied one released the runs of the present incarnation ('released while it runs'); such reports are now dropped by the time of their request. A report whose incarnation can't be identified left its worker synced with leases that were renewed for ever; the worker now counts as not heard of, gets no leases, and its runs are released once these have expired.

--- a/components/flow/src/reports.rs
+++ b/components/flow/src/reports.rs
@@ -33,7 +33,8 @@
 
 impl Scheduler {
     /// Applies a worker's report. `info` holds its last heartbeat and is ignored if it is from
-    /// another incarnation. A report from an incarnation that can't be identified is dropped.
+    /// another incarnation. A report that was requested before the last applied one is dropped. So is
+    /// one from an incarnation that can't be identified, and the worker then counts as not heard of.
     pub fn on_report(
         &mut self,
         times: ReportTimes,
@@ -42,7 +43,11 @@
         report: &WorkerReport,
     ) {
         let info = info.filter(|info| info.incarnation.born_ms == report.born_ms);
+        if times.requested_ms < self.worker_mut(agent).report_requested_ms {
+            return;
+        }
         let Some(incarnation) = self.incarnation_of(agent, info.as_ref(), report) else {
+            self.worker_mut(agent).contact = Contact::Unknown;
             return;
         };
         let view = self.worker_mut(agent);
@@ -55,6 +60,7 @@
             view.info = info;
         }
         view.last_seen_ms = times.now_ms;
+        view.report_requested_ms = times.requested_ms;
         view.clock = Some(ClockSample {
             clock_ms: report.clock_ms,
             received_ms: times.now_ms,
--- a/components/flow/src/view.rs
+++ b/components/flow/src/view.rs
@@ -104,6 +104,8 @@
     pub clock: Option<ClockSample>,
     /// Leases that this scheduler offered to it.
     pub leases: Leases,
+    /// When its last applied report was requested, in milliseconds.
+    pub report_requested_ms: u64,
     /// When its last report arrived, in milliseconds.
     pub last_seen_ms: u64,
     /// Health by the ends and the progress of its runs.
