Gangs wait for runs of their tasks that are placed nowhere

Test: a_gang_waits_for_a_run_of_its_task_that_is_placed_nowhere, failed before ('placed while a run of it goes on'), passes now.

--- a/components/flow/src/gang.rs
+++ b/components/flow/src/gang.rs
@@ -25,7 +25,8 @@
         let Some(spec) = state.step_spec(step as u32).cloned() else {
             return;
         };
-        if keys.len() < spec.tasks as usize {
+        let has_orphan = keys.iter().any(|key| self.fleet.has_orphan(key));
+        if keys.len() < spec.tasks as usize || has_orphan {
             return;
         }
         let members = keys.iter().filter_map(|key| state.task(key));
