A pool of which all workers are paused still accepts runs

A pause keeps work away from a worker only where another can take it; if all are paused, each accepts new runs 2 s after its newest.

--- a/components/flow/src/health.rs
+++ b/components/flow/src/health.rs
@@ -101,6 +101,28 @@
         let is_watching = newest_run_ms.is_some_and(|placed_ms| {
             placed_ms >= self.paused_until_ms && now_ms < placed_ms + PROBATION_RUN_MS
         });
-        now_ms >= self.paused_until_ms && !(self.is_on_probation && is_watching)
+        !self.is_paused(now_ms) && !(self.is_on_probation && is_watching)
+    }
+
+    /// Whether the worker is paused.
+    ///
+    /// ```
+    /// assert!(!flow::Health::default().is_paused(0));
+    /// ```
+    pub fn is_paused(&self, now_ms: u64) -> bool {
+        now_ms < self.paused_until_ms
+    }
+
+    /// Whether the worker accepts new runs although it is paused, as all workers of its pool are, so
+    /// that the cause may be with the flows. `newest_run_ms` is as for [`Health::accepts_work`].
+    ///
+    /// ```
+    /// let mut health = flow::Health::default();
+    /// health.pause(0);
+    /// assert!(health.accepts_trial(100, None));
+    /// assert!(!health.accepts_trial(100, Some(50)));
+    /// ```
+    pub fn accepts_trial(&self, now_ms: u64, newest_run_ms: Option<u64>) -> bool {
+        newest_run_ms.is_none_or(|placed_ms| now_ms >= placed_ms + PROBATION_RUN_MS)
     }
 }
