A new scheduler renews its lease while it loads the stored state

A scheduler renewed nothing until its state was loaded. Now the lease is renewed by commits without records, for 10 s at most, so that one that can't load is replaced.

--- a/components/flow_entry/src/commits.rs
+++ b/components/flow_entry/src/commits.rs
@@ -22,6 +22,8 @@
 /// Longest interval between two commits, in milliseconds. Each commit renews the lease and confirms
 /// that no other entry is the scheduler.
 const RENEW_INTERVAL_MS: u64 = 500;
+/// Longest time for which the lease is renewed before the stored state is loaded, in milliseconds.
+const MAX_LOAD_MS: u64 = 10_000;
 /// Pause before a release of the lease is tried again because a commit is in flight.
 const RELEASE_PAUSE: Duration = Duration::from_millis(2);
 /// Pause before a failed commit is retried, multiplied by the number of attempts so far.
@@ -102,6 +104,7 @@
     /// records are durable.
     pub(crate) fn run_scheduling_pass(&mut self, context: &mut Context<Self>) {
         let now_ms = boot_ms();
+        self.renew_while_loading(now_ms, context);
         let Some(leadership) = self
             .leadership
             .as_mut()
@@ -124,6 +127,20 @@
         self.run_effects(context);
     }
 
+    /// Renews the lease while the stored state is being loaded, for [`MAX_LOAD_MS`] at most, so that
+    /// another entry takes over if it can't be.
+    fn renew_while_loading(&mut self, now_ms: u64, context: &mut Context<Self>) {
+        let is_due = self.leadership.as_ref().is_some_and(|leadership| {
+            !leadership.is_loaded
+                && leadership.in_flight.is_none()
+                && now_ms >= leadership.last_commit_ms + RENEW_INTERVAL_MS
+                && now_ms < leadership.acquired_ms + MAX_LOAD_MS
+        });
+        if is_due && !self.is_draining {
+            self.commit(now_ms, Vec::new(), false, context);
+        }
+    }
+
     /// Starts a group commit of `rows`, which also renews the lease or, if `released`, gives it up.
     fn commit(
         &mut self,
