Records of flows stay flat in what is done

Cause: the record kept a row of some 20 bytes for each task that ever ran, also of finished occurrences.

Ruled out: dropping finished occurrences from the state as well; the scheduler needs them to know which occurrences are complete, and the state is another matter than the record. Keeping the run numbers of done tasks: a done task is never started again, so that nothing compares them.

Change: finished occurrences, and done tasks of a step, are ranges; other tasks that were placed keep their run number, failures, checkpoint and worker. Tasks that are done and still have a placement count as not done here. Records of the former version are read.

Left: a record may still exceed a row by tasks in progress.

--- a/components/flow/src/record.rs
+++ b/components/flow/src/record.rs
@@ -1,5 +1,10 @@
 //! Record of a flow's progress, as stored in the table.
+//!
+//! Its size depends on the tasks that have been placed and are not done, and hardly on those that
+//! are done: finished occurrences, and finished tasks of a step, are stored as ranges.
 
+use crate::ranges::Ranges;
+use crate::record_former::FormerTasks;
 use crate::{
     CrashCount, FlowState, Incarnation, OccurrenceState, Placement, RunStage, StepState, TaskKey,
     TaskState,
@@ -7,6 +12,10 @@
 use model::AgentId;
 use serde::{Deserialize, Serialize};
 
+/// Number of the newest run of a task that is restored as done. Such a task is not started again,
+/// so that its number of runs is not recorded.
+const RUN_OF_DONE: u32 = 1;
+
 /// Progress of one flow. Field names are short because the record is written with each change.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct FlowRecord {
@@ -17,34 +26,41 @@
     /// incarnation.
     #[serde(rename = "w", default)]
     workers: Vec<(AgentId, String, u64)>,
-    /// Tasks by occurrence, step and index; `None` for a task that was never placed.
-    #[serde(rename = "o", default)]
-    occurrences: Vec<Vec<Vec<Option<TaskRecord>>>>,
-    /// Tasks under which workers have crashed. Former versions ignore this field.
+    /// Number of activated occurrences.
+    #[serde(rename = "n", default)]
+    activated: u32,
+    /// Occurrences of which every task is done.
+    #[serde(rename = "d", default)]
+    finished: Ranges,
+    /// Steps of other occurrences of which any task was placed.
+    #[serde(rename = "s", default)]
+    steps: Vec<StepRecord>,
+    /// Tasks under which workers have crashed.
     #[serde(rename = "c", default, skip_serializing_if = "Vec::is_empty")]
     crashes: Vec<CrashRecord>,
+    /// Tasks as former versions recorded them; read, and never written.
+    #[serde(rename = "o", default, skip_serializing)]
+    former: FormerTasks,
 }
 
-/// Crashes of workers under one task.
+/// Progress of one step of an occurrence.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-struct CrashRecord(
-    /// Occurrence of the task.
-    u32,
-    /// Step of the task.
-    u32,
-    /// Index of the task.
+struct StepRecord(
+    /// Occurrence of the step.
     u32,
-    /// Crashes soon after a start.
-    u32,
-    /// Those of them after a start alone.
-    u32,
-    /// All crashes.
+    /// Number of the step.
     u32,
+    /// Tasks that are done and not placed.
+    Ranges,
+    /// Other tasks that were placed at least once.
+    Vec<TaskRecord>,
 );
 
-/// Progress of one task.
+/// Progress of a task that was placed and is not done, or that still has a placement.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 struct TaskRecord(
+    /// Index of the task.
+    u32,
     /// Number of the newest run.
     u32,
     /// Number of failed runs.
@@ -57,47 +73,71 @@
     Option<u32>,
 );
 
+/// Crashes of workers under one task.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+struct CrashRecord(
+    /// Occurrence of the task.
+    u32,
+    /// Step of the task.
+    u32,
+    /// Index of the task.
+    u32,
+    /// Crashes soon after a start.
+    u32,
+    /// Those of them after a start alone.
+    u32,
+    /// All crashes.
+    u32,
+);
+
 impl FlowRecord {
     /// Creates the record of a flow's present state.
     pub fn of(state: &FlowState) -> Self {
         let mut record = Self {
             failed: state.failed,
+            activated: state.occurrences.len() as u32,
+            finished: state.occurrences.iter().map(is_finished).collect(),
             crashes: crash_records(state),
             ..Self::default()
         };
-        for occurrence in &state.occurrences {
-            let steps = occurrence.steps.iter();
-            let steps = steps.map(|step| record.step_records(step)).collect();
-            record.occurrences.push(steps);
+        let numbered = state.occurrences.iter().enumerate();
+        for (number, occurrence) in numbered.filter(|(_, state)| !is_finished(state)) {
+            record.add_steps(number as u32, occurrence);
         }
         record
     }
 
-    /// Records of the tasks of a step, by index; `None` for a task that was never placed.
-    fn step_records(&mut self, step: &StepState) -> Vec<Option<TaskRecord>> {
-        step.tasks
-            .iter()
-            .map(|task| self.task_record(task))
-            .collect()
+    /// Adds the steps of an occurrence of which any task was placed.
+    fn add_steps(&mut self, occurrence: u32, state: &OccurrenceState) {
+        for (number, step) in state.steps.iter().enumerate() {
+            let done: Ranges = step.tasks.iter().map(is_settled).collect();
+            let numbered = step.tasks.iter().enumerate();
+            let open = numbered.filter(|(_, task)| task.run > 0 && !is_settled(task));
+            let tasks: Vec<TaskRecord> = open
+                .map(|(index, task)| self.task_record(index as u32, task))
+                .collect();
+            if !done.is_empty() || !tasks.is_empty() {
+                let record = StepRecord(occurrence, number as u32, done, tasks);
+                self.steps.push(record);
+            }
+        }
     }
 
-    /// Record of a task, or `None` if it was never placed.
-    fn task_record(&mut self, task: &TaskState) -> Option<TaskRecord> {
-        if task.run == 0 {
-            return None;
-        }
+    /// Record of a task that was placed.
+    fn task_record(&mut self, index: u32, task: &TaskState) -> TaskRecord {
         let worker = task.placement.as_ref().map(|placement| {
             let Incarnation { worker, born_ms } = &placement.incarnation;
             self.worker_index(&placement.agent, worker, *born_ms)
         });
         let checkpoint = task.checkpoint.clone().filter(|_| !task.done);
-        Some(TaskRecord(
+        TaskRecord(
+            index,
             task.run,
             task.failures,
             task.done,
             checkpoint,
             worker,
-        ))
+        )
     }
 
     /// Index of a worker's incarnation in `workers`; adds the incarnation if it is new.
@@ -118,34 +158,66 @@
     /// are unconfirmed, because a former scheduler ordered them.
     pub fn restore(&self, state: &mut FlowState, now_ms: u64) {
         state.failed = self.failed;
-        for (number, steps) in self.occurrences.iter().enumerate() {
-            let specs = &state.job.spec.steps;
-            let new_tasks = |tasks: u32| vec![TaskState::default(); tasks as usize];
-            let mut occurrence = OccurrenceState {
-                steps: specs
-                    .iter()
-                    .map(|step| StepState {
-                        tasks: new_tasks(step.tasks),
-                        queued_since_ms: None,
-                        filler_retry_ms: 0,
-                        margin: None,
-                    })
-                    .collect(),
+        let activated = self.activated.max(self.former.activated());
+        let activated = activated.min(state.job.spec.occurrences()) as usize;
+        while state.occurrences.len() < activated {
+            let occurrence = unplaced_occurrence(state);
+            state.occurrences.push(occurrence);
+        }
+        for number in self.finished.below(activated) {
+            let steps = &mut state.occurrences[number].steps;
+            let tasks = steps.iter_mut().flat_map(|step| step.tasks.iter_mut());
+            tasks.for_each(|task| *task = done_task());
+        }
+        for step in &self.steps {
+            self.restore_step(state, now_ms, step);
+        }
+        self.restore_former(state, now_ms);
+        let has_started = state.tasks().any(|(_, task)| task.run > 0);
+        state.started |= has_started;
+        self.restore_crashes(state);
+    }
+
+    /// Applies the record of a step.
+    fn restore_step(&self, state: &mut FlowState, now_ms: u64, record: &StepRecord) {
+        let StepRecord(occurrence, step, done, open) = record;
+        let occurrence = state.occurrences.get_mut(*occurrence as usize);
+        let step = occurrence.and_then(|occurrence| occurrence.steps.get_mut(*step as usize));
+        let Some(StepState { tasks, .. }) = step else {
+            return;
+        };
+        for index in done.below(tasks.len()) {
+            tasks[index] = done_task();
+        }
+        for TaskRecord(index, run, failures, done, checkpoint, worker) in open {
+            let Some(task) = tasks.get_mut(*index as usize) else {
+                continue;
             };
-            for (step, tasks) in occurrence.steps.iter_mut().zip(steps) {
-                for (task, record) in step.tasks.iter_mut().zip(tasks) {
-                    if let Some(record) = record {
-                        *task = self.restored_task(record, now_ms);
-                        state.started = true;
-                    }
-                }
-            }
-            if number < state.occurrences.len() {
-                state.occurrences[number] = occurrence;
-            } else {
-                state.occurrences.push(occurrence);
+            *task = TaskState {
+                run: *run,
+                failures: *failures,
+                done: *done,
+                checkpoint: checkpoint.clone(),
+                placement: self.restored_placement(*worker, now_ms),
+                ..TaskState::default()
+            };
+        }
+    }
+
+    /// Applies the tasks that a former version recorded.
+    fn restore_former(&self, state: &mut FlowState, now_ms: u64) {
+        for (occurrence, step, index, former) in self.former.tasks() {
+            let occurrence = state.occurrences.get_mut(occurrence);
+            let step = occurrence.and_then(|occurrence| occurrence.steps.get_mut(step));
+            if let Some(task) = step.and_then(|step| step.tasks.get_mut(index)) {
+                let placement = self.restored_placement(former.worker(), now_ms);
+                *task = former.restored(placement);
             }
         }
+    }
+
+    /// Applies the crashes under tasks.
+    fn restore_crashes(&self, state: &mut FlowState) {
         for CrashRecord(occurrence, step, index, soon, alone, total) in &self.crashes {
             let key = TaskKey {
                 job: state.job.id.clone(),
@@ -163,11 +235,10 @@
         }
     }
 
-    /// State of a task from its record.
-    fn restored_task(&self, record: &TaskRecord, now_ms: u64) -> TaskState {
-        let TaskRecord(run, failures, done, checkpoint, worker) = record;
+    /// Unconfirmed placement on the worker with this index; `None` for a task without a placement.
+    fn restored_placement(&self, worker: Option<u32>, now_ms: u64) -> Option<Placement> {
         let worker = worker.and_then(|index| self.workers.get(index as usize));
-        let placement = worker.map(|(agent, worker, born_ms)| Placement {
+        worker.map(|(agent, worker, born_ms)| Placement {
             agent: agent.clone(),
             incarnation: Incarnation {
                 worker: worker.clone(),
@@ -179,20 +250,42 @@
             progress_ms: now_ms,
             pace: 100,
             pace_changed_ms: 0,
-        });
-        TaskState {
-            run: *run,
-            failures: *failures,
-            crashes: CrashCount::default(),
-            done: *done,
-            checkpoint: checkpoint.clone(),
-            placement,
-            avoided_agent: None,
-            not_before_ms: 0,
-        }
+        })
+    }
+}
+
+/// State of an occurrence of a flow of which no task was placed.
+fn unplaced_occurrence(state: &FlowState) -> OccurrenceState {
+    let specs = state.job.spec.steps.iter();
+    let steps = specs.map(|spec| StepState {
+        tasks: vec![TaskState::default(); spec.tasks as usize],
+        ..StepState::default()
+    });
+    OccurrenceState {
+        steps: steps.collect(),
     }
 }
 
+/// State of a task that is restored as done.
+fn done_task() -> TaskState {
+    TaskState {
+        run: RUN_OF_DONE,
+        done: true,
+        ..TaskState::default()
+    }
+}
+
+/// Whether a task is done and has no placement, so that nothing of it can change any more.
+fn is_settled(task: &TaskState) -> bool {
+    task.done && task.placement.is_none()
+}
+
+/// Whether every task of an occurrence is settled.
+fn is_finished(occurrence: &OccurrenceState) -> bool {
+    let mut tasks = occurrence.steps.iter().flat_map(|step| &step.tasks);
+    tasks.all(is_settled)
+}
+
 /// Records of the tasks under which workers have crashed.
 fn crash_records(state: &FlowState) -> Vec<CrashRecord> {
     let crashed = state
--- /dev/null
+++ b/components/flow/tests/records.rs
@@ -0,0 +1,179 @@
+//! Records of a flow's progress: what a scheduler restores from a record is what the former one
+//! knew, and the size of a record depends on the tasks in progress only.
+
+use flow::{
+    FlowJob, FlowRecord, FlowSpec, FlowState, Incarnation, Placement, QueueKey, RunStage, Schedule,
+    StepSpec, TaskState,
+};
+use proptest::prelude::*;
+
+/// Time at which records are restored, in milliseconds.
+const NOW_MS: u64 = 7;
+
+/// A flow with `occurrences` activated occurrences of steps with these numbers of tasks.
+fn flow(steps: &[u32], occurrences: u32) -> FlowState {
+    let new_step = |tasks: &u32| StepSpec {
+        tasks: *tasks,
+        ..StepSpec::default()
+    };
+    let spec = FlowSpec {
+        payload: String::new(),
+        steps: steps.iter().map(new_step).collect(),
+        schedule: Some(Schedule {
+            first_wall_ms: 0,
+            interval_ms: 1,
+            occurrences,
+        }),
+    };
+    let job = FlowJob {
+        id: "a".into(),
+        queue: QueueKey::default(),
+        spec,
+        accepted_wall_ms: 0,
+    };
+    let mut state = FlowState::new(job, 0);
+    state.activate(u64::from(occurrences));
+    state
+}
+
+/// Tasks of a flow, occurrence by occurrence, step by step.
+fn tasks_mut(state: &mut FlowState) -> impl Iterator<Item = &mut TaskState> {
+    let steps = state.occurrences.iter_mut().flat_map(|of| &mut of.steps);
+    steps.flat_map(|step| &mut step.tasks)
+}
+
+fn done() -> TaskState {
+    TaskState {
+        run: 1,
+        done: true,
+        ..TaskState::default()
+    }
+}
+
+fn placement(worker: u64) -> Placement {
+    Placement {
+        agent: format!("a{worker}").into(),
+        incarnation: Incarnation {
+            worker: format!("w{worker}"),
+            born_ms: 1_700_000_000_000 + worker,
+        },
+        stage: RunStage::Unconfirmed,
+        revision: 0,
+        percent: 0,
+        progress_ms: NOW_MS,
+        pace: 100,
+        pace_changed_ms: 0,
+    }
+}
+
+/// Progress of a task: not placed, done, done with a placement left, placed, or waiting for another
+/// run.
+fn progress() -> impl Strategy<Value = TaskState> {
+    let placed = |worker: u64, run: u32, done: bool, checkpoint: Option<String>| TaskState {
+        run,
+        done,
+        checkpoint: checkpoint.filter(|_| !done),
+        placement: Some(placement(worker)),
+        ..TaskState::default()
+    };
+    prop_oneof![
+        3 => Just(TaskState::default()),
+        4 => Just(done()),
+        2 => (0_u64..3, 1_u32..9, any::<bool>(), proptest::option::of("[a-z\"é]{0,8}"))
+            .prop_map(move |(worker, run, done, saved)| placed(worker, run, done, saved)),
+        2 => (1_u32..9, 0_u32..3).prop_map(|(run, failures)| TaskState {
+            run,
+            failures,
+            ..TaskState::default()
+        }),
+    ]
+}
+
+/// Text of a flow's record.
+fn text(state: &FlowState) -> String {
+    serde_json::to_string(&FlowRecord::of(state)).unwrap()
+}
+
+/// A flow of the same specification, restored from a record. The clock of the scheduler that
+/// restores it has not reached the occurrences after the first.
+fn restored(state: &FlowState, record: &str) -> FlowState {
+    let record: FlowRecord = serde_json::from_str(record).unwrap();
+    let mut restored = FlowState::new(state.job.clone(), 0);
+    restored.activate(0);
+    record.restore(&mut restored, NOW_MS);
+    restored
+}
+
+proptest! {
+    /// Guards against progress that is lost or invented when another scheduler takes over.
+    #[test]
+    fn a_restored_flow_has_the_progress_that_was_recorded(
+        steps in prop::collection::vec(1_u32..6, 1..4),
+        occurrences in 1_u32..6,
+        progress in prop::collection::vec(progress(), 90),
+        failed in any::<bool>(),
+    ) {
+        let mut state = flow(&steps, occurrences);
+        state.failed = failed;
+        for (task, progress) in tasks_mut(&mut state).zip(progress) {
+            *task = progress;
+        }
+        let restored = restored(&state, &text(&state));
+        prop_assert_eq!(&restored.occurrences, &state.occurrences);
+        prop_assert_eq!(restored.failed, failed);
+        let has_started = state.tasks().any(|(_, task)| task.run > 0);
+        prop_assert_eq!(restored.started, has_started);
+    }
+}
+
+/// Guards against records that grow with each finished occurrence until the table refuses them.
+#[test]
+fn a_record_is_flat_in_finished_occurrences() {
+    let mut sizes = Vec::new();
+    for occurrences in [10, 100, 1_000] {
+        let mut state = flow(&[36], occurrences);
+        tasks_mut(&mut state).for_each(|task| *task = done());
+        let last = state.occurrences.last_mut().unwrap();
+        last.steps[0].tasks[3].done = false;
+        sizes.push(text(&state).len());
+        println!(
+            "36 tasks, {occurrences} occurrences: {} bytes",
+            text(&state).len()
+        );
+    }
+    assert!(sizes[2] <= sizes[0] + 8, "{sizes:?}");
+}
+
+/// Guards against records that grow by more than a few bytes with each task that is done.
+#[test]
+fn the_done_tasks_of_a_step_take_few_bytes() {
+    let mut state = flow(&[4_000], 1);
+    for (number, task) in tasks_mut(&mut state).enumerate() {
+        if number % 2 == 0 {
+            *task = done();
+        }
+    }
+    let bytes = text(&state).len();
+    assert!(bytes < 4 * 4_000, "{bytes}");
+}
+
+/// Guards against a new version that can't read the records of the former one.
+#[test]
+fn a_record_of_the_former_version_is_restored() {
+    let former = r#"{"f":false,"w":[["a1","w1",1700000000001]],
+        "o":[[[[1,0,true,null,null],[3,1,false,"saved",0]]],[[null,[2,0,false,null,null]]]],
+        "c":[[0,0,1,1,0,2]]}"#;
+    let mut state = flow(&[2], 2);
+    let [first, second, _, fourth] = &mut tasks_mut(&mut state).collect::<Vec<_>>()[..] else {
+        panic!("there are four tasks");
+    };
+    **first = done();
+    (second.run, second.failures) = (3, 1);
+    second.checkpoint = Some("saved".to_owned());
+    second.placement = Some(placement(1));
+    (second.crashes.soon, second.crashes.total) = (1, 2);
+    fourth.run = 2;
+    assert_eq!(restored(&state, former).occurrences, state.occurrences);
+    let again = restored(&state, &text(&state));
+    assert_eq!(again.occurrences, state.occurrences);
+}
--- a/tests/common/flow_fleet.rs
+++ b/tests/common/flow_fleet.rs
@@ -67,8 +67,12 @@
 impl Fleet {
     /// Starts all processes and waits until every entry has a scheduler.
     pub async fn start(entries: usize, agents: usize) -> Self {
+        Self::start_on(StoreStandIn::start(), entries, agents).await
+    }
+
+    /// As [`Fleet::start`], with this store.
+    pub async fn start_on(store: StoreStandIn, entries: usize, agents: usize) -> Self {
         let folder = TempDir::new().unwrap();
-        let store = StoreStandIn::start();
         store.configure(3);
         let entries = (0..entries).map(|number| {
             let addresses = EntryAddresses::free();
