Store a large record in several rows, and fill a commit by bytes

Cause: a record was one row, whatever its size, and a commit took up to 90 records without looking at bytes.

One row for each task: a commit takes at most 100 entries, and gangs start many tasks at once.

Change: a record over `store.row_bytes` is split over rows KEY, KEY.1, ...; the first names their number and a hash of the text, so that missing or mixed rows are detected. All are written, and those no longer needed deleted, in the commit; they are read together and deleted with the flow. A commit is filled by rows and by bytes (700,000 before the encoding, of the store's 1 MB), and the flows take turns, so that a large record that changes all the time leaves room for others. The limit of a value is a setting, from the platform's fields; learned statistics over it are not written. The collection of ended rows counts the entries of its transaction.

Left: a record that can't be written at all still stops everything.

--- a/components/bench/src/deciding.rs
+++ b/components/bench/src/deciding.rs
@@ -3,8 +3,8 @@
 use crate::bounds::bound;
 use crate::results::{Bound, Results};
 use flow::{
-    FlowConfig, FlowJob, FlowSpec, Incarnation, Pool, Queue, QueueKey, ReportTimes, Scheduler,
-    StepSpec, WorkerInfo, WorkerReport,
+    CommitLimits, FlowConfig, FlowJob, FlowSpec, Incarnation, Pool, Queue, QueueKey, ReportTimes,
+    Scheduler, StepSpec, WorkerInfo, WorkerReport,
 };
 use model::Resources;
 use std::time::Instant;
@@ -27,6 +27,12 @@
 const TASKS: u32 = 10;
 /// Number of measured flows of each kind, plain and filler.
 const FLOWS: usize = 20;
+/// Limits of a commit: none.
+const COMMIT_LIMITS: CommitLimits = CommitLimits {
+    rows: usize::MAX,
+    bytes: usize::MAX,
+    row_bytes: 65_536,
+};
 /// Time between two scheduling passes, in milliseconds.
 const PASS_INTERVAL_MS: u64 = 20;
 
@@ -135,7 +141,7 @@
 /// Places the queued tasks and commits; returns the number of ordered starts.
 fn place_all(scheduler: &mut Scheduler, now_ms: u64) -> usize {
     scheduler.place(now_ms, 0);
-    let rows = scheduler.take_commit(usize::MAX);
+    let rows = scheduler.take_commit(&COMMIT_LIMITS);
     scheduler.on_committed(&rows);
     let effects = scheduler.take_effects();
     let is_start = |effect: &&flow::Effect| matches!(effect, flow::Effect::Start(..));
--- a/components/flow/src/lib.rs
+++ b/components/flow/src/lib.rs
@@ -3,6 +3,7 @@
 //! the network.
 
 mod candidate;
+mod commit;
 mod config;
 mod effect;
 mod ends;
@@ -20,6 +21,7 @@
 mod ranges;
 mod record;
 mod record_former;
+pub mod record_rows;
 mod reports;
 mod scheduler;
 mod slack;
@@ -39,8 +41,9 @@
 pub use lease::{ClockSample, LeaseTerms};
 pub use messages::{PaceOrder, PollReply, PollRequest, StartOrder, StartOutcome, StopOrder};
 pub use record::FlowRecord;
+pub use record_rows::{CommitLimits, RecordRows};
 pub use reports::ReportTimes;
-pub use scheduler::{RecordRow, Scheduler};
+pub use scheduler::Scheduler;
 pub use spec::{FlowSpec, Schedule, SpecFault, StepSpec};
 pub use state::{FlowState, OccurrenceState, Placement, RunStage, StepState, TaskState};
 pub use suspects::CrashCount;
--- a/components/flow/src/scheduler.rs
+++ b/components/flow/src/scheduler.rs
@@ -11,17 +11,6 @@
 use model::{AgentId, JobId};
 use std::collections::{BTreeMap, BTreeSet};
 
-/// One record in a group commit.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct RecordRow {
-    /// The flow.
-    pub job: JobId,
-    /// Revision of the flow that the record holds.
-    pub revision: u64,
-    /// The record, as JSON.
-    pub text: String,
-}
-
 /// State of the scheduler: flows, workers, and effects that are not carried out yet.
 #[derive(Debug, Default)]
 pub struct Scheduler {
@@ -35,6 +24,10 @@
     pub(crate) fleet: Fleet,
     /// Flows whose records changed since they were last taken for a commit.
     pub(crate) dirty: BTreeSet<JobId>,
+    /// Flow whose record was last taken for a commit; the next one follows it.
+    pub(crate) last_taken: Option<JobId>,
+    /// Number of durable rows of the records that have more than one.
+    pub(crate) record_rows: BTreeMap<JobId, usize>,
     /// Flows with placements that are started once their record is durable.
     pub(crate) uncommitted: BTreeSet<JobId>,
     /// Tasks that may crash the workers that start them and so are started alone, each with
@@ -166,51 +159,8 @@
         self.fleet.workers.entry(agent.clone()).or_default()
     }
 
-    /// Takes at most `limit` changed records for a group commit. They count as durable only after
-    /// [`Scheduler::on_committed`].
-    pub fn take_commit(&mut self, limit: usize) -> Vec<RecordRow> {
-        let mut rows = Vec::new();
-        while rows.len() < limit {
-            let Some(job) = self.dirty.pop_first() else {
-                break;
-            };
-            if let Some(state) = self.flows.get(&job) {
-                let record = FlowRecord::of(state);
-                let text = serde_json::to_string(&record).unwrap_or_default();
-                let revision = state.revision;
-                rows.push(RecordRow {
-                    job,
-                    revision,
-                    text,
-                });
-            }
-        }
-        rows
-    }
-
-    /// Marks records as durable: orders the starts and acknowledges the ends that depend on them,
-    /// and finishes flows that have ended.
-    pub fn on_committed(&mut self, rows: &[RecordRow]) {
-        for row in rows {
-            let Some(state) = self.flows.get_mut(&row.job) else {
-                continue;
-            };
-            state.durable_revision = state.durable_revision.max(row.revision);
-            self.order_starts(&row.job);
-        }
-        let workers = self.fleet.workers.iter();
-        let unacknowledged = workers.filter(|(_, view)| !view.pending_acks.is_empty());
-        let agents: Vec<AgentId> = unacknowledged.map(|(agent, _)| agent.clone()).collect();
-        for agent in &agents {
-            self.acknowledge(agent);
-        }
-        for row in rows {
-            self.finish_flow(&row.job);
-        }
-    }
-
     /// Orders the starts of a flow whose placements are in a durable record.
-    fn order_starts(&mut self, job: &JobId) {
+    pub(crate) fn order_starts(&mut self, job: &JobId) {
         if !self.uncommitted.contains(job) {
             return;
         }
@@ -313,6 +263,7 @@
     /// Removes a flow that has ended; its phase is no longer known afterwards.
     pub fn evict_ended(&mut self, job: &JobId) {
         self.ended.remove(job);
+        self.record_rows.remove(job);
     }
 
     /// Marks a flow's record as changed. Returns its new revision, or 0 if the flow is not known.
--- a/components/flow/tests/common/mod.rs
+++ b/components/flow/tests/common/mod.rs
@@ -6,9 +6,11 @@
 mod checks;
 mod worker;
 
+use flow::CommitLimits;
+use flow::record_rows::join;
 use flow::{
     Effect, FlowConfig, FlowJob, FlowPhase, FlowRecord, FlowSpec, Incarnation, Pool, Queue,
-    QueueKey, RecordRow, ReportTimes, RunEnd, RunRef, RunningTask, Scheduler, StartOutcome,
+    QueueKey, RecordRows, ReportTimes, RunEnd, RunRef, RunningTask, Scheduler, StartOutcome,
     StepSpec, TaskKey, WorkerInfo, WorkerReport,
 };
 use model::{AgentId, JobId, Resources};
@@ -29,6 +31,13 @@
 /// Duration of a commit, in milliseconds.
 const COMMIT_MS: u64 = 20;
 
+/// Limits of a commit; records of more than two tasks take several rows.
+const LIMITS: CommitLimits = CommitLimits {
+    rows: 20,
+    bytes: 8_000,
+    row_bytes: 128,
+};
+
 /// A scheduler with its model workers and its model table.
 pub struct Sim {
     /// Virtual time, in milliseconds.
@@ -40,9 +49,9 @@
     /// Accepted flows.
     pub jobs: BTreeMap<JobId, FlowJob>,
     /// Durable records.
-    records: BTreeMap<JobId, String>,
+    records: BTreeMap<JobId, Vec<String>>,
     /// Commit in flight: the time at which it takes effect, in milliseconds, and its records.
-    commit: Option<(u64, Vec<RecordRow>)>,
+    commit: Option<(u64, Vec<RecordRows>)>,
     /// Actual run time of tasks by image, in milliseconds; the declared one if absent.
     pub run_ms: BTreeMap<String, u64>,
     /// Flows of which every run fails.
@@ -206,8 +215,11 @@
                 }
             }
         }
-        for (job, text) in &self.records {
-            let record: FlowRecord = serde_json::from_str(text).unwrap();
+        for (job, rows) in &self.records {
+            let numbered: Vec<(usize, &str)> =
+                rows.iter().map(String::as_str).enumerate().collect();
+            let record: FlowRecord = serde_json::from_str(&join(&numbered).unwrap()).unwrap();
+            scheduler.set_record_rows(job, rows.len());
             scheduler.restore(self.now_ms, job, &record);
             if scheduler.flow(job).is_some_and(|flow| flow.end().is_some()) {
                 scheduler.request_rewrite(job);
@@ -387,13 +399,16 @@
                 self.commit = Some((due_ms, rows));
                 return;
             }
-            for row in &rows {
-                self.records.insert(row.job.clone(), row.text.clone());
+            for record in &rows {
+                let stored = self.records.get(&record.job).map_or(1, Vec::len);
+                assert_eq!(record.former_rows, stored, "rows of the former record");
+                self.records
+                    .insert(record.job.clone(), record.values.clone());
             }
             self.scheduler.on_committed(&rows);
         }
         self.scheduler.place(self.now_ms, 0);
-        let rows = self.scheduler.take_commit(90);
+        let rows = self.scheduler.take_commit(&LIMITS);
         if !rows.is_empty() {
             self.commit = Some((self.now_ms + COMMIT_MS, rows));
         }
--- a/components/flow/tests/records.rs
+++ b/components/flow/tests/records.rs
@@ -1,11 +1,13 @@
 //! Records of a flow's progress: what a scheduler restores from a record is what the former one
 //! knew, and the size of a record depends on the tasks in progress only.
 
+use flow::record_rows::{JoinError, join, split};
 use flow::{
-    FlowJob, FlowRecord, FlowSpec, FlowState, Incarnation, Placement, QueueKey, RunStage, Schedule,
-    StepSpec, TaskState,
+    CommitLimits, FlowJob, FlowRecord, FlowSpec, FlowState, Incarnation, Placement, QueueKey,
+    RunStage, Schedule, Scheduler, StepSpec, TaskState,
 };
 use proptest::prelude::*;
+use std::collections::BTreeSet;
 
 /// Time at which records are restored, in milliseconds.
 const NOW_MS: u64 = 7;
@@ -177,3 +179,75 @@
     let again = restored(&state, &text(&state));
     assert_eq!(again.occurrences, state.occurrences);
 }
+
+/// A task that was placed, with a checkpoint of 16 characters.
+fn placed(worker: u64) -> TaskState {
+    TaskState {
+        run: 1,
+        checkpoint: Some("00000bb87a21d94b".to_owned()),
+        placement: Some(placement(worker)),
+        ..TaskState::default()
+    }
+}
+
+proptest! {
+    /// Guards against rows over the limit, and against a record that is changed by being split.
+    #[test]
+    fn a_split_record_is_joined_to_the_same_text(
+        text in "\\{[a-zé€𝄞\n]{0,600}",
+        row_bytes in 64_usize..300,
+    ) {
+        let rows = split(&text, row_bytes);
+        prop_assert!(rows.iter().all(|row| row.len() <= row_bytes));
+        let numbered: Vec<(usize, &str)> = rows.iter().map(String::as_str).enumerate().collect();
+        prop_assert_eq!(join(&numbered), Ok(text));
+    }
+
+    /// Guards against a record that is restored although a row of it is missing or is of another
+    /// record.
+    #[test]
+    fn rows_that_are_not_of_one_record_are_not_joined(missing in 0_usize..8, other in 1_usize..8) {
+        let texts = ["a", "b"].map(|letter| format!("{{{}", letter.repeat(400)));
+        let [first, second] = texts.each_ref().map(|text| split(text, 80));
+        let mut rows: Vec<(usize, &str)> = first.iter().map(String::as_str).enumerate().collect();
+        rows[other].1 = &second[other];
+        prop_assert_eq!(join(&rows), Err(JoinError::Mixed));
+        rows.remove(missing);
+        let error = if missing == 0 { JoinError::NoFirst } else { JoinError::Missing(missing) };
+        prop_assert_eq!(join(&rows), Err(error));
+    }
+
+    /// Guards against commits and rows over the limits, and against a flow whose record is never
+    /// committed because others change all the time.
+    #[test]
+    fn every_commit_keeps_the_limits_and_each_flow_has_its_turn(
+        tasks in prop::collection::vec(1_u32..80, 2..6),
+        row_bytes in 256_usize..1_000,
+    ) {
+        let limits = CommitLimits { rows: 24, bytes: 12_000, row_bytes };
+        let mut scheduler = Scheduler::default();
+        let mut waiting = BTreeSet::new();
+        for (number, tasks) in tasks.iter().enumerate() {
+            let mut state = flow(&[*tasks], 1);
+            tasks_mut(&mut state).for_each(|task| *task = placed(1));
+            state.job.id = format!("f{number}").into();
+            scheduler.add(0, 1, state.job.clone());
+            let record = serde_json::from_str(&text(&state)).unwrap();
+            scheduler.restore(NOW_MS, &state.job.id, &record);
+            waiting.insert(state.job.id);
+        }
+        let all = waiting.clone();
+        for _ in 0..tasks.len() {
+            all.iter().for_each(|job| scheduler.request_rewrite(job));
+            let records = scheduler.take_commit(&limits);
+            let rows: usize = records.iter().map(|record| record.entries()).sum();
+            let values = records.iter().flat_map(|record| &record.values);
+            prop_assert!(rows <= limits.rows);
+            prop_assert!(values.clone().all(|value| value.len() <= row_bytes));
+            prop_assert!(values.map(String::len).sum::<usize>() <= limits.bytes);
+            records.iter().for_each(|record| { waiting.remove(&record.job); });
+            scheduler.on_committed(&records);
+        }
+        prop_assert!(waiting.is_empty(), "not committed: {waiting:?}");
+    }
+}
--- a/components/flow_entry/src/commits.rs
+++ b/components/flow_entry/src/commits.rs
@@ -3,6 +3,7 @@
 
 use crate::coordinator::Coordinator;
 use crate::leadership::{Leadership, encode};
+use crate::limits::{MAX_ENTRIES, commit_limits};
 use crate::messages::{
     CommitDone, InFlightCommit, ResolveConflict, RetryCommit, RowsCollected, RunSchedulingPass,
 };
@@ -11,14 +12,12 @@
 use crate::rows::{LEARNED_KEY, LEASE_KEY, LeaseRow, cancel_key, flow_key, record_key};
 use actix::{AsyncContext, Context, Handler};
 use backing::{StoreError, Transaction};
-use flow::{Decision, DecisionKind, Effect, FlowEnd, FlowPhase, FlowRow};
+use flow::{Decision, DecisionKind, Effect, FlowEnd, FlowPhase, FlowRow, RecordRows};
 use model::JobId;
 use std::time::Duration;
 use telemetry::{Event, log_event};
 use utils::{boot_ms, wall_ms};
 
-/// Progress records in one commit. The store accepts at most 100 rows in a transaction.
-const MAX_RECORDS: usize = 90;
 /// Longest interval between two commits, in milliseconds. Each commit renews the lease and confirms
 /// that no other entry is the scheduler.
 const RENEW_INTERVAL_MS: u64 = 500;
@@ -34,8 +33,7 @@
 const AGENTS_READ_INTERVAL_MS: u64 = 1_000;
 /// Interval between two garbage collections of ended rows, in milliseconds.
 const COLLECT_INTERVAL_MS: u64 = 1_500;
-/// Ended flows whose rows one transaction replaces by a small one; each takes three rows of the
-/// transaction.
+/// Ended flows whose rows one transaction replaces by a small one.
 const COMPACTED_PER_TXN: usize = 25;
 /// Ended flows whose last row one transaction deletes; each takes one row of the transaction.
 const DELETED_PER_TXN: usize = 25;
@@ -91,19 +89,20 @@
             .flows
             .set(leadership.scheduler.flows().len() as i64);
         if leadership.in_flight.is_none() && !self.is_draining {
-            let rows = leadership.scheduler.take_commit(MAX_RECORDS);
-            if !rows.is_empty() || now_ms >= leadership.last_commit_ms + RENEW_INTERVAL_MS {
-                self.commit(now_ms, rows, false, context);
+            let limits = commit_limits(self.settings.store.row_bytes);
+            let records = leadership.scheduler.take_commit(&limits);
+            if !records.is_empty() || now_ms >= leadership.last_commit_ms + RENEW_INTERVAL_MS {
+                self.commit(now_ms, records, false, context);
             }
         }
         self.run_effects(context);
     }
 
-    /// Starts a group commit of `rows`, which also renews the lease or, if `released`, gives it up.
+    /// Starts a group commit of `records`, which also renews the lease or, if `released`, gives it up.
     fn commit(
         &mut self,
         now_ms: u64,
-        rows: Vec<flow::RecordRow>,
+        records: Vec<RecordRows>,
         released: bool,
         context: &mut Context<Self>,
     ) {
@@ -122,15 +121,15 @@
         if let Some(learned) = self.learned_if_due(now_ms) {
             txn = txn.put(LEARNED_KEY, learned);
         }
-        for row in &rows {
-            txn = txn.put(record_key(&row.job), row.text.clone());
+        for record in &records {
+            txn = write_record(txn, record);
         }
         if let Some(leadership) = self.leadership.as_mut() {
             leadership.sequence = sequence;
             leadership.last_commit_ms = now_ms;
             leadership.in_flight = Some(InFlightCommit {
                 txn,
-                rows,
+                records,
                 sequence,
                 released,
                 first_sent_ms: now_ms,
@@ -147,7 +146,19 @@
             return None;
         }
         leadership.learned_written_ms = now_ms;
-        leadership.scheduler.take_learned()
+        let learned = leadership.scheduler.take_learned()?;
+        let (bytes, limit_bytes) = (learned.len(), self.settings.store.row_bytes);
+        if bytes > limit_bytes {
+            log_event!(
+                warn,
+                Event::CommitRefused,
+                key = LEARNED_KEY,
+                bytes,
+                limit_bytes
+            );
+            return None;
+        }
+        Some(learned)
     }
 
     /// Sends the commit in flight; the result arrives as [`CommitDone`].
@@ -205,7 +216,7 @@
                 after_ms = spent_ms
             );
         }
-        leadership.scheduler.on_committed(&done.rows);
+        leadership.scheduler.on_committed(&done.records);
         if done.released {
             self.step_down("released", context);
         } else if !self.is_draining {
@@ -297,22 +308,26 @@
         if leadership.uncollected.is_empty() && deleted.is_empty() {
             return;
         }
-        let count = leadership.uncollected.len().min(COMPACTED_PER_TXN);
-        let batch: Vec<(JobId, FlowEnd)> =
-            leadership.uncollected.iter().take(count).cloned().collect();
         let mut txn = Transaction::default();
-        for (job, end) in &batch {
-            txn = txn
-                .put(flow_key(job), encode(&FlowRow::Ended(*end)))
-                .delete(cancel_key(job))
-                .delete(record_key(job));
-        }
         for job in &deleted {
             txn = txn.delete(flow_key(job));
         }
+        let mut compacted = Vec::new();
+        for (job, end) in leadership.uncollected.iter().take(COMPACTED_PER_TXN) {
+            let record_rows = leadership.scheduler.record_rows(job);
+            if txn.writes.len() + record_rows + 2 > MAX_ENTRIES {
+                break;
+            }
+            txn = txn
+                .put(flow_key(job), encode(&FlowRow::Ended(*end)))
+                .delete(cancel_key(job));
+            for number in 0..record_rows {
+                txn = txn.delete(record_key(job, number));
+            }
+            compacted.push(job.clone());
+        }
         leadership.is_collecting = true;
         let epoch = leadership.epoch;
-        let compacted = batch.into_iter().map(|(job, _)| job).collect();
         let (table, control) = (self.table.clone(), context.address());
         actix_rt::spawn(async move {
             let result = table.commit(&txn).await;
@@ -335,12 +350,24 @@
             context.run_later(RELEASE_PAUSE, Self::release);
             return;
         }
-        let rows = match self.leadership.as_mut() {
-            Some(leadership) => leadership.scheduler.take_commit(MAX_RECORDS),
+        let limits = commit_limits(self.settings.store.row_bytes);
+        let records = match self.leadership.as_mut() {
+            Some(leadership) => leadership.scheduler.take_commit(&limits),
             None => return,
         };
-        self.commit(boot_ms(), rows, true, context);
+        self.commit(boot_ms(), records, true, context);
+    }
+}
+
+/// Adds the rows of a record to a transaction, and deletes the further rows of the former record.
+fn write_record(mut txn: Transaction, record: &RecordRows) -> Transaction {
+    for (number, value) in record.values.iter().enumerate() {
+        txn = txn.put(record_key(&record.job, number), value.clone());
+    }
+    for number in record.values.len()..record.former_rows {
+        txn = txn.delete(record_key(&record.job, number));
     }
+    txn
 }
 
 /// The leadership, if it is of `epoch` and its commit in flight has this sequence number.
--- a/components/flow_entry/src/leadership.rs
+++ b/components/flow_entry/src/leadership.rs
@@ -5,10 +5,11 @@
 use crate::feed_watch;
 use crate::messages::{ChangedFlow, ClaimDone, InFlightCommit, StateLoaded, StoredRows};
 use crate::reads::{read_all, read_flows, read_row};
-use crate::rows::{FlowKey, LEARNED_KEY, LEASE_KEY, LeaseRow, RECORD_PREFIX};
+use crate::record_reads::{group_records, parse_record};
+use crate::rows::{FlowKey, LEARNED_KEY, LEASE_KEY, LeaseRow, RECORD_PREFIX, record_key};
 use actix::{AsyncContext, Context, Handler};
 use backing::{Row, StoreError, TableStore, Transaction};
-use flow::{FlowEnd, FlowJob, FlowPhase, FlowRecord, FlowRow, LeaseTerms, Scheduler};
+use flow::{FlowEnd, FlowJob, FlowPhase, FlowRow, LeaseTerms, Scheduler};
 use interference::PressureModel;
 use model::{AgentId, JobId};
 use std::collections::{BTreeMap, VecDeque};
@@ -283,8 +284,8 @@
         for row in &flows {
             apply_flow_row(leadership, now_ms, &row.key, Some(&row.value));
         }
-        for row in &records {
-            restore_record(leadership, now_ms, row);
+        for (job, rows) in group_records(&records) {
+            restore_record(leadership, now_ms, &job, &rows);
         }
         for (key, value) in std::mem::take(&mut leadership.early_changes) {
             apply_flow_row(leadership, now_ms, &key, value.as_deref());
@@ -357,23 +358,25 @@
     leadership.scheduler.add(now_ms, wall_ms(), job);
 }
 
-/// Applies a progress record to its flow.
-fn restore_record(leadership: &mut Leadership, now_ms: u64, row: &Row) {
-    let Some(id) = row.key.strip_prefix(RECORD_PREFIX) else {
-        return;
-    };
-    let job = JobId::from(id);
-    match serde_json::from_str::<FlowRecord>(&row.value) {
-        Ok(record) => leadership.scheduler.restore(now_ms, &job, &record),
-        Err(error) => log_event!(error, Event::RowUnreadable, key = %row.key, reason = %error),
+/// Applies a progress record, given by its numbered rows, to its flow.
+fn restore_record(leadership: &mut Leadership, now_ms: u64, job: &JobId, rows: &[(usize, &str)]) {
+    let numbers = rows.iter().map(|(number, _)| number + 1);
+    let row_count = numbers.max().unwrap_or(0);
+    leadership.scheduler.set_record_rows(job, row_count);
+    match parse_record(rows) {
+        Ok(record) => leadership.scheduler.restore(now_ms, job, &record),
+        Err(error) => {
+            let key = record_key(job, 0);
+            log_event!(error, Event::RowUnreadable, key, reason = %error);
+        }
     }
     let ended = leadership
         .scheduler
-        .flow(&job)
+        .flow(job)
         .and_then(flow::FlowState::end);
     if let Some(FlowPhase::Completed | FlowPhase::Failed) = ended {
         // The end was recorded, but the rows of the flow were not collected. Writing the record
         // once more completes this.
-        leadership.scheduler.request_rewrite(&job);
+        leadership.scheduler.request_rewrite(job);
     }
 }
--- /dev/null
+++ b/components/flow_entry/src/limits.rs
@@ -0,0 +1,22 @@
+//! Limits of the table on transactions, less what a commit contains beside the records.
+
+use flow::CommitLimits;
+
+/// Most conditions, writes and deletions that the table accepts in a transaction.
+pub(crate) const MAX_ENTRIES: usize = 100;
+/// Entries of a commit beside records: the lease, the condition on it, and the learned statistics;
+/// with a reserve.
+const OTHER_ENTRIES: usize = 10;
+/// Most bytes of the values and keys in a commit. The table accepts 1 MB in a transaction, in an
+/// encoding that makes values larger by a third.
+const MAX_COMMIT_BYTES: usize = 700_000;
+
+/// Limits of the records in a commit to a table that accepts values of `row_bytes`.
+pub(crate) fn commit_limits(row_bytes: usize) -> CommitLimits {
+    CommitLimits {
+        rows: MAX_ENTRIES - OTHER_ENTRIES,
+        // One more row is reserved for the learned statistics.
+        bytes: MAX_COMMIT_BYTES - row_bytes,
+        row_bytes,
+    }
+}
--- a/components/flow_entry/src/messages.rs
+++ b/components/flow_entry/src/messages.rs
@@ -4,7 +4,7 @@
 use crate::handle::PhaseAnswer;
 use actix::Message;
 use backing::{Row, StoreError};
-use flow::{FlowConfig, FlowJob, PollReply, QueueKey, RecordRow, StartOutcome, TaskKey};
+use flow::{FlowConfig, FlowJob, PollReply, QueueKey, RecordRows, StartOutcome, TaskKey};
 use model::{AgentId, JobId};
 use wire::{
     CancelOutcome, LinkError, PhaseReply, QueuedCountReply, SchedulerProbe, SchedulerProbeReply,
@@ -299,7 +299,7 @@
     /// Transaction, sent unchanged with each retry.
     pub txn: backing::Transaction,
     /// Progress records that the transaction writes.
-    pub rows: Vec<RecordRow>,
+    pub records: Vec<RecordRows>,
     /// Sequence number of the commit.
     pub sequence: u64,
     /// Whether the commit releases the lease.
--- a/components/flow_entry/src/requests.rs
+++ b/components/flow_entry/src/requests.rs
@@ -8,10 +8,12 @@
     PeerGetPhase, Submit,
 };
 use crate::metrics::Metrics;
+use crate::reads::read_all;
+use crate::record_reads::{RecordError, group_records, parse_record};
 use crate::rows::{cancel_key, flow_key, record_key};
 use actix::{AsyncContext, Handler, MessageResult, ResponseFuture};
 use backing::{StoreError, TableStore, Transaction};
-use flow::{FlowJob, FlowPhase, FlowRecord, FlowRow, FlowState, QueueKey};
+use flow::{FlowJob, FlowPhase, FlowRow, FlowState, QueueKey};
 use model::JobId;
 use std::future::Future;
 use std::time::Duration;
@@ -105,13 +107,18 @@
     if rows.len() > 1 {
         return (PhaseAnswer::Known(FlowPhase::Cancelled), Some(flow));
     }
-    let Ok(records) = table.read(&[record_key(job)]).await else {
+    let Ok(rows) = read_all(table, &record_key(job, 0)).await else {
         return (PhaseAnswer::Unavailable, Some(flow));
     };
     let mut state = FlowState::new(flow.clone(), 0);
-    let record = records.first().map(|row| &row.value);
-    if let Some(Ok(record)) = record.map(|value| serde_json::from_str::<FlowRecord>(value)) {
-        record.restore(&mut state, 0);
+    match group_records(&rows)
+        .remove(job)
+        .map(|rows| parse_record(&rows))
+    {
+        Some(Ok(record)) => record.restore(&mut state, 0),
+        // The scheduler wrote the record anew between the reads of its rows.
+        Some(Err(RecordError::Join(_))) => return (PhaseAnswer::Unavailable, Some(flow)),
+        Some(Err(RecordError::Json(_))) | None => {}
     }
     (PhaseAnswer::Known(state.phase()), Some(flow))
 }
--- a/components/flow_entry/src/rows.rs
+++ b/components/flow_entry/src/rows.rs
@@ -19,6 +19,9 @@
 /// Suffix that turns the key of a flow into the key of its cancellation.
 const CANCEL_SUFFIX: &str = ".cancel";
 
+/// Separates a flow's identifier from the number of a further row of its record.
+const ROW_SEPARATOR: char = '.';
+
 /// The scheduler's lease, as stored in the table.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct LeaseRow {
@@ -72,7 +75,19 @@
     format!("{}{CANCEL_SUFFIX}", flow_key(job))
 }
 
-/// Key of a flow's progress record.
-pub(crate) fn record_key(job: &JobId) -> String {
-    format!("{RECORD_PREFIX}{job}")
+/// Key of one of the rows that hold a flow's progress record, by its number; the first has 0.
+pub(crate) fn record_key(job: &JobId, number: usize) -> String {
+    match number {
+        0 => format!("{RECORD_PREFIX}{job}"),
+        _ => format!("{RECORD_PREFIX}{job}{ROW_SEPARATOR}{number}"),
+    }
+}
+
+/// Flow and number of a row that holds a progress record; `None` if the key is of another row.
+pub(crate) fn parse_record_key(key: &str) -> Option<(JobId, usize)> {
+    let name = key.strip_prefix(RECORD_PREFIX)?;
+    Some(match name.rsplit_once(ROW_SEPARATOR) {
+        Some((job, number)) => (job.into(), number.parse().ok()?),
+        None => (name.into(), 0),
+    })
 }
--- a/components/flow_entry/tests/common/mod.rs
+++ b/components/flow_entry/tests/common/mod.rs
@@ -15,6 +15,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+/// Most bytes of a value in the table, by the entries' settings.
+pub const ROW_BYTES: usize = 1_024;
+
 /// In-memory table with delayed commits and answers, which can refuse the commits of an entry.
 pub struct SlowTable {
     /// Rows of the table.
@@ -137,6 +140,7 @@
             store: PlatformSettings {
                 url: "http://127.0.0.1:1".to_owned(),
                 timeout_ms: 100,
+                row_bytes: ROW_BYTES,
             },
             leases: LeaseSettings {
                 longest_ms: 6_000,
--- a/components/settings/src/platform.rs
+++ b/components/settings/src/platform.rs
@@ -14,12 +14,21 @@
     #[serde(default = "default_timeout_ms")]
     #[garde(range(min = 10, max = 60_000))]
     pub timeout_ms: u64,
+    /// Most bytes of a value that the table service accepts. Values that can be larger are stored in
+    /// several rows.
+    #[serde(default = "default_row_bytes")]
+    #[garde(range(min = 1_024, max = 262_144))]
+    pub row_bytes: usize,
 }
 
 fn default_timeout_ms() -> u64 {
     3_000
 }
 
+fn default_row_bytes() -> usize {
+    65_536
+}
+
 #[allow(clippy::ptr_arg)]
 fn is_http(url: &String, _context: &()) -> garde::Result {
     if url.starts_with("http://") && !url.ends_with('/') {
--- a/tests/common/flow_fleet.rs
+++ b/tests/common/flow_fleet.rs
@@ -67,17 +67,27 @@
 impl Fleet {
     /// Starts all processes and waits until every entry has a scheduler.
     pub async fn start(entries: usize, agents: usize) -> Self {
-        Self::start_on(StoreStandIn::start(), entries, agents).await
+        Self::start_with(entries, agents, |_| {}).await
     }
 
-    /// As [`Fleet::start`], with this store.
-    pub async fn start_on(store: StoreStandIn, entries: usize, agents: usize) -> Self {
+    /// As [`Fleet::start`], with a store that accepts values of `row_bytes`, as the entries know.
+    pub async fn start_with_row_bytes(entries: usize, agents: usize, row_bytes: usize) -> Self {
+        let set = |settings: &mut Value| settings["store"]["row_bytes"] = row_bytes.into();
+        let fleet = Self::start_with(entries, agents, set).await;
+        fleet.store.set_row_bytes(row_bytes);
+        fleet
+    }
+
+    /// As [`Fleet::start`], with a change to the settings of the entries.
+    async fn start_with(entries: usize, agents: usize, change: impl Fn(&mut Value)) -> Self {
         let folder = TempDir::new().unwrap();
+        let store = StoreStandIn::start();
         store.configure(3);
         let entries = (0..entries).map(|number| {
             let addresses = EntryAddresses::free();
             let id = format!("e{number}");
-            let settings = addresses.settings(&id, store.address);
+            let mut settings = addresses.settings(&id, store.address);
+            change(&mut settings);
             (addresses, Node::start("entry", &id, &settings, &folder))
         });
         let entries = entries.collect();
--- a/tests/records.rs
+++ b/tests/records.rs
@@ -3,21 +3,12 @@
 
 mod common;
 
-use common::flow_fleet::{Fleet, ids};
+use common::flow_fleet::{Fleet, WAIT_LIMIT, ids};
 use common::sleep_ms;
-use platform_standin::job;
-use serde_json::{Value, json};
+use platform_standin::{job, large_job, recurring_job};
+use std::time::Instant;
 use utils::wall_ms;
 
-/// A job that runs the same step of three tasks again and again.
-fn recurring_job(occurrences: u32, interval_ms: u64) -> Value {
-    json!({
-        "taskSpec": "60",
-        "steps": [{ "count": 3, "cpu": 2000, "requestedMemoryMb": 64, "estimatedMs": 60 }],
-        "firstRunMs": wall_ms(), "intervalMs": interval_ms, "repetitions": occurrences
-    })
-}
-
 /// Guards against a scheduling that stops for every job, under this scheduler and the next, once
 /// the finished occurrences of one job fill a row of the store.
 #[actix_rt::test]
@@ -25,7 +16,12 @@
     let mut fleet = Fleet::start(2, 2).await;
     fleet.store.set_row_bytes(1_500);
     let ids = ids(3);
-    assert_eq!(fleet.submit(0, &ids[0], &recurring_job(60, 60)).await, 200);
+    assert_eq!(
+        fleet
+            .submit(0, &ids[0], &recurring_job(60, 60, wall_ms()))
+            .await,
+        200
+    );
     sleep_ms(2_500).await;
     fleet.submit(0, &ids[1], &job(3, 100)).await;
     let scheduler = fleet.scheduler();
@@ -37,3 +33,30 @@
     assert_eq!(fleet.store.refused(), Vec::<String>::new());
     fleet.assert_no_duplicate_runs();
 }
+
+/// Guards against a large job that stops every job, or is lost or run twice at a takeover, because
+/// its progress takes more than one row of the store.
+#[actix_rt::test]
+async fn a_large_job_takes_several_rows_and_stops_no_other_job() {
+    let mut fleet = Fleet::start_with_row_bytes(2, 2, 1_024).await;
+    let ids = ids(3);
+    fleet.submit(0, &ids[0], &large_job(400, 2_500)).await;
+    fleet.submit(0, &ids[1], &job(3, 100)).await;
+    fleet.wait_until_completed(&ids[1..2]).await;
+    let scheduler = fleet.scheduler();
+    let rows = fleet.store.values("progress");
+    let of_large = rows.iter().filter(|(key, _)| key.starts_with(&ids[0]));
+    assert!(of_large.count() > 1, "the record takes several rows");
+    fleet.entries[scheduler].1.restart();
+    fleet.wait_until_ready().await;
+    fleet.submit(1, &ids[2], &job(3, 100)).await;
+    fleet.wait_until_completed(&ids).await;
+    assert_eq!(fleet.executions().len(), 400 + 2 * 6);
+    assert_eq!(fleet.store.refused(), Vec::<String>::new());
+    fleet.assert_no_duplicate_runs();
+    let started = Instant::now();
+    while !fleet.store.values("progress").is_empty() {
+        assert!(started.elapsed() < WAIT_LIMIT, "rows of ended jobs stay");
+        sleep_ms(100).await;
+    }
+}
