Set a flow aside whose record can't be written, and go on with the others

Cause: a commit that the store refused as invalid made the scheduler step down, whatever it contained, and the next scheduler loaded the same record and failed on it together with all others of its commits.

Ruled out: keeping such a flow unscheduled and otherwise as it is: its ends could never be acknowledged, which holds up the ends of all other flows of the same worker, and its runs would hold capacity for ever.

Change: a record that exceeds the limits of a commit is found by its size before it is sent. After a refused commit, one without records shows that the store accepts commits at all (if not, the entry steps down as before); then each of its records is written alone. A flow whose record is refused alone, or whose stored record can't be read, is set aside: it fails, its runs are stopped, its record states the failure alone, and event 707 names the cause. As that record is stored, the next scheduler does the same. Where even it is refused, the end is stored in the flow's own row.

--- a/components/bench/src/deciding.rs
+++ b/components/bench/src/deciding.rs
@@ -141,7 +141,7 @@
 /// Places the queued tasks and commits; returns the number of ordered starts.
 fn place_all(scheduler: &mut Scheduler, now_ms: u64) -> usize {
     scheduler.place(now_ms, 0);
-    let rows = scheduler.take_commit(&COMMIT_LIMITS);
+    let rows = scheduler.take_commit(now_ms, &COMMIT_LIMITS);
     scheduler.on_committed(&rows);
     let effects = scheduler.take_effects();
     let is_start = |effect: &&flow::Effect| matches!(effect, flow::Effect::Start(..));
--- a/components/flow/src/effect.rs
+++ b/components/flow/src/effect.rs
@@ -1,6 +1,6 @@
 //! Effects of the scheduler: orders to workers, reports and decision records.
 
-use crate::{FlowPhase, Incarnation, TaskKey};
+use crate::{FlowPhase, Incarnation, RecordFault, TaskKey};
 use interference::PressureChange;
 use model::{AgentId, JobId};
 
@@ -17,6 +17,8 @@
     Acknowledge(AgentId),
     /// Report the end of a flow; it is durable.
     Ended(JobId, FlowPhase),
+    /// Log that a flow was set aside: it fails, as its progress can't be recorded.
+    SetAside(JobId, RecordFault),
     /// Give up leadership: an agent has seen a newer scheduler.
     StepDown,
     /// Log that the pressure of a pair of images has changed; the report came from this agent.
--- a/components/flow/src/record.rs
+++ b/components/flow/src/record.rs
@@ -91,6 +91,15 @@
 );
 
 impl FlowRecord {
+    /// Creates the record of a flow that failed, without its tasks. A scheduler that restores it stops
+    /// the runs that are left.
+    pub fn failed() -> Self {
+        Self {
+            failed: true,
+            ..Self::default()
+        }
+    }
+
     /// Creates the record of a flow's present state.
     pub fn of(state: &FlowState) -> Self {
         let mut record = Self {
--- a/components/flow/src/scheduler.rs
+++ b/components/flow/src/scheduler.rs
@@ -28,6 +28,8 @@
     pub(crate) last_taken: Option<JobId>,
     /// Number of durable rows of the records that have more than one.
     pub(crate) record_rows: BTreeMap<JobId, usize>,
+    /// Flows that failed because their progress can't be recorded.
+    pub(crate) set_aside: BTreeSet<JobId>,
     /// Flows with placements that are started once their record is durable.
     pub(crate) uncommitted: BTreeSet<JobId>,
     /// Tasks that may crash the workers that start them and so are started alone, each with
@@ -264,6 +266,7 @@
     pub fn evict_ended(&mut self, job: &JobId) {
         self.ended.remove(job);
         self.record_rows.remove(job);
+        self.set_aside.remove(job);
     }
 
     /// Marks a flow's record as changed. Returns its new revision, or 0 if the flow is not known.
--- a/components/flow/tests/common/mod.rs
+++ b/components/flow/tests/common/mod.rs
@@ -408,7 +408,7 @@
             self.scheduler.on_committed(&rows);
         }
         self.scheduler.place(self.now_ms, 0);
-        let rows = self.scheduler.take_commit(&LIMITS);
+        let rows = self.scheduler.take_commit(self.now_ms, &LIMITS);
         if !rows.is_empty() {
             self.commit = Some((self.now_ms + COMMIT_MS, rows));
         }
@@ -425,6 +425,7 @@
                 }
                 Effect::Acknowledge(_)
                 | Effect::StepDown
+                | Effect::SetAside(..)
                 | Effect::PressureLearned(..)
                 | Effect::Decided(_) => {}
             }
--- a/components/flow/tests/records.rs
+++ b/components/flow/tests/records.rs
@@ -3,8 +3,8 @@
 
 use flow::record_rows::{JoinError, join, split};
 use flow::{
-    CommitLimits, FlowJob, FlowRecord, FlowSpec, FlowState, Incarnation, Placement, QueueKey,
-    RunStage, Schedule, Scheduler, StepSpec, TaskState,
+    CommitLimits, Effect, FlowJob, FlowPhase, FlowRecord, FlowSpec, FlowState, Incarnation,
+    Placement, QueueKey, RunStage, Schedule, Scheduler, StepSpec, TaskState,
 };
 use proptest::prelude::*;
 use std::collections::BTreeSet;
@@ -180,6 +180,48 @@
     assert_eq!(again.occurrences, state.occurrences);
 }
 
+/// Guards against a record that no commit can hold and that thereby keeps the records of other flows,
+/// and its own, from being written.
+#[test]
+fn a_flow_whose_record_exceeds_a_commit_fails_and_the_others_are_recorded() {
+    let limits = CommitLimits {
+        rows: 20,
+        bytes: 6_000,
+        row_bytes: 500,
+    };
+    let mut scheduler = Scheduler::default();
+    for (id, tasks) in [("f1", 200), ("f2", 2)] {
+        let mut state = flow(&[tasks], 1);
+        tasks_mut(&mut state).for_each(|task| *task = placed(1));
+        state.job.id = id.into();
+        scheduler.add(0, 1, state.job.clone());
+        let record = serde_json::from_str(&text(&state)).unwrap();
+        scheduler.restore(NOW_MS, &state.job.id, &record);
+        scheduler.request_rewrite(&state.job.id);
+    }
+    let records = scheduler.take_commit(NOW_MS, &limits);
+    let jobs: Vec<&str> = records.iter().map(|record| record.job.as_str()).collect();
+    assert_eq!(jobs, ["f1", "f2"]);
+    assert_eq!(records[0].values.len(), 1);
+    scheduler.on_committed(&records);
+    assert_eq!(scheduler.phase(&"f1".into()), Some(FlowPhase::Failed));
+    assert_eq!(scheduler.phase(&"f2".into()), Some(FlowPhase::Running));
+    let effects = scheduler.take_effects();
+    let is_cause =
+        |effect: &Effect| matches!(effect, Effect::SetAside(job, _) if job.as_str() == "f1");
+    assert!(effects.iter().any(is_cause), "the cause is logged");
+    let stops = effects
+        .iter()
+        .filter(|effect| matches!(effect, Effect::Stop(_)));
+    assert_eq!(stops.count(), 200, "its runs are stopped");
+    let next = restored(&flow(&[200], 1), &records[0].values[0]);
+    assert_eq!(
+        next.end(),
+        Some(FlowPhase::Failed),
+        "the next scheduler sets it aside too"
+    );
+}
+
 /// A task that was placed, with a checkpoint of 16 characters.
 fn placed(worker: u64) -> TaskState {
     TaskState {
@@ -239,7 +281,7 @@
         let all = waiting.clone();
         for _ in 0..tasks.len() {
             all.iter().for_each(|job| scheduler.request_rewrite(job));
-            let records = scheduler.take_commit(&limits);
+            let records = scheduler.take_commit(NOW_MS, &limits);
             let rows: usize = records.iter().map(|record| record.entries()).sum();
             let values = records.iter().flat_map(|record| &record.values);
             prop_assert!(rows <= limits.rows);
--- a/components/flow_entry/src/commits.rs
+++ b/components/flow_entry/src/commits.rs
@@ -89,9 +89,8 @@
             .flows
             .set(leadership.scheduler.flows().len() as i64);
         if leadership.in_flight.is_none() && !self.is_draining {
-            let limits = commit_limits(self.settings.store.row_bytes);
-            let records = leadership.scheduler.take_commit(&limits);
-            if !records.is_empty() || now_ms >= leadership.last_commit_ms + RENEW_INTERVAL_MS {
+            let records = self.next_records(now_ms, RENEW_INTERVAL_MS);
+            if let Some(records) = records {
                 self.commit(now_ms, records, false, context);
             }
         }
@@ -99,7 +98,7 @@
     }
 
     /// Starts a group commit of `records`, which also renews the lease or, if `released`, gives it up.
-    fn commit(
+    pub(crate) fn commit(
         &mut self,
         now_ms: u64,
         records: Vec<RecordRows>,
@@ -118,7 +117,9 @@
         let mut txn = Transaction::default()
             .require(LEASE_KEY, Some(version))
             .put(LEASE_KEY, encode(&lease));
-        if let Some(learned) = self.learned_if_due(now_ms) {
+        let learned = self.learned_if_due(now_ms);
+        let has_learned = learned.is_some();
+        if let Some(learned) = learned {
             txn = txn.put(LEARNED_KEY, learned);
         }
         for record in &records {
@@ -130,6 +131,7 @@
             leadership.in_flight = Some(InFlightCommit {
                 txn,
                 records,
+                has_learned,
                 sequence,
                 released,
                 first_sent_ms: now_ms,
@@ -142,7 +144,8 @@
     /// Takes the learned statistics for a write; `None` if they are unchanged or not due.
     fn learned_if_due(&mut self, now_ms: u64) -> Option<String> {
         let leadership = self.leadership.as_mut()?;
-        if now_ms < leadership.learned_written_ms + LEARNED_WRITE_INTERVAL_MS {
+        let is_due = now_ms >= leadership.learned_written_ms + LEARNED_WRITE_INTERVAL_MS;
+        if !is_due || leadership.isolation.is_some() {
             return None;
         }
         leadership.learned_written_ms = now_ms;
@@ -246,6 +249,9 @@
                     }
                 }
                 Effect::Ended(job, phase) => self.record_end(job, phase),
+                Effect::SetAside(job, fault) => {
+                    log_event!(error, Event::FlowSetAside, job = %job, reason = %fault);
+                }
                 Effect::StepDown => self.step_down("a start was fenced off", context),
                 Effect::PressureLearned(agent, change) => {
                     log_event!(info, Event::PairJudged, agent = %agent, filler = change.filler,
@@ -350,12 +356,14 @@
             context.run_later(RELEASE_PAUSE, Self::release);
             return;
         }
+        let now_ms = boot_ms();
         let limits = commit_limits(self.settings.store.row_bytes);
         let records = match self.leadership.as_mut() {
-            Some(leadership) => leadership.scheduler.take_commit(&limits),
+            Some(leadership) if leadership.isolation.is_some() => Vec::new(),
+            Some(leadership) => leadership.scheduler.take_commit(now_ms, &limits),
             None => return,
         };
-        self.commit(boot_ms(), records, true, context);
+        self.commit(now_ms, records, true, context);
     }
 }
 
@@ -423,10 +431,7 @@
                     });
                 });
             }
-            Err(error @ StoreError::Invalid(_)) => {
-                log_event!(error, Event::CommitRefused, sequence, reason = %error);
-                self.step_down("the store refused a commit", context);
-            }
+            Err(error @ StoreError::Invalid(_)) => self.on_commit_refused(&error, context),
             Err(StoreError::Unavailable(_) | StoreError::Unknown(_)) => {
                 self.retry_commit(epoch, sequence, tries, context);
             }
--- a/components/flow_entry/src/leadership.rs
+++ b/components/flow_entry/src/leadership.rs
@@ -3,13 +3,14 @@
 use crate::agents::AgentConnection;
 use crate::coordinator::Coordinator;
 use crate::feed_watch;
+use crate::isolation::Isolation;
 use crate::messages::{ChangedFlow, ClaimDone, InFlightCommit, StateLoaded, StoredRows};
 use crate::reads::{read_all, read_flows, read_row};
 use crate::record_reads::{group_records, parse_record};
 use crate::rows::{FlowKey, LEARNED_KEY, LEASE_KEY, LeaseRow, RECORD_PREFIX, record_key};
 use actix::{AsyncContext, Context, Handler};
 use backing::{Row, StoreError, TableStore, Transaction};
-use flow::{FlowEnd, FlowJob, FlowPhase, FlowRow, LeaseTerms, Scheduler};
+use flow::{FlowEnd, FlowJob, FlowPhase, FlowRow, LeaseTerms, RecordFault, Scheduler};
 use interference::PressureModel;
 use model::{AgentId, JobId};
 use std::collections::{BTreeMap, VecDeque};
@@ -49,6 +50,8 @@
     pub acquired_ms: u64,
     /// Commit whose outcome is not known yet; at most one at a time.
     pub in_flight: Option<InFlightCommit>,
+    /// Records of a refused commit that are written alone; `None` while no commit is refused.
+    pub isolation: Option<Isolation>,
     /// When the last commit was first sent.
     pub last_commit_ms: u64,
     /// Registered agents and the state of their polls.
@@ -164,6 +167,7 @@
             early_changes: Vec::new(),
             acquired_ms: now_ms,
             in_flight: None,
+            isolation: None,
             last_commit_ms: now_ms,
             agents: BTreeMap::new(),
             agents_read_ms: 0,
@@ -368,6 +372,8 @@
         Err(error) => {
             let key = record_key(job, 0);
             log_event!(error, Event::RowUnreadable, key, reason = %error);
+            let fault = RecordFault::Unreadable(error.to_string());
+            leadership.scheduler.set_aside(now_ms, job, fault);
         }
     }
     let ended = leadership
--- a/components/flow_entry/src/lib.rs
+++ b/components/flow_entry/src/lib.rs
@@ -11,6 +11,7 @@
 mod election;
 mod feed_watch;
 mod handle;
+mod isolation;
 mod leadership;
 mod limits;
 mod messages;
--- a/components/flow_entry/src/messages.rs
+++ b/components/flow_entry/src/messages.rs
@@ -300,6 +300,8 @@
     pub txn: backing::Transaction,
     /// Progress records that the transaction writes.
     pub records: Vec<RecordRows>,
+    /// Whether the transaction writes the learned statistics.
+    pub has_learned: bool,
     /// Sequence number of the commit.
     pub sequence: u64,
     /// Whether the commit releases the lease.
--- a/components/flow_entry/tests/common/mod.rs
+++ b/components/flow_entry/tests/common/mod.rs
@@ -28,6 +28,8 @@
     pub answer_ms: u64,
     /// Names of entries whose commits of the lease are refused.
     refused: RefCell<Vec<String>>,
+    /// Keys of rows that can't be written: a transaction that does is invalid.
+    invalid: RefCell<Vec<String>>,
 }
 
 impl SlowTable {
@@ -36,6 +38,18 @@
         self.refused.borrow_mut().push(entry.to_owned());
     }
 
+    /// Refuses every transaction that writes a value under this key from now on, as invalid.
+    pub fn refuse_values_of(&self, key: &str) {
+        self.invalid.borrow_mut().push(key.to_owned());
+    }
+
+    /// Whether a transaction writes a value that is refused as invalid.
+    fn is_invalid(&self, txn: &Transaction) -> bool {
+        let invalid = self.invalid.borrow();
+        let mut puts = txn.writes.iter().filter(|write| write.value.is_some());
+        puts.any(|write| invalid.contains(&write.key))
+    }
+
     /// Whether a transaction writes the lease for a refused entry.
     fn is_refused(&self, txn: &Transaction) -> bool {
         let refused = self.refused.borrow();
@@ -64,6 +78,7 @@
         commit_ms,
         answer_ms,
         refused: RefCell::default(),
+        invalid: RefCell::default(),
     })
 }
 
@@ -76,6 +91,9 @@
                 "commits of this entry are refused".to_owned(),
             ));
         }
+        if self.is_invalid(txn) {
+            return Err(StoreError::Invalid("a value is refused".to_owned()));
+        }
         let result = self.rows.commit_now(txn);
         pause(self.answer_ms).await;
         result
--- a/components/telemetry/src/event.rs
+++ b/components/telemetry/src/event.rs
@@ -127,6 +127,8 @@
     FlowFailed = 704,
     /// A caller's request was refused before anything was stored.
     CallerRefused = 705,
+    /// The progress of a flow can't be recorded; it fails, and the others go on.
+    FlowSetAside = 707,
     /// A task was placed on a worker.
     TaskPlaced = 710,
     /// A run ended.
--- a/tests/records.rs
+++ b/tests/records.rs
@@ -60,3 +60,27 @@
         sleep_ms(100).await;
     }
 }
+
+/// Guards against a job whose progress the store refuses, and that thereby stops every other job,
+/// under this scheduler and the next. The entries' settings state a limit that is too high.
+#[actix_rt::test]
+async fn a_job_whose_progress_the_store_refuses_fails_and_stops_no_other_job() {
+    let mut fleet = Fleet::start(2, 2).await;
+    fleet.store.set_row_bytes(1_500);
+    let ids = ids(3);
+    fleet.submit(0, &ids[0], &large_job(200, 1_500)).await;
+    fleet.submit(1, &ids[1], &job(3, 100)).await;
+    fleet.wait_until_completed(&ids[1..2]).await;
+    let scheduler = fleet.scheduler();
+    fleet.entries[scheduler].1.restart();
+    fleet.wait_until_ready().await;
+    fleet.submit(1, &ids[2], &job(3, 100)).await;
+    fleet.wait_until_completed(&ids[2..]).await;
+    for entry in 0..2 {
+        assert_eq!(fleet.state(entry, &ids[0]).await, "failed");
+    }
+    sleep_ms(1_000).await;
+    let executions = fleet.executions();
+    assert!(executions.iter().all(|run| run.ended.is_some()));
+    fleet.assert_no_duplicate_runs();
+}
