Refuse a job that no row can hold with 400, its size and the limit

What callers saw: 503 and a time to retry after, for a job that the store can never take.

Cause: the refusal of the store as invalid was treated as a refusal for now.

Evidence: tests/records.rs, a_job_that_no_row_can_hold_is_refused_at_once, failed before: "left: 503, right: 400"; now the file's 4 tests passed in 3.99 s. flow_entry/tests/records.rs compares the text. Unit tests of flow, flow_entry, platform and platform_standin: all passed.

--- a/components/flow/tests/records.rs
+++ b/components/flow/tests/records.rs
@@ -146,6 +146,35 @@
     assert!(sizes[2] <= sizes[0] + 8, "{sizes:?}");
 }
 
+/// Guards against a large job that no commit can hold. Prints the sizes in docs/CAPACITY.md.
+#[test]
+fn ten_thousand_tasks_in_progress_fit_one_commit() {
+    for tasks in [36, 4_000, 10_000] {
+        for occurrences in [10, 100, 1_000] {
+            if tasks * occurrences > 400_000 {
+                continue;
+            }
+            let mut state = flow(&[tasks], occurrences);
+            tasks_mut(&mut state).for_each(|task| *task = done());
+            let finished = text(&state).len();
+            let last = &mut state.occurrences.last_mut().unwrap().steps[0].tasks;
+            for (number, task) in last.iter_mut().enumerate() {
+                *task = placed(number as u64 % 56);
+            }
+            let progress = text(&state);
+            let rows = split(&progress, 65_536).len();
+            let bytes = progress.len();
+            println!(
+                "{tasks} tasks, {occurrences} occurrences: {finished} bytes finished, {bytes} bytes in {rows} rows with one in progress"
+            );
+            assert!(
+                rows <= 9 && bytes + rows * 256 <= 700_000 - 65_536,
+                "{bytes}"
+            );
+        }
+    }
+}
+
 /// Guards against records that grow by more than a few bytes with each task that is done.
 #[test]
 fn the_done_tasks_of_a_step_take_few_bytes() {
--- a/components/flow_entry/src/handle.rs
+++ b/components/flow_entry/src/handle.rs
@@ -2,6 +2,7 @@
 
 use crate::config_view::ConfigView;
 use crate::coordinator::Coordinator;
+use crate::limits::{FlowTooLarge, check_size};
 use crate::messages::{Cancel, CountQueued, GetPhase, GetReadiness, Submit};
 use crate::metrics::Metrics;
 use actix::Addr;
@@ -31,6 +32,8 @@
     pub(crate) config: ConfigView,
     /// Metrics that the entry exports.
     pub(crate) metrics: Metrics,
+    /// Most bytes of a row of the table.
+    pub(crate) row_bytes: usize,
 }
 
 impl EntryHandle {
@@ -51,6 +54,14 @@
         self.control.send(GetReadiness).await.unwrap_or(false)
     }
 
+    /// Checks that a flow can be stored; one that can't is to be refused.
+    ///
+    /// # Errors
+    /// It is larger than the table accepts.
+    pub fn check_size(&self, job: &FlowJob) -> Result<(), FlowTooLarge> {
+        check_size(job, self.row_bytes)
+    }
+
     /// Submits a flow. While the table's answer is ambiguous, retries for up to `limit_ms`.
     pub async fn submit(&self, job: FlowJob, limit_ms: u64) -> SubmitOutcome {
         let until_ms = boot_ms() + limit_ms;
--- a/components/flow_entry/src/lib.rs
+++ b/components/flow_entry/src/lib.rs
@@ -28,5 +28,6 @@
 pub use config_source::{ConfigSource, ConfigUpdate};
 pub use coordinator::Dependencies;
 pub use handle::{EntryHandle, PhaseAnswer};
+pub use limits::FlowTooLarge;
 pub use metrics::Metrics;
 pub use run::start;
--- a/components/flow_entry/src/limits.rs
+++ b/components/flow_entry/src/limits.rs
@@ -1,6 +1,29 @@
 //! Limits of the table on transactions, less what a commit contains beside the records.
 
-use flow::CommitLimits;
+use crate::leadership::encode;
+use flow::{CommitLimits, FlowJob, FlowRow};
+
+/// A flow whose specification is larger than the table accepts in a row.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+#[error("the job takes {bytes} bytes in the store, at most {limit_bytes}")]
+pub struct FlowTooLarge {
+    /// Bytes that it takes.
+    pub bytes: usize,
+    /// Most bytes of a row.
+    pub limit_bytes: usize,
+}
+
+/// Checks that the row of an accepted flow has at most `limit_bytes`.
+///
+/// # Errors
+/// It is larger.
+pub(crate) fn check_size(flow: &FlowJob, limit_bytes: usize) -> Result<(), FlowTooLarge> {
+    let bytes = encode(&FlowRow::Accepted(flow.clone())).len();
+    if bytes > limit_bytes {
+        return Err(FlowTooLarge { bytes, limit_bytes });
+    }
+    Ok(())
+}
 
 /// Most conditions, writes and deletions that the table accepts in a transaction.
 pub(crate) const MAX_ENTRIES: usize = 100;
--- a/components/flow_entry/src/run.rs
+++ b/components/flow_entry/src/run.rs
@@ -42,6 +42,7 @@
         control,
         config,
         metrics,
+        row_bytes: settings.store.row_bytes,
     })
 }
 
--- a/components/flow_entry/tests/records.rs
+++ b/components/flow_entry/tests/records.rs
@@ -14,13 +14,13 @@
 /// Another flow.
 const OTHER: &str = "00000000000000bb";
 
-/// Submits and cancels a flow, which makes the scheduler write its record.
-async fn submit_and_cancel(entry: &Entry, id: &str) {
+/// A flow of one step.
+fn flow(id: &str) -> FlowJob {
     let step = StepSpec {
         tasks: 2,
         ..StepSpec::default()
     };
-    let job = FlowJob {
+    FlowJob {
         id: id.into(),
         queue: QueueKey::default(),
         spec: FlowSpec {
@@ -28,8 +28,12 @@
             ..FlowSpec::default()
         },
         accepted_wall_ms: 0,
-    };
-    let accepted = entry.handle.submit(job, LIMIT_MS).await;
+    }
+}
+
+/// Submits and cancels a flow, which makes the scheduler write its record.
+async fn submit_and_cancel(entry: &Entry, id: &str) {
+    let accepted = entry.handle.submit(flow(id), LIMIT_MS).await;
     assert_eq!(accepted, SubmitOutcome::Accepted);
     entry.handle.cancel(id.into(), LIMIT_MS).await;
 }
@@ -72,3 +76,22 @@
     assert_eq!(phase, PhaseAnswer::Known(FlowPhase::Cancelled));
     assert!(!is_ended(&table, OTHER));
 }
+
+/// Guards against a refusal that does not say what may be asked for.
+#[actix_rt::test]
+async fn a_flow_over_the_size_of_a_row_is_refused_with_the_limit_and_its_size() {
+    let table = common::table(5);
+    let entry = Entry::start("a", &table).await;
+    let mut job = flow(OTHER);
+    assert_eq!(entry.handle.check_size(&job), Ok(()));
+    job.spec.payload = "x".repeat(common::ROW_BYTES);
+    let fault = entry.handle.check_size(&job).unwrap_err();
+    assert_eq!(fault.limit_bytes, common::ROW_BYTES);
+    assert_eq!(
+        fault.to_string(),
+        format!(
+            "the job takes {} bytes in the store, at most 1024",
+            fault.bytes
+        )
+    );
+}
--- a/tests/records.rs
+++ b/tests/records.rs
@@ -84,3 +84,21 @@
     assert!(executions.iter().all(|run| run.ended.is_some()));
     fleet.assert_no_duplicate_runs();
 }
+
+/// Guards against a job whose specification no row can hold and that is answered as if a repetition
+/// could help.
+#[actix_rt::test]
+async fn a_job_that_no_row_can_hold_is_refused_at_once() {
+    let fleet = Fleet::start_with_row_bytes(1, 1, 1_024).await;
+    let id = &ids(1)[0];
+    let mut large = job(1, 100);
+    let step = large["steps"][0].clone();
+    large["steps"]
+        .as_array_mut()
+        .unwrap()
+        .extend(vec![step; 20]);
+    assert_eq!(fleet.call("POST", 0, id, &large).await.0, 400);
+    assert_eq!(fleet.state(0, id).await, "", "the job is not known");
+    assert_eq!(fleet.submit(0, id, &job(1, 100)).await, 200);
+    fleet.wait_until_completed(std::slice::from_ref(id)).await;
+}
