Keep the room of a collection for a record of many rows

A record of 90 rows beside 25 deletions would not have fitted the 100 entries of a collection, and its flow would have waited while old flows were deleted all the time; nothing of this was seen. Deletions now leave room for the first flow. A commit takes one record in any case, so that one beyond the limits can't stay in front of the others for ever.

--- a/components/flow/src/commit.rs
+++ b/components/flow/src/commit.rs
@@ -19,7 +19,7 @@
                 self.dirty.remove(&job);
                 continue;
             };
-            if !left.take(&record) {
+            if !left.take(&record) && !taken.is_empty() {
                 break;
             }
             self.dirty.remove(&job);
--- a/components/flow_entry/src/commits.rs
+++ b/components/flow_entry/src/commits.rs
@@ -304,12 +304,15 @@
             return;
         };
         leadership.collected_ms = now_ms;
+        let rows_of = |job: &JobId| leadership.scheduler.record_rows(job) + 2;
+        let first_rows = leadership.uncollected.front().map(|(job, _)| rows_of(job));
+        let room = MAX_ENTRIES.saturating_sub(first_rows.unwrap_or(0));
         let is_old = |(_, ended_ms): &&(JobId, u64)| now_ms >= ended_ms + keep_ms;
         let old = leadership
             .ended
             .iter()
             .take_while(is_old)
-            .take(DELETED_PER_TXN);
+            .take(DELETED_PER_TXN.min(room));
         let deleted: Vec<JobId> = old.map(|(job, _)| job.clone()).collect();
         if leadership.uncollected.is_empty() && deleted.is_empty() {
             return;
@@ -320,14 +323,13 @@
         }
         let mut compacted = Vec::new();
         for (job, end) in leadership.uncollected.iter().take(COMPACTED_PER_TXN) {
-            let record_rows = leadership.scheduler.record_rows(job);
-            if txn.writes.len() + record_rows + 2 > MAX_ENTRIES {
+            if txn.writes.len() + rows_of(job) > MAX_ENTRIES {
                 break;
             }
             txn = txn
                 .put(flow_key(job), encode(&FlowRow::Ended(*end)))
                 .delete(cancel_key(job));
-            for number in 0..record_rows {
+            for number in 0..leadership.scheduler.record_rows(job) {
                 txn = txn.delete(record_key(job, number));
             }
             compacted.push(job.clone());
