--- a/components/flow/src/lib.rs
+++ b/components/flow/src/lib.rs
@@ -3,6 +3,7 @@
 //! the network.
 
 mod candidate;
+mod commit;
 mod config;
 mod contact;
 mod effect;
@@ -19,9 +20,13 @@
 mod pacing;
 mod placement;
 mod progress;
+mod ranges;
 mod record;
+mod record_former;
+pub mod record_rows;
 mod reports;
 mod scheduler;
+mod set_aside;
 mod slack;
 mod spec;
 mod starved;
@@ -41,8 +46,10 @@
 pub use lease::{ClockSample, Delivery, LeaseLimit, LeaseTerms, Leases, OfferId};
 pub use messages::{PaceOrder, PollReply, PollRequest, StartOrder, StartOutcome, StopOrder};
 pub use record::FlowRecord;
+pub use record_rows::{CommitLimits, RecordRows};
 pub use reports::ReportTimes;
-pub use scheduler::{RecordRow, Scheduler};
+pub use scheduler::Scheduler;
+pub use set_aside::RecordFault;
 pub use spec::{FlowSpec, Schedule, SpecFault, StepSpec};
 pub use state::{FlowState, OccurrenceState, Placement, RunStage, StepState, TaskState};
 pub use suspects::CrashCount;
--- a/components/flow/tests/commit_order.rs
+++ b/components/flow/tests/commit_order.rs
@@ -1,10 +1,16 @@
 //! Order in which the records of flows are committed.
 
-use flow::{FlowJob, FlowSpec, QueueKey, Scheduler, StepSpec};
+use flow::{CommitLimits, FlowJob, FlowSpec, QueueKey, Scheduler, StepSpec};
 use model::JobId;
 
 /// Records in one commit.
 const LIMIT: usize = 90;
+/// Limits of a commit; each record takes one row.
+const LIMITS: CommitLimits = CommitLimits {
+    rows: LIMIT,
+    bytes: 1 << 20,
+    row_bytes: 1 << 16,
+};
 
 fn flow(id: &str) -> FlowJob {
     FlowJob {
@@ -40,7 +46,7 @@
         for job in &busy {
             scheduler.request_rewrite(job);
         }
-        let rows = scheduler.take_commit(LIMIT);
+        let rows = scheduler.take_commit(0, &LIMITS);
         rows.iter().any(|row| row.job == last)
     });
     assert!(is_committed, "not within 100 commits");
--- a/components/flow/tests/reports.rs
+++ b/components/flow/tests/reports.rs
@@ -1,9 +1,9 @@
 //! Reports of workers that arrive late, can't be attributed, or show runs that are placed nowhere.
 
 use flow::{
-    Contact, Delivery, FlowConfig, FlowJob, FlowSpec, Incarnation, LeaseLimit, Pool, Queue,
-    QueueKey, ReportTimes, RunningTask, Scheduler, StartOutcome, StepSpec, TaskKey, WorkerInfo,
-    WorkerReport,
+    CommitLimits, Contact, Delivery, FlowConfig, FlowJob, FlowSpec, Incarnation, LeaseLimit, Pool,
+    Queue, QueueKey, ReportTimes, RunningTask, Scheduler, StartOutcome, StepSpec, TaskKey,
+    WorkerInfo, WorkerReport,
 };
 use model::{AgentId, Resources};
 
@@ -114,7 +114,12 @@
         &report(born_ms, 1_000, Vec::new()),
     );
     scheduler.place(1_000, 0);
-    let rows = scheduler.take_commit(90);
+    let limits = CommitLimits {
+        rows: 90,
+        bytes: 1 << 20,
+        row_bytes: 1 << 16,
+    };
+    let rows = scheduler.take_commit(1_000, &limits);
     scheduler.on_committed(&rows);
     scheduler.on_start(1_010, agent, &task(), 1, StartOutcome::Started);
     scheduler.take_effects();
--- a/components/flow_entry/src/commits.rs
+++ b/components/flow_entry/src/commits.rs
@@ -3,6 +3,7 @@
 
 use crate::coordinator::Coordinator;
 use crate::leadership::{Leadership, encode};
+use crate::limits::{MAX_ENTRIES, commit_limits};
 use crate::messages::{
     CommitDone, InFlightCommit, ResolveConflict, RetryCommit, RowsCollected, RunSchedulingPass,
 };
@@ -11,14 +12,12 @@
 use crate::rows::{LEARNED_KEY, LEASE_KEY, LeaseRow, cancel_key, flow_key, record_key};
 use actix::{AsyncContext, Context, Handler};
 use backing::{StoreError, Transaction};
-use flow::{Decision, DecisionKind, Effect, FlowEnd, FlowPhase, FlowRow};
+use flow::{Decision, DecisionKind, Effect, FlowEnd, FlowPhase, FlowRow, RecordRows};
 use model::JobId;
 use std::time::Duration;
 use telemetry::{Event, log_event};
 use utils::{boot_ms, wall_ms};
 
-/// Progress records in one commit. The store accepts at most 100 rows in a transaction.
-const MAX_RECORDS: usize = 90;
 /// Longest interval between two commits, in milliseconds. Each commit renews the lease and confirms
 /// that no other entry is the scheduler.
 const RENEW_INTERVAL_MS: u64 = 500;
@@ -38,8 +37,7 @@
 const WAITS_SEARCH_INTERVAL_MS: u64 = 3_000;
 /// Interval between two garbage collections of ended rows, in milliseconds.
 const COLLECT_INTERVAL_MS: u64 = 1_500;
-/// Ended flows whose rows one transaction replaces by a small one; each takes three rows of the
-/// transaction.
+/// Ended flows whose rows one transaction replaces by a small one.
 const COMPACTED_PER_TXN: usize = 25;
 /// Ended flows whose last row one transaction deletes; each takes one row of the transaction.
 const DELETED_PER_TXN: usize = 25;
@@ -119,9 +117,9 @@
             .flows
             .set(leadership.scheduler.flows().len() as i64);
         if leadership.in_flight.is_none() && !self.is_draining {
-            let rows = leadership.scheduler.take_commit(MAX_RECORDS);
-            if !rows.is_empty() || now_ms >= leadership.last_commit_ms + RENEW_INTERVAL_MS {
-                self.commit(now_ms, rows, false, context);
+            let records = self.next_records(now_ms, RENEW_INTERVAL_MS);
+            if let Some(records) = records {
+                self.commit(now_ms, records, false, context);
             }
         }
         self.run_effects(context);
@@ -141,11 +139,11 @@
         }
     }
 
-    /// Starts a group commit of `rows`, which also renews the lease or, if `released`, gives it up.
-    fn commit(
+    /// Starts a group commit of `records`, which also renews the lease or, if `released`, gives it up.
+    pub(crate) fn commit(
         &mut self,
         now_ms: u64,
-        rows: Vec<flow::RecordRow>,
+        records: Vec<RecordRows>,
         released: bool,
         context: &mut Context<Self>,
     ) {
@@ -161,18 +159,21 @@
         let mut txn = Transaction::default()
             .require(LEASE_KEY, Some(version))
             .put(LEASE_KEY, encode(&lease));
-        if let Some(learned) = self.learned_if_due(now_ms) {
+        let learned = self.learned_if_due(now_ms);
+        let has_learned = learned.is_some();
+        if let Some(learned) = learned {
             txn = txn.put(LEARNED_KEY, learned);
         }
-        for row in &rows {
-            txn = txn.put(record_key(&row.job), row.text.clone());
+        for record in &records {
+            txn = write_record(txn, record);
         }
         if let Some(leadership) = self.leadership.as_mut() {
             leadership.sequence = sequence;
             leadership.last_commit_ms = now_ms;
             leadership.in_flight = Some(InFlightCommit {
                 txn,
-                rows,
+                records,
+                has_learned,
                 sequence,
                 released,
                 first_sent_ms: now_ms,
@@ -185,11 +186,24 @@
     /// Takes the learned statistics for a write; `None` if they are unchanged or not due.
     fn learned_if_due(&mut self, now_ms: u64) -> Option<String> {
         let leadership = self.leadership.as_mut()?;
-        if now_ms < leadership.learned_written_ms + LEARNED_WRITE_INTERVAL_MS {
+        let is_due = now_ms >= leadership.learned_written_ms + LEARNED_WRITE_INTERVAL_MS;
+        if !is_due || leadership.isolation.is_some() {
             return None;
         }
         leadership.learned_written_ms = now_ms;
-        leadership.scheduler.take_learned()
+        let learned = leadership.scheduler.take_learned()?;
+        let (bytes, limit_bytes) = (learned.len(), self.settings.store.row_bytes);
+        if bytes > limit_bytes {
+            log_event!(
+                warn,
+                Event::CommitRefused,
+                key = LEARNED_KEY,
+                bytes,
+                limit_bytes
+            );
+            return None;
+        }
+        Some(learned)
     }
 
     /// Sends the commit in flight; the result arrives as [`CommitDone`].
@@ -247,7 +261,7 @@
                 after_ms = spent_ms
             );
         }
-        leadership.scheduler.on_committed(&done.rows);
+        leadership.scheduler.on_committed(&done.records);
         if done.released {
             self.step_down("released", context);
         } else if !self.is_draining {
@@ -277,6 +291,9 @@
                     }
                 }
                 Effect::Ended(job, phase) => self.record_end(job, phase),
+                Effect::SetAside(job, fault) => {
+                    log_event!(error, Event::FlowSetAside, job = %job, reason = %fault);
+                }
                 Effect::StepDown => self.step_down("a start was fenced off", context),
                 Effect::PressureLearned(agent, change) => {
                     log_event!(info, Event::PairJudged, agent = %agent, filler = change.filler,
@@ -329,32 +346,38 @@
             return;
         };
         leadership.collected_ms = now_ms;
+        let rows_of = |job: &JobId| leadership.scheduler.record_rows(job) + 2;
+        let first_rows = leadership.uncollected.front().map(|(job, _)| rows_of(job));
+        let room = MAX_ENTRIES.saturating_sub(first_rows.unwrap_or(0));
         let is_old = |(_, ended_ms): &&(JobId, u64)| now_ms >= ended_ms + keep_ms;
         let old = leadership
             .ended
             .iter()
             .take_while(is_old)
-            .take(DELETED_PER_TXN);
+            .take(DELETED_PER_TXN.min(room));
         let deleted: Vec<JobId> = old.map(|(job, _)| job.clone()).collect();
         if leadership.uncollected.is_empty() && deleted.is_empty() {
             return;
         }
-        let count = leadership.uncollected.len().min(COMPACTED_PER_TXN);
-        let batch: Vec<(JobId, FlowEnd)> =
-            leadership.uncollected.iter().take(count).cloned().collect();
         let mut txn = Transaction::default();
-        for (job, end) in &batch {
-            txn = txn
-                .put(flow_key(job), encode(&FlowRow::Ended(*end)))
-                .delete(cancel_key(job))
-                .delete(record_key(job));
-        }
         for job in &deleted {
             txn = txn.delete(flow_key(job));
         }
+        let mut compacted = Vec::new();
+        for (job, end) in leadership.uncollected.iter().take(COMPACTED_PER_TXN) {
+            if txn.writes.len() + rows_of(job) > MAX_ENTRIES {
+                break;
+            }
+            txn = txn
+                .put(flow_key(job), encode(&FlowRow::Ended(*end)))
+                .delete(cancel_key(job));
+            for number in 0..leadership.scheduler.record_rows(job) {
+                txn = txn.delete(record_key(job, number));
+            }
+            compacted.push(job.clone());
+        }
         leadership.is_collecting = true;
         let epoch = leadership.epoch;
-        let compacted = batch.into_iter().map(|(job, _)| job).collect();
         let (table, control) = (self.table.clone(), context.address());
         actix_rt::spawn(async move {
             let result = table.commit(&txn).await;
@@ -377,14 +400,28 @@
             context.run_later(RELEASE_PAUSE, Self::release);
             return;
         }
-        let rows = match self.leadership.as_mut() {
-            Some(leadership) => leadership.scheduler.take_commit(MAX_RECORDS),
+        let now_ms = boot_ms();
+        let limits = commit_limits(self.settings.store.row_bytes);
+        let records = match self.leadership.as_mut() {
+            Some(leadership) if leadership.isolation.is_some() => Vec::new(),
+            Some(leadership) => leadership.scheduler.take_commit(now_ms, &limits),
             None => return,
         };
-        self.commit(boot_ms(), rows, true, context);
+        self.commit(now_ms, records, true, context);
     }
 }
 
+/// Adds the rows of a record to a transaction, and deletes the further rows of the former record.
+fn write_record(mut txn: Transaction, record: &RecordRows) -> Transaction {
+    for (number, value) in record.values.iter().enumerate() {
+        txn = txn.put(record_key(&record.job, number), value.clone());
+    }
+    for number in record.values.len()..record.former_rows {
+        txn = txn.delete(record_key(&record.job, number));
+    }
+    txn
+}
+
 /// The leadership, if it is of `epoch` and its commit in flight has this sequence number.
 fn matching_commit(
     leadership: &mut Option<Leadership>,
@@ -438,10 +475,7 @@
                     });
                 });
             }
-            Err(error @ StoreError::Invalid(_)) => {
-                log_event!(error, Event::CommitRefused, sequence, reason = %error);
-                self.step_down("the store refused a commit", context);
-            }
+            Err(error @ StoreError::Invalid(_)) => self.on_commit_refused(&error, context),
             Err(StoreError::Unavailable(_) | StoreError::Unknown(_)) => {
                 self.retry_commit(epoch, sequence, tries, context);
             }
--- a/components/flow_entry/src/messages.rs
+++ b/components/flow_entry/src/messages.rs
@@ -5,7 +5,7 @@
 use actix::Message;
 use backing::{Row, StoreError};
 use flow::{
-    Delivery, FlowConfig, FlowJob, OfferId, PollReply, QueueKey, RecordRow, StartOutcome, TaskKey,
+    Delivery, FlowConfig, FlowJob, OfferId, PollReply, QueueKey, RecordRows, StartOutcome, TaskKey,
 };
 use model::{AgentId, JobId};
 use wire::{
@@ -306,7 +306,9 @@
     /// Transaction, sent unchanged with each retry.
     pub txn: backing::Transaction,
     /// Progress records that the transaction writes.
-    pub rows: Vec<RecordRow>,
+    pub records: Vec<RecordRows>,
+    /// Whether the transaction writes the learned statistics.
+    pub has_learned: bool,
     /// Sequence number of the commit.
     pub sequence: u64,
     /// Whether the commit releases the lease.
--- a/components/flow_entry/tests/slow_load.rs
+++ b/components/flow_entry/tests/slow_load.rs
@@ -77,6 +77,7 @@
         store: PlatformSettings {
             url: "http://127.0.0.1:1".to_owned(),
             timeout_ms: 100,
+            row_bytes: 65_536,
         },
         leases: LeaseSettings {
             longest_ms: 6_000,
