Allocate the states of tasks when they run, and drop them when done

Occurrences that had finished kept theirs.

Cause: new_occurrence allocated a state for each declared task, and nothing gave one back before the flow ended.

Change: a step keeps states up to the last task that was ever placed. A step whose tasks are done and have no run left drops them, an occurrence drops its steps. At most 256 occurrences of a flow are unfinished at once; later ones wait. The record keeps its form: a dropped step is written as done, and read back as dropped. A late end of a dropped task changes nothing and is acknowledged.

Ruled out: dropping states in the handler of an end. A copy of a task may still be placed then; a pass drops them once no run is left.

--- a/components/flow/src/ends.rs
+++ b/components/flow/src/ends.rs
@@ -61,7 +61,7 @@
             task.checkpoint.clone_from(&end.checkpoint);
         }
         match end.outcome {
-            RunEnd::Done if !is_long_running => task.done = true,
+            RunEnd::Done if !is_long_running => task.finish(),
             RunEnd::Failed => {
                 task.failures += 1;
                 task.avoided_agent = Some(agent.clone());
@@ -127,8 +127,13 @@
         let step = state
             .and_then(|state| state.occurrences.get_mut(key.occurrence as usize))
             .and_then(|occurrence| occurrence.steps.get_mut(key.step as usize));
-        for task in step.into_iter().flat_map(|step| step.tasks.iter_mut()) {
-            task.done = true;
+        let Some(step) = step else {
+            return;
+        };
+        for index in 0..step.count {
+            if let Some(task) = step.task_mut(index) {
+                task.finish();
+            }
         }
     }
 
--- a/components/flow/src/placement.rs
+++ b/components/flow/src/placement.rs
@@ -2,7 +2,7 @@
 
 use crate::candidate::{Candidate, FillerNeed, is_mostly_free};
 use crate::{
-    DecisionKind, FlowState, Placement, Queue, RunStage, Scheduler, TaskKey,
+    DecisionKind, FlowState, Placement, Queue, RunStage, Scheduler, StepState, TaskKey,
     scheduler::allocation_for,
 };
 use model::{JobId, ServiceName};
@@ -38,11 +38,8 @@
     /// Runs one scheduling pass: activates due occurrences and places every task that fits. Starts
     /// are sent only after the records of the placements are durable.
     pub fn place(&mut self, now_ms: u64, wall_ms: u64) {
-        let due = self
-            .flows
-            .values_mut()
-            .filter(|state| state.job.spec.schedule.is_some());
-        for state in due {
+        for state in self.flows.values_mut().filter(|state| !state.is_closed()) {
+            state.release_done_steps();
             state.activate(wall_ms);
         }
         let mut order: Vec<(Rank, JobId)> = self
@@ -70,8 +67,7 @@
             .occurrences
             .iter()
             .flat_map(|occurrence| &occurrence.steps)
-            .flat_map(|step| &step.tasks)
-            .any(|task| !task.done && task.placement.is_none());
+            .any(StepState::has_queued_tasks);
         if !has_queued_tasks {
             return None;
         }
@@ -149,18 +145,16 @@
             .occurrences
             .get(occurrence)
             .and_then(|occurrence| occurrence.steps.get(step))
-            .map(|step| step.tasks.iter().enumerate());
+            .map(StepState::all_tasks);
         tasks
             .into_iter()
             .flatten()
-            .filter(|(_, task)| {
-                !task.done && task.placement.is_none() && now_ms >= task.not_before_ms
-            })
+            .filter(|(_, task)| task.is_queued() && now_ms >= task.not_before_ms)
             .map(|(index, _)| TaskKey {
                 job: job.clone(),
                 occurrence: occurrence as u32,
                 step: step as u32,
-                index: index as u32,
+                index,
             })
             .collect()
     }
--- a/components/flow/src/record.rs
+++ b/components/flow/src/record.rs
@@ -66,15 +66,24 @@
             ..Self::default()
         };
         for occurrence in &state.occurrences {
-            let steps = occurrence.steps.iter();
-            let steps = steps.map(|step| record.step_records(step)).collect();
+            let steps = if occurrence.is_released() {
+                let specs = state.job.spec.steps.iter();
+                specs.map(|spec| done_records(spec.tasks)).collect()
+            } else {
+                let steps = occurrence.steps.iter();
+                steps.map(|step| record.step_records(step)).collect()
+            };
             record.occurrences.push(steps);
         }
         record
     }
 
-    /// Records of the tasks of a step, by index; `None` for a task that was never placed.
+    /// Records of the tasks of a step, by index; `None` for a task that was never placed. Tasks
+    /// without a state have no record.
     fn step_records(&mut self, step: &StepState) -> Vec<Option<TaskRecord>> {
+        if step.is_released {
+            return done_records(step.count);
+        }
         step.tasks
             .iter()
             .map(|task| self.task_record(task))
@@ -119,27 +128,19 @@
     pub fn restore(&self, state: &mut FlowState, now_ms: u64) {
         state.failed = self.failed;
         for (number, steps) in self.occurrences.iter().enumerate() {
-            let specs = &state.job.spec.steps;
-            let new_tasks = |tasks: u32| vec![TaskState::default(); tasks as usize];
-            let mut occurrence = OccurrenceState {
-                steps: specs
-                    .iter()
-                    .map(|step| StepState {
-                        tasks: new_tasks(step.tasks),
-                        queued_since_ms: None,
-                        filler_retry_ms: 0,
-                        margin: None,
-                    })
-                    .collect(),
-            };
+            let mut occurrence = OccurrenceState::new(&state.job.spec);
             for (step, tasks) in occurrence.steps.iter_mut().zip(steps) {
-                for (task, record) in step.tasks.iter_mut().zip(tasks) {
-                    if let Some(record) = record {
+                for (index, record) in tasks.iter().enumerate() {
+                    let Some(record) = record else {
+                        continue;
+                    };
+                    if let Some(task) = step.task_mut(index as u32) {
                         *task = self.restored_task(record, now_ms);
                         state.started = true;
                     }
                 }
             }
+            occurrence.release_if_done();
             if number < state.occurrences.len() {
                 state.occurrences[number] = occurrence;
             } else {
@@ -193,6 +194,12 @@
     }
 }
 
+/// Records of a step whose tasks are all done.
+fn done_records(tasks: u32) -> Vec<Option<TaskRecord>> {
+    let done = TaskRecord(1, 0, true, None, None);
+    vec![Some(done); tasks as usize]
+}
+
 /// Records of the tasks under which workers have crashed.
 fn crash_records(state: &FlowState) -> Vec<CrashRecord> {
     let crashed = state
--- a/components/flow/src/state.rs
+++ b/components/flow/src/state.rs
@@ -1,9 +1,28 @@
 //! State of a flow and of its tasks in the scheduler.
 
-use crate::{CrashCount, FlowJob, FlowPhase, Incarnation, StepSpec, TaskKey};
+use crate::{CrashCount, FlowJob, FlowPhase, FlowSpec, Incarnation, StepSpec, TaskKey};
 use interference::MarginTrend;
 use model::AgentId;
 
+/// Most occurrences of a flow that are activated and not done at once; later ones wait for them.
+const MAX_OPEN_OCCURRENCES: usize = 256;
+
+/// State of a task that was never placed.
+static NEVER_PLACED: TaskState = TaskState {
+    run: 0,
+    failures: 0,
+    crashes: CrashCount {
+        soon: 0,
+        alone: 0,
+        total: 0,
+    },
+    done: false,
+    checkpoint: None,
+    placement: None,
+    avoided_agent: None,
+    not_before_ms: 0,
+};
+
 /// Progress of the start or stop of a placed run.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum RunStage {
@@ -72,11 +91,31 @@
     pub not_before_ms: u64,
 }
 
-/// State of a step within one occurrence.
+impl TaskState {
+    /// Marks the task as done, and drops what only a further run would need.
+    pub fn finish(&mut self) {
+        self.done = true;
+        self.checkpoint = None;
+        self.avoided_agent = None;
+    }
+
+    /// Whether the task is neither done nor placed.
+    pub fn is_queued(&self) -> bool {
+        !self.done && self.placement.is_none()
+    }
+}
+
+/// State of a step within one occurrence. The states of tasks are allocated with their first
+/// placement, and dropped once all tasks are done.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct StepState {
-    /// Tasks, by index.
+    /// Number of tasks.
+    pub count: u32,
+    /// States of tasks, by index, up to the last task that was ever placed; empty once the step is
+    /// released.
     pub tasks: Vec<TaskState>,
+    /// Whether every task succeeded, no run is left, and the states of the tasks were dropped.
+    pub is_released: bool,
     /// Since when the step has been ready with queued tasks, in milliseconds; `None` if none is
     /// queued.
     pub queued_since_ms: Option<u64>,
@@ -88,9 +127,58 @@
 }
 
 impl StepState {
+    /// Creates the state of a step of which no task was placed.
+    pub fn new(spec: &StepSpec) -> Self {
+        Self {
+            count: spec.tasks,
+            ..Self::default()
+        }
+    }
+
     /// Whether every task succeeded.
     pub fn is_done(&self) -> bool {
-        self.tasks.iter().all(|task| task.done)
+        let all_have_run = self.tasks.len() == self.count as usize;
+        self.is_released || (all_have_run && self.tasks.iter().all(|task| task.done))
+    }
+
+    /// Whether any task is neither done nor placed.
+    pub fn has_queued_tasks(&self) -> bool {
+        self.all_tasks().any(|(_, task)| task.is_queued())
+    }
+
+    /// State of a task, or `None` if there is no such task or the step is released.
+    pub fn task(&self, index: u32) -> Option<&TaskState> {
+        let is_known = !self.is_released && index < self.count;
+        is_known.then(|| self.tasks.get(index as usize).unwrap_or(&NEVER_PLACED))
+    }
+
+    /// Mutable state of a task, which is allocated if need be; `None` as for [`StepState::task`].
+    pub fn task_mut(&mut self, index: u32) -> Option<&mut TaskState> {
+        if self.is_released || index >= self.count {
+            return None;
+        }
+        let needed = index as usize + 1;
+        if self.tasks.len() < needed {
+            self.tasks.resize_with(needed, TaskState::default);
+        }
+        self.tasks.get_mut(index as usize)
+    }
+
+    /// All tasks with their indices, also those that were never placed; none if the step is
+    /// released.
+    pub fn all_tasks(&self) -> impl Iterator<Item = (u32, &TaskState)> {
+        let count = if self.is_released { 0 } else { self.count };
+        (0..count).filter_map(|index| Some((index, self.task(index)?)))
+    }
+
+    /// Drops the states of the tasks if all are done and no run is left.
+    fn release_if_done(&mut self) {
+        let has_placements = self.tasks.iter().any(|task| task.placement.is_some());
+        if !self.is_released && !has_placements && self.is_done() {
+            self.is_released = true;
+            self.tasks = Vec::new();
+            self.margin = None;
+        }
     }
 
     /// Number of failed runs of all tasks together.
@@ -102,10 +190,37 @@
 /// State of one occurrence of a flow.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct OccurrenceState {
-    /// Steps, by number.
+    /// Steps, by number; none once all are done and released.
     pub steps: Vec<StepState>,
 }
 
+impl OccurrenceState {
+    /// Creates the state of an occurrence of which no task was placed.
+    pub fn new(spec: &FlowSpec) -> Self {
+        Self {
+            steps: spec.steps.iter().map(StepState::new).collect(),
+        }
+    }
+
+    /// Whether every task of every step succeeded.
+    pub fn is_done(&self) -> bool {
+        self.steps.iter().all(StepState::is_done)
+    }
+
+    /// Whether all steps were done and their states were dropped.
+    pub fn is_released(&self) -> bool {
+        self.steps.is_empty()
+    }
+
+    /// Drops the states of the steps that are done and have no run left.
+    pub fn release_if_done(&mut self) {
+        self.steps.iter_mut().for_each(StepState::release_if_done);
+        if self.steps.iter().all(|step| step.is_released) {
+            self.steps = Vec::new();
+        }
+    }
+}
+
 /// State of a flow.
 #[derive(Debug, Clone)]
 pub struct FlowState {
@@ -145,37 +260,50 @@
         }
     }
 
-    /// Activates the occurrences that are due at `wall_ms`. Returns whether there were any.
+    /// Activates the occurrences that are due at `wall_ms`, as long as few enough are not done.
+    /// Returns whether there were any.
     pub fn activate(&mut self, wall_ms: u64) -> bool {
         let before = self.occurrences.len();
         let total = self.job.spec.occurrences() as usize;
-        while self.occurrences.len() < total {
+        let is_open = |occurrence: &&OccurrenceState| !occurrence.is_released();
+        let mut open = self.occurrences.iter().filter(is_open).count();
+        while self.occurrences.len() < total && open < MAX_OPEN_OCCURRENCES {
             let next = self.occurrences.len() as u32;
             if self.job.spec.due_wall_ms(next) > wall_ms {
                 break;
             }
-            self.occurrences.push(new_occurrence(&self.job));
+            self.occurrences.push(OccurrenceState::new(&self.job.spec));
+            open += 1;
         }
         self.occurrences.len() > before
     }
 
-    /// State of a task, or `None` if its occurrence is not activated or there is no such task.
+    /// Drops the states of tasks that can't be needed any more: those of steps that are done.
+    pub fn release_done_steps(&mut self) {
+        for occurrence in &mut self.occurrences {
+            occurrence.release_if_done();
+        }
+    }
+
+    /// State of a task, or `None` if its occurrence is not activated, its step is released, or there
+    /// is no such task.
     pub fn task(&self, key: &TaskKey) -> Option<&TaskState> {
-        self.step(key)?.tasks.get(key.index as usize)
+        self.step(key)?.task(key.index)
     }
 
     /// Mutable state of a task; `None` as for [`FlowState::task`].
     pub fn task_mut(&mut self, key: &TaskKey) -> Option<&mut TaskState> {
-        self.step_mut(key)?.tasks.get_mut(key.index as usize)
+        self.step_mut(key)?.task_mut(key.index)
     }
 
-    /// State of the step that a task belongs to; `None` as for [`FlowState::task`].
+    /// State of the step that a task belongs to, or `None` if its occurrence is not activated or is
+    /// released.
     pub fn step(&self, key: &TaskKey) -> Option<&StepState> {
         let occurrence = self.occurrences.get(key.occurrence as usize)?;
         occurrence.steps.get(key.step as usize)
     }
 
-    /// Mutable state of the step that a task belongs to; `None` as for [`FlowState::task`].
+    /// Mutable state of the step that a task belongs to; `None` as for [`FlowState::step`].
     pub fn step_mut(&mut self, key: &TaskKey) -> Option<&mut StepState> {
         let occurrence = self.occurrences.get_mut(key.occurrence as usize)?;
         occurrence.steps.get_mut(key.step as usize)
@@ -186,7 +314,7 @@
         self.job.spec.steps.get(step as usize)
     }
 
-    /// All tasks of activated occurrences with their keys, in order.
+    /// All tasks with allocated states, with their keys, in order.
     pub fn tasks(&self) -> impl Iterator<Item = (TaskKey, &TaskState)> {
         let numbered = self.occurrences.iter().enumerate();
         numbered.flat_map(move |(occurrence, state)| {
@@ -213,6 +341,9 @@
         let Some(state) = self.occurrences.get(occurrence) else {
             return false;
         };
+        if state.is_done() {
+            return true;
+        }
         let Some(spec) = self.job.spec.steps.get(step) else {
             return false;
         };
@@ -233,10 +364,7 @@
     /// Whether every occurrence was activated and every task succeeded.
     pub fn is_complete(&self) -> bool {
         self.occurrences.len() == self.job.spec.occurrences() as usize
-            && self
-                .occurrences
-                .iter()
-                .all(|occurrence| occurrence.steps.iter().all(StepState::is_done))
+            && self.occurrences.iter().all(OccurrenceState::is_done)
     }
 
     /// Whether the flow was cancelled or failed, so that no further task may start.
@@ -273,16 +401,3 @@
         }
     }
 }
-
-/// State of an occurrence of which no task was placed.
-fn new_occurrence(job: &FlowJob) -> OccurrenceState {
-    let new_step = |step: &StepSpec| StepState {
-        tasks: vec![TaskState::default(); step.tasks as usize],
-        queued_since_ms: None,
-        filler_retry_ms: 0,
-        margin: None,
-    };
-    OccurrenceState {
-        steps: job.spec.steps.iter().map(new_step).collect(),
-    }
-}
--- a/components/flow/tests/common/mod.rs
+++ b/components/flow/tests/common/mod.rs
@@ -7,9 +7,9 @@
 mod worker;
 
 use flow::{
-    Effect, FlowConfig, FlowJob, FlowPhase, FlowRecord, FlowSpec, Incarnation, Pool, Queue,
-    QueueKey, RecordRow, ReportTimes, RunEnd, RunRef, RunningTask, Scheduler, StartOutcome,
-    StepSpec, TaskKey, WorkerInfo, WorkerReport,
+    Effect, EndedRun, FlowConfig, FlowJob, FlowPhase, FlowRecord, FlowSpec, Incarnation, Pool,
+    Queue, QueueKey, RecordRow, ReportTimes, RunEnd, RunRef, RunningTask, Schedule, Scheduler,
+    StartOutcome, StepSpec, TaskKey, WorkerInfo, WorkerReport,
 };
 use model::{AgentId, JobId, Resources};
 use std::collections::{BTreeMap, BTreeSet};
@@ -172,13 +172,23 @@
 
     /// Accepts a flow.
     pub fn submit(&mut self, id: &str, steps: Vec<StepSpec>) -> JobId {
+        self.submit_scheduled(id, steps, None)
+    }
+
+    /// Accepts a flow with a schedule. The time of day is always 0.
+    pub fn submit_scheduled(
+        &mut self,
+        id: &str,
+        steps: Vec<StepSpec>,
+        schedule: Option<Schedule>,
+    ) -> JobId {
         let job = FlowJob {
             id: id.into(),
             queue: queue(),
             spec: FlowSpec {
                 payload: "p".to_owned(),
                 steps,
-                schedule: None,
+                schedule,
             },
             accepted_wall_ms: 0,
         };
@@ -266,6 +276,26 @@
         self.scheduler.on_lease_expired(self.now_ms, agent);
     }
 
+    /// Lets a worker report an end of run 1 of a task of a flow's first step, although it reported
+    /// such an end before.
+    pub fn report_end(&mut self, agent: &AgentId, job: &JobId, index: u32, outcome: RunEnd) {
+        let task = TaskKey {
+            job: job.clone(),
+            occurrence: 0,
+            step: 0,
+            index,
+        };
+        let worker = self.workers.get_mut(agent).unwrap();
+        worker.ended.push(EndedRun {
+            number: worker.next_end,
+            task,
+            run: 1,
+            outcome,
+            checkpoint: None,
+        });
+        worker.next_end += 1;
+    }
+
     /// Advances the simulation by `span_ms`.
     pub fn run_for(&mut self, span_ms: u64) {
         let until_ms = self.now_ms + span_ms;
