Refuse a flow that asks for more than a limit allows

Seen: a job of some 100 bytes with a step of two million tasks got 200.

Cause: FlowSpec::fault accepted any number of tasks, steps and occurrences, and sums of declared times could overflow.

Change: FlowLimits, with settings and defaults, holds for steps, tasks of all steps, occurrences and bytes; a task's declared time is limited to one year. An entry checks it before anything is stored: 400 with the field, the number asked for and the limit.

Ruled out: failing at load what exceeds the entry's own settings. A flow that another entry accepted under greater settings would be lost.

--- a/components/flow/src/job.rs
+++ b/components/flow/src/job.rs
@@ -17,6 +17,33 @@
     pub accepted_wall_ms: u64,
 }
 
+impl FlowJob {
+    /// Size of the flow's row in the table, in bytes.
+    pub fn size_bytes(&self) -> u64 {
+        let mut counter = ByteCounter(0);
+        // Rows are plain data, whose serialization does not fail.
+        let _ = serde_json::to_writer(&mut counter, self);
+        counter.0 + ROW_BYTES
+    }
+}
+
+/// Bytes of a flow's row besides the flow: the name of the variant and its braces.
+const ROW_BYTES: u64 = 13;
+
+/// Counts the bytes that are written, and keeps none of them.
+struct ByteCounter(u64);
+
+impl std::io::Write for ByteCounter {
+    fn write(&mut self, bytes: &[u8]) -> std::io::Result<usize> {
+        self.0 += bytes.len() as u64;
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> std::io::Result<()> {
+        Ok(())
+    }
+}
+
 /// Identity of a queue: the address by which callers reach it.
 #[derive(Debug, Clone, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct QueueKey {
--- a/components/flow/src/record.rs
+++ b/components/flow/src/record.rs
@@ -126,7 +126,7 @@
     /// Applies the record to the state of a flow that was just read from the table. The runs in it
     /// are unconfirmed, because a former scheduler ordered them.
     pub fn restore(&self, state: &mut FlowState, now_ms: u64) {
-        state.failed = self.failed;
+        state.failed |= self.failed;
         for (number, steps) in self.occurrences.iter().enumerate() {
             let mut occurrence = OccurrenceState::new(&state.job.spec);
             for (step, tasks) in occurrence.steps.iter_mut().zip(steps) {
--- a/components/flow/src/scheduler.rs
+++ b/components/flow/src/scheduler.rs
@@ -4,8 +4,8 @@
 use crate::suspects::suspects;
 use crate::view::{Allocation, Fleet, WorkerView};
 use crate::{
-    Decision, DecisionKind, Effect, FlowConfig, FlowJob, FlowPhase, FlowRecord, FlowState,
-    Placement, QueueKey, RunRef, RunStage, StartInput, StepSpec, TaskKey,
+    Decision, DecisionKind, Effect, FlowConfig, FlowJob, FlowLimits, FlowPhase, FlowRecord,
+    FlowState, LimitExceeded, Placement, QueueKey, RunRef, RunStage, StartInput, StepSpec, TaskKey,
 };
 use interference::PressureModel;
 use model::{AgentId, JobId};
@@ -67,18 +67,42 @@
         self.config.version
     }
 
-    /// Adds an accepted flow and activates its due occurrences. Returns whether it was new.
+    /// Adds an accepted flow and activates its due occurrences. Returns whether it was new. A flow
+    /// beyond [`FlowLimits::MAX`], which an earlier version may have accepted, fails instead.
     pub fn add(&mut self, now_ms: u64, wall_ms: u64, job: FlowJob) -> bool {
         if self.flows.contains_key(&job.id) || self.ended.contains_key(&job.id) {
             return false;
         }
         let id = job.id.clone();
         let mut state = FlowState::new(job, now_ms);
-        state.activate(wall_ms);
-        self.flows.insert(id, state);
+        let exceeded = FlowLimits::MAX.check_spec(&state.job.spec).err();
+        if exceeded.is_none() {
+            state.activate(wall_ms);
+        }
+        self.flows.insert(id.clone(), state);
+        if let Some(exceeded) = exceeded {
+            self.fail_oversized(&id, exceeded);
+        }
         true
     }
 
+    /// Fails a flow that asks for more than a limit allows, of which nothing is allocated.
+    fn fail_oversized(&mut self, job: &JobId, exceeded: LimitExceeded) {
+        if let Some(state) = self.flows.get_mut(job) {
+            state.failed = true;
+            state.exceeds_limits = true;
+        }
+        let key = TaskKey {
+            job: job.clone(),
+            occurrence: 0,
+            step: 0,
+            index: 0,
+        };
+        let detail = exceeded.to_string();
+        self.log_decision(DecisionKind::Failed, &key, 0, &"".into(), detail);
+        self.mark_dirty(job);
+    }
+
     /// Adds a flow that has ended according to the table.
     pub fn add_ended(&mut self, job: JobId, phase: FlowPhase) {
         self.flows.remove(&job);
@@ -107,7 +131,9 @@
         let Some(state) = self.flows.get_mut(job) else {
             return self.ended.contains_key(job);
         };
-        if state.end().is_none() {
+        let is_open = state.end().is_none();
+        // A flow that failed only because it was loaded may have been cancelled before.
+        if is_open || (state.exceeds_limits && !state.cancelled) {
             state.cancelled = true;
             self.stop_flow(now_ms, job);
         }
--- a/components/flow/src/spec.rs
+++ b/components/flow/src/spec.rs
@@ -1,5 +1,6 @@
 //! Specification of a flow by its caller: steps of tasks that depend on each other.
 
+use crate::{FlowLimits, LimitExceeded};
 use model::Resources;
 use serde::{Deserialize, Serialize};
 use std::fmt;
@@ -104,10 +105,23 @@
     /// ```
     pub fn due_wall_ms(&self, occurrence: u32) -> u64 {
         self.schedule.map_or(0, |schedule| {
-            schedule.first_wall_ms + u64::from(occurrence) * schedule.interval_ms
+            let after_ms = u64::from(occurrence).saturating_mul(schedule.interval_ms);
+            schedule.first_wall_ms.saturating_add(after_ms)
         })
     }
 
+    /// Number of tasks of all steps together, in one occurrence.
+    ///
+    /// ```
+    /// use flow::{FlowSpec, StepSpec};
+    /// let step = StepSpec { tasks: u32::MAX, ..Default::default() };
+    /// let spec = FlowSpec { steps: vec![step.clone(), step], ..Default::default() };
+    /// assert_eq!(spec.tasks(), 2 * u64::from(u32::MAX));
+    /// ```
+    pub fn tasks(&self) -> u64 {
+        self.steps.iter().map(|step| u64::from(step.tasks)).sum()
+    }
+
     /// Whether any step is long-running, that is, runs until the flow is cancelled.
     ///
     /// ```
@@ -131,23 +145,30 @@
         for step in &self.steps {
             let before = step.after.iter().filter_map(|at| ends.get(*at as usize));
             let begin = before.copied().max().unwrap_or(0);
-            ends.push(begin + step.estimate_ms);
+            ends.push(begin.saturating_add(step.estimate_ms));
         }
         ends.into_iter().max().unwrap_or(0)
     }
 
-    /// First fault of the specification, or `None` if it is valid.
+    /// First fault of the specification, or `None` if it is valid and within `limits`.
     ///
     /// ```
-    /// use flow::{FlowSpec, StepSpec};
-    /// assert!(FlowSpec::default().fault().is_some());
+    /// use flow::{FlowLimits, FlowSpec, StepSpec};
+    /// let limits = FlowLimits::default();
+    /// assert!(FlowSpec::default().fault(&limits).is_some());
     /// let step = StepSpec { tasks: 1, ..Default::default() };
-    /// assert_eq!(FlowSpec { steps: vec![step], ..Default::default() }.fault(), None);
+    /// assert_eq!(FlowSpec { steps: vec![step], ..Default::default() }.fault(&limits), None);
     /// ```
-    pub fn fault(&self) -> Option<SpecFault> {
+    pub fn fault(&self, limits: &FlowLimits) -> Option<SpecFault> {
         if self.steps.is_empty() {
             return Some(SpecFault::NoSteps);
         }
+        if let Err(exceeded) = limits.check_spec(self) {
+            return Some(SpecFault::Limit(exceeded));
+        }
+        if self.due_wall_ms(self.occurrences().saturating_sub(1)) == u64::MAX {
+            return Some(SpecFault::NeverDue);
+        }
         let numbered = self.steps.iter().enumerate();
         for (number, step) in numbered {
             if step.tasks == 0 {
@@ -205,4 +226,10 @@
     /// A step, given by its number, depends on itself or on a later one.
     #[error("steps[{0}]: depends on a step that does not come before it")]
     Order(usize),
+    /// The flow asks for more than a limit allows.
+    #[error(transparent)]
+    Limit(LimitExceeded),
+    /// The time at which the last occurrence is due can't be represented.
+    #[error("schedule: the last occurrence is never due")]
+    NeverDue,
 }
--- a/components/flow/src/state.rs
+++ b/components/flow/src/state.rs
@@ -230,6 +230,9 @@
     pub cancelled: bool,
     /// Whether a task failed as often as its queue allows.
     pub failed: bool,
+    /// Whether the flow asks for more than [`FlowLimits::MAX`](crate::FlowLimits::MAX), so that it
+    /// failed when it was loaded.
+    pub exceeds_limits: bool,
     /// Activated occurrences, in order.
     pub occurrences: Vec<OccurrenceState>,
     /// Revision of the record; grows with each change.
@@ -251,6 +254,7 @@
             job,
             cancelled: false,
             failed: false,
+            exceeds_limits: false,
             occurrences: Vec::new(),
             revision: 0,
             durable_revision: 0,
--- a/components/flow/tests/limits.rs
+++ b/components/flow/tests/limits.rs
@@ -1,10 +1,17 @@
-//! Memory that the states of flows take, in virtual time.
+//! Flows of any size, in virtual time: each is refused or takes little memory.
 
 mod common;
 
-use common::{Sim, step};
-use flow::{FlowState, RunEnd, Schedule, StepSpec};
+use common::{Sim, queue, step};
+use flow::{
+    FlowJob, FlowLimits, FlowPhase, FlowSpec, FlowState, RunEnd, Schedule, Scheduler, SpecFault,
+    StepSpec,
+};
 use model::AgentId;
+use proptest::prelude::*;
+
+/// Most bytes of the states of one flow of which nothing was placed: 256 occurrences of 64 steps.
+const MAX_IDLE_BYTES: usize = 4 << 20;
 
 /// Bytes that the states of a flow's occurrences, steps and tasks take.
 fn state_bytes(state: &FlowState) -> usize {
@@ -15,6 +22,177 @@
         + tasks * size_of::<flow::TaskState>()
 }
 
+fn job(spec: FlowSpec) -> FlowJob {
+    FlowJob {
+        id: "j".into(),
+        queue: queue(),
+        spec,
+        accepted_wall_ms: 0,
+    }
+}
+
+fn flow_of(steps: Vec<StepSpec>) -> FlowSpec {
+    FlowSpec {
+        steps,
+        ..FlowSpec::default()
+    }
+}
+
+/// Numbers of which some are small and some are at the end of their range.
+fn any_size() -> impl Strategy<Value = u32> {
+    prop_oneof![
+        0..50_u32,
+        9_990..10_010_u32,
+        Just(2_000_000),
+        any::<u32>(),
+        Just(u32::MAX)
+    ]
+}
+
+fn any_time() -> impl Strategy<Value = u64> {
+    prop_oneof![0..10_000_u64, any::<u64>(), Just(u64::MAX)]
+}
+
+fn any_step() -> impl Strategy<Value = StepSpec> {
+    let after = proptest::collection::vec(0..4_u32, 0..3);
+    let flags = any::<[bool; 4]>();
+    (any_size(), any_time(), after, flags).prop_map(|(tasks, estimate_ms, after, flags)| {
+        let [gang, long_running, filler, same_rack] = flags;
+        StepSpec {
+            tasks,
+            estimate_ms,
+            after,
+            gang,
+            long_running,
+            filler,
+            same_rack,
+            ..StepSpec::default()
+        }
+    })
+}
+
+fn any_spec() -> impl Strategy<Value = FlowSpec> {
+    let schedule = (any_time(), any_time(), any_size());
+    let schedule = schedule.prop_map(|(first_wall_ms, interval_ms, occurrences)| Schedule {
+        first_wall_ms,
+        interval_ms,
+        occurrences,
+    });
+    let steps = proptest::collection::vec(any_step(), 0..5);
+    (steps, proptest::option::of(schedule)).prop_map(|(steps, schedule)| FlowSpec {
+        payload: String::new(),
+        steps,
+        schedule,
+    })
+}
+
+proptest! {
+    /// Guards against a specification that is neither refused nor kept in little memory, and
+    /// against sums of its numbers that overflow.
+    #[test]
+    fn any_specification_is_refused_or_takes_little_memory(
+        spec in any_spec(),
+        wall_ms in any_time(),
+    ) {
+        let fault = spec.fault(&FlowLimits::default());
+        let _ = (spec.tasks(), spec.chain_ms(), spec.due_wall_ms(u32::MAX), spec.to_string());
+        // A scheduler loads it all the same if an earlier version accepted it.
+        let mut scheduler = Scheduler::default();
+        scheduler.set_config(common::config());
+        scheduler.add(1_000, wall_ms, job(spec));
+        scheduler.place(1_000, wall_ms);
+        let state = scheduler.flow(&"j".into()).expect("the flow is known");
+        let bytes = state_bytes(state);
+        prop_assert!(bytes <= MAX_IDLE_BYTES, "{bytes} bytes, {fault:?}");
+        let rows = scheduler.take_commit(10);
+        scheduler.on_committed(&rows);
+        prop_assert!(scheduler.phase(&"j".into()).is_some());
+    }
+}
+
+/// Guards against a fault that does not name the limit and the number asked for.
+#[test]
+fn a_fault_names_the_field_the_limit_and_the_number_asked_for() {
+    let limits = FlowLimits::default();
+    let tasks = |tasks| StepSpec {
+        tasks,
+        ..StepSpec::default()
+    };
+    let recurring = FlowSpec {
+        schedule: Some(Schedule {
+            first_wall_ms: 1,
+            interval_ms: 1,
+            occurrences: 10_001,
+        }),
+        ..flow_of(vec![tasks(1)])
+    };
+    let late = StepSpec {
+        estimate_ms: u64::MAX,
+        ..tasks(1)
+    };
+    let specs = [
+        flow_of(vec![tasks(10_001)]),
+        flow_of(vec![tasks(6_000), tasks(4_001)]),
+        flow_of(vec![tasks(1); 65]),
+        flow_of(vec![late]),
+        recurring,
+    ];
+    let faults: Vec<String> = specs
+        .iter()
+        .map(|spec| {
+            spec.fault(&limits)
+                .expect("it is beyond a limit")
+                .to_string()
+        })
+        .collect();
+    assert_eq!(
+        faults,
+        [
+            "steps[0].tasks: 10001 exceeds the limit of 10000",
+            "tasks of all steps: 10001 exceeds the limit of 10000",
+            "steps: 65 exceeds the limit of 64",
+            "steps[0].estimate_ms: 18446744073709551615 exceeds the limit of 31536000000",
+            "schedule.occurrences: 10001 exceeds the limit of 10000",
+        ]
+    );
+    let at_the_limit = flow_of(vec![tasks(10_000)]);
+    assert_eq!(at_the_limit.fault(&limits), None);
+    let never_due = FlowSpec {
+        schedule: Some(Schedule {
+            first_wall_ms: u64::MAX - 1,
+            interval_ms: 1,
+            occurrences: 3,
+        }),
+        ..flow_of(vec![tasks(1)])
+    };
+    assert_eq!(never_due.fault(&limits), Some(SpecFault::NeverDue));
+}
+
+/// Guards against a flow beyond the limits that is started, or that ends a scheduler, although an
+/// earlier version accepted it; and against a cancellation of it that is lost.
+#[test]
+fn a_flow_beyond_the_limits_fails_when_it_is_added_or_is_cancelled() {
+    let huge = || job(flow_of(vec![step(2_000_000, 100, 100)]));
+    for is_cancelled in [false, true] {
+        let mut sim = Sim::new(2);
+        sim.scheduler.add(sim.now_ms, 0, huge());
+        let id = huge().id;
+        if is_cancelled {
+            assert!(sim.scheduler.cancel(sim.now_ms, &id));
+        }
+        let other = sim.submit("other", vec![step(4, 1_000, 400)]);
+        sim.run_for(3_000);
+        let expected = if is_cancelled {
+            FlowPhase::Cancelled
+        } else {
+            FlowPhase::Failed
+        };
+        assert_eq!(sim.scheduler.phase(&id), Some(expected));
+        assert_eq!(sim.ended_ms[&other].1, FlowPhase::Completed);
+        assert!(sim.scheduler.cancel(sim.now_ms, &id), "it is still known");
+    }
+}
+
 /// A schedule of which every occurrence is due at once.
 fn due_at_once(occurrences: u32) -> Option<Schedule> {
     Some(Schedule {
--- a/components/flow_entry/src/handle.rs
+++ b/components/flow_entry/src/handle.rs
@@ -5,7 +5,7 @@
 use crate::messages::{Cancel, CountQueued, GetPhase, GetReadiness, Submit};
 use crate::metrics::Metrics;
 use actix::Addr;
-use flow::{FlowConfig, FlowJob, FlowPhase, QueueKey};
+use flow::{FlowConfig, FlowJob, FlowLimits, FlowPhase, QueueKey, SpecFault};
 use model::JobId;
 use std::sync::Arc;
 use utils::boot_ms;
@@ -29,6 +29,8 @@
     pub(crate) control: Addr<Coordinator>,
     /// Configuration in force.
     pub(crate) config: ConfigView,
+    /// Limits on what one flow may ask for.
+    pub(crate) limits: FlowLimits,
     /// Metrics that the entry exports.
     pub(crate) metrics: Metrics,
 }
@@ -51,6 +53,12 @@
         self.control.send(GetReadiness).await.unwrap_or(false)
     }
 
+    /// First fault of a flow, or `None` if it may be submitted.
+    pub fn fault(&self, job: &FlowJob) -> Option<SpecFault> {
+        let fault = job.spec.fault(&self.limits);
+        fault.or_else(|| self.limits.check_job(job).err().map(SpecFault::Limit))
+    }
+
     /// Submits a flow. While the table's answer is ambiguous, retries for up to `limit_ms`.
     pub async fn submit(&self, job: FlowJob, limit_ms: u64) -> SubmitOutcome {
         let until_ms = boot_ms() + limit_ms;
--- a/components/flow_entry/src/run.rs
+++ b/components/flow_entry/src/run.rs
@@ -7,8 +7,9 @@
 use crate::metrics::Metrics;
 use crate::rpc::Rpc;
 use actix::Actor;
+use flow::FlowLimits;
 use rand::RngExt;
-use settings::FlowEntrySettings;
+use settings::{FlowEntrySettings, FlowLimitSettings};
 use std::time::Duration;
 use telemetry::{Event, log_event};
 use wire::serve_scheduler;
@@ -41,10 +42,21 @@
     Ok(EntryHandle {
         control,
         config,
+        limits: limits(&settings.limits),
         metrics,
     })
 }
 
+/// Limits of the settings.
+fn limits(settings: &FlowLimitSettings) -> FlowLimits {
+    FlowLimits {
+        steps: settings.steps,
+        tasks: settings.tasks,
+        occurrences: settings.occurrences,
+        job_bytes: settings.job_bytes,
+    }
+}
+
 impl EntryHandle {
     /// Turns readiness off, releases the lease, and returns after a share of `grace_ms`, in which
     /// the entry still answers.
--- a/components/flow_entry/tests/common/mod.rs
+++ b/components/flow_entry/tests/common/mod.rs
@@ -8,7 +8,7 @@
 use flow::FlowConfig;
 use flow_entry::{ConfigSource, ConfigUpdate, Dependencies, EntryHandle};
 use serde::Deserialize;
-use settings::{FlowEntrySettings, LeaseSettings, PlatformSettings};
+use settings::{FlowEntrySettings, FlowLimitSettings, LeaseSettings, PlatformSettings};
 use standin::MemoryTable;
 use std::cell::RefCell;
 use std::net::SocketAddr;
@@ -142,6 +142,7 @@
                 longest_ms: 6_000,
                 slack_ms: 300,
             },
+            limits: FlowLimitSettings::default(),
             keep_ended_ms: 1_500,
             grace_ms: 1_000,
         };
--- a/components/settings/src/flow.rs
+++ b/components/settings/src/flow.rs
@@ -39,6 +39,10 @@
     /// Properties of the leases that workers grant.
     #[garde(dive)]
     pub leases: LeaseSettings,
+    /// Limits on what one flow may ask for.
+    #[serde(default)]
+    #[garde(dive)]
+    pub limits: FlowLimitSettings,
     /// Time for which the state of an ended flow can be requested, in milliseconds.
     #[serde(default = "default_keep_ended_ms")]
     #[garde(range(min = 1_000, max = 86_400_000))]
@@ -49,6 +53,35 @@
     pub grace_ms: u64,
 }
 
+/// Limits on what one flow may ask for; a flow beyond them is refused when it is submitted.
+#[derive(Debug, Clone, Copy, Serialize, Deserialize, Validate)]
+#[serde(deny_unknown_fields, default)]
+pub struct FlowLimitSettings {
+    /// Number of steps.
+    #[garde(range(min = 1, max = 256))]
+    pub steps: u32,
+    /// Number of tasks of all steps together, in one occurrence.
+    #[garde(range(min = 1, max = 40_000))]
+    pub tasks: u32,
+    /// Number of occurrences.
+    #[garde(range(min = 1, max = 100_000))]
+    pub occurrences: u32,
+    /// Size of the flow as it is stored, in bytes. It must fit in a row of the store.
+    #[garde(range(min = 1_000, max = 1_000_000))]
+    pub job_bytes: u32,
+}
+
+impl Default for FlowLimitSettings {
+    fn default() -> Self {
+        Self {
+            steps: 64,
+            tasks: 10_000,
+            occurrences: 10_000,
+            job_bytes: 48_000,
+        }
+    }
+}
+
 /// Properties of the leases that workers grant to the scheduler.
 #[derive(Debug, Clone, Copy, Serialize, Deserialize, Validate)]
 #[serde(deny_unknown_fields)]
--- /dev/null
+++ b/tests/limits.rs
@@ -0,0 +1,113 @@
+//! Jobs that ask for more than a limit allows: real processes with stand-ins for the platform.
+
+mod common;
+
+use common::flow_fleet::{Fleet, WAIT_LIMIT, ids};
+use common::sleep_ms;
+use platform_standin::job;
+use serde_json::{Value, json};
+use std::time::{Duration, Instant};
+
+/// Most memory that an entry of a debug build may have used, in kibibytes.
+const MAX_PEAK_KIB: u64 = 64 * 1_024;
+
+/// A job of one step.
+fn one_step(count: u64, label: &str) -> Value {
+    let step = json!({ "count": count, "cpu": 100, "requestedMemoryMb": 10, "estimatedMs": 100,
+        "requirements": label });
+    json!({ "taskSpec": "100", "steps": [step] })
+}
+
+/// Field of the status of an entry's process, in kibibytes; the entry must not have ended.
+fn status_kib(fleet: &mut Fleet, entry: usize, field: &str) -> u64 {
+    let child = &mut fleet.entries[entry].1.process.child;
+    assert!(child.try_wait().unwrap().is_none(), "an entry has ended");
+    let status = std::fs::read_to_string(format!("/proc/{}/status", child.id())).unwrap();
+    let value = status.lines().find_map(|line| line.strip_prefix(field));
+    let value = value.and_then(|value| value.split_whitespace().nth(1)?.parse().ok());
+    value.expect("the memory of the process is known")
+}
+
+/// Asserts that no entry has ended or has used much memory.
+fn assert_entries_are_small(fleet: &mut Fleet) {
+    for entry in 0..fleet.entries.len() {
+        let peak_kib = status_kib(fleet, entry, "VmHWM");
+        assert!(peak_kib < MAX_PEAK_KIB, "an entry used {peak_kib} KiB");
+    }
+}
+
+/// Waits until an entry shows a job in this state.
+async fn wait_for_state(fleet: &Fleet, id: &str, state: &str) {
+    let started = Instant::now();
+    while fleet.state(0, id).await != state {
+        assert!(
+            started.elapsed() < WAIT_LIMIT,
+            "{id} is {}",
+            fleet.state(0, id).await
+        );
+        sleep_ms(50).await;
+    }
+}
+
+/// Guards against a step of two million tasks that is accepted, after which each scheduler exceeds
+/// its memory, and all jobs of all callers stop.
+#[actix_rt::test]
+async fn a_job_beyond_a_limit_is_refused_at_once_and_others_complete() {
+    let mut fleet = Fleet::start(2, 2).await;
+    let ids = ids(3);
+    assert_eq!(fleet.submit(0, &ids[0], &job(3, 300)).await, 200);
+    let began = Instant::now();
+    let (status, refusal) = fleet
+        .call("POST", 0, &ids[1], &one_step(2_000_000, ""))
+        .await;
+    assert!(began.elapsed() < Duration::from_millis(400));
+    assert_eq!(
+        (status, refusal["text"].as_str()),
+        (
+            400,
+            Some("steps[0].count: 2000000 exceeds the limit of 10000")
+        )
+    );
+    assert_eq!(
+        fleet.call("GET", 1, &ids[1], &Value::Null).await.0,
+        410,
+        "a refused job is stored nowhere"
+    );
+    assert_eq!(fleet.submit(1, &ids[2], &job(3, 300)).await, 200);
+    fleet
+        .wait_until_completed(&[ids[0].clone(), ids[2].clone()])
+        .await;
+    assert_entries_are_small(&mut fleet);
+}
+
+/// Guards against a job of two million tasks, accepted by an earlier version, that ends each
+/// scheduler that loads it.
+#[actix_rt::test]
+async fn a_stored_job_beyond_the_limits_fails_and_no_scheduler_ends() {
+    let mut fleet = Fleet::start(2, 2).await;
+    let ids = ids(3);
+    // No worker has this label, so that the job waits.
+    for id in &ids[..2] {
+        assert_eq!(fleet.submit(0, id, &one_step(3, "nowhere")).await, 200);
+    }
+    for (_, node) in &mut fleet.entries {
+        node.process.kill();
+    }
+    for (id, value) in fleet.store.values("flows") {
+        let part = fleet.store.part_of("flows", &id);
+        let grown = value.replace("\"tasks\":3,", "\"tasks\":2000000,");
+        assert_ne!(grown, value);
+        fleet.store.put("flows", &part, &id, &grown);
+    }
+    for (_, node) in &mut fleet.entries {
+        node.restart();
+    }
+    fleet.wait_until_ready().await;
+    assert_eq!(fleet.submit(1, &ids[2], &job(3, 300)).await, 200);
+    fleet
+        .wait_until_completed(std::slice::from_ref(&ids[2]))
+        .await;
+    wait_for_state(&fleet, &ids[0], "failed").await;
+    assert_eq!(fleet.call("DELETE", 1, &ids[1], &Value::Null).await.0, 200);
+    assert_entries_are_small(&mut fleet);
+}
