Show a recorded end before a new scheduler's first commit

Seen (review, by the code only): a completed flow whose rows were not collected yet was shown as running by a new scheduler until its next commit.

Cause: a new scheduler has the record of an ended flow written once more, which raises its revision; FlowState::phase shows an end only of a durable revision, although the record that was read held the end.

Change: a restored end counts as durable. The field reported_end, which was never used, is gone.

--- a/components/flow/src/scheduler.rs
+++ b/components/flow/src/scheduler.rs
@@ -116,6 +116,7 @@
             return;
         };
         record.restore(state, now_ms);
+        state.is_end_restored = !state.exceeds_limits && state.end().is_some();
         let placed: Vec<(TaskKey, u32, AgentId)> = placements(state)
             .map(|(key, run, placement)| (key, run, placement.agent.clone()))
             .collect();
--- a/components/flow/src/state.rs
+++ b/components/flow/src/state.rs
@@ -243,8 +243,8 @@
     pub first_seen_ms: u64,
     /// Whether a run of any task was ever started.
     pub started: bool,
-    /// Not used: always false.
-    pub reported_end: bool,
+    /// Whether the record that a former scheduler wrote holds the flow's end.
+    pub is_end_restored: bool,
 }
 
 impl FlowState {
@@ -260,7 +260,7 @@
             durable_revision: 0,
             first_seen_ms: now_ms,
             started: false,
-            reported_end: false,
+            is_end_restored: false,
         }
     }
 
@@ -399,7 +399,7 @@
     pub fn phase(&self) -> FlowPhase {
         match self.end() {
             Some(FlowPhase::Cancelled) => FlowPhase::Cancelled,
-            Some(end) if self.is_durable() => end,
+            Some(end) if self.is_durable() || self.is_end_restored => end,
             _ if self.started => FlowPhase::Running,
             _ => FlowPhase::Queued,
         }
