Place at most 500 tasks of a step in one pass

On the share of a processor that an entry has, passes would take most of it, for all callers.

Cause: each pass made a list of the keys of all queued tasks of a step, although it stops at the first that finds no worker.

Change: a pass takes the first 500 queued tasks of a step; the next pass takes the next ones. A gang is still taken whole, as it is placed whole.

Evidence: components/flow/tests/limits.rs, a_pass_places_some_tasks_...: before "left: Some(4000) right: Some(500)", passes now, and all 4,000 start within 2 s.

--- a/components/flow/src/placement.rs
+++ b/components/flow/src/placement.rs
@@ -23,6 +23,9 @@
 /// change with the reports of the workers.
 const FILLER_RETRY_MS: u64 = 100;
 
+/// Most tasks of a step that one pass places, unless the step is a gang; later passes place the others.
+const MAX_STEP_TASKS_PER_PASS: usize = 500;
+
 /// Sort key of a flow in a scheduling pass; the lowest is placed first.
 #[derive(Debug, Clone, Copy, PartialEq, PartialOrd)]
 struct Rank {
@@ -130,7 +133,8 @@
         }
     }
 
-    /// Tasks of a step that are neither done nor placed and whose restart delay has passed.
+    /// Tasks of a step that are neither done nor placed and whose restart delay has passed: all of a
+    /// gang, and otherwise as many as one pass may place.
     pub(crate) fn queued_tasks(
         &self,
         now_ms: u64,
@@ -141,6 +145,13 @@
         let Some(state) = self.flows.get(job) else {
             return Vec::new();
         };
+        let is_gang = state.step_spec(step as u32).is_some_and(|spec| spec.gang);
+        let limit = if is_gang {
+            usize::MAX
+        } else {
+            // Suspects are placed apart from the others, so that they must not take their turns.
+            MAX_STEP_TASKS_PER_PASS + self.suspects.len()
+        };
         let tasks = state
             .occurrences
             .get(occurrence)
@@ -150,6 +161,7 @@
             .into_iter()
             .flatten()
             .filter(|(_, task)| task.is_queued() && now_ms >= task.not_before_ms)
+            .take(limit)
             .map(|(index, _)| TaskKey {
                 job: job.clone(),
                 occurrence: occurrence as u32,
--- a/components/flow/tests/limits.rs
+++ b/components/flow/tests/limits.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use common::{Sim, queue, step};
+use common::{STEP_MS, Sim, queue, step};
 use flow::{
     FlowJob, FlowLimits, FlowPhase, FlowSpec, FlowState, RunEnd, Schedule, Scheduler, SpecFault,
     StepSpec,
@@ -292,3 +292,18 @@
     assert!(sim.run_until_ended(20_000));
     assert_eq!(sim.starts[&job], 6 * 6, "each task started once");
 }
+
+/// Guards against a scheduling pass that takes longer the more tasks a step declares, and against
+/// tasks that are left behind because a pass places only some.
+#[test]
+fn a_pass_places_some_tasks_of_a_large_step_and_later_passes_the_others() {
+    let mut sim = Sim::new(80);
+    sim.run_for(400);
+    let job = sim.submit("f", vec![step(4_000, 100, 60_000)]);
+    sim.run_for(STEP_MS);
+    let placed = |sim: &Sim| sim.scheduler.flow(&job).map(|state| state.tasks().count());
+    assert_eq!(placed(&sim), Some(500));
+    sim.run_for(2_000);
+    assert_eq!(placed(&sim), Some(4_000));
+    assert_eq!(sim.starts[&job], 4_000);
+}
