Measure the memory of an entry against the tasks that jobs declare

Not measured: a job at the limit while its tasks run, and many small jobs of one queue, whose number has no limit yet.

--- a/components/flow/tests/limits.rs
+++ b/components/flow/tests/limits.rs
@@ -218,7 +218,8 @@
 }
 
 /// Guards against states that stay allocated after their occurrence has finished, and against
-/// occurrences that are activated although as many are unfinished as may be.
+/// occurrences that are activated although as many are unfinished as may be. Prints the figures of
+/// docs/CAPACITY.md.
 #[test]
 fn finished_occurrences_give_their_memory_back() {
     let mut bytes = Vec::new();
@@ -242,6 +243,10 @@
         }
         let state = sim.scheduler.flow(&job).expect("one occurrence is left");
         bytes.push(state_bytes(state));
+        println!(
+            "{occurrences} occurrences finished: {} bytes",
+            state_bytes(state)
+        );
         assert!(sim.run_until_ended(10_000));
         assert_eq!(sim.completed(), 1);
     }
--- a/tests/limits.rs
+++ b/tests/limits.rs
@@ -168,3 +168,26 @@
     fleet.wait_until_completed(std::slice::from_ref(id)).await;
     assert_entries_are_small(&mut fleet);
 }
+
+/// Guards against memory of the scheduler that grows with the tasks that jobs declare. Prints the
+/// figures of docs/CAPACITY.md; run it with `--release -- --nocapture` for these.
+#[actix_rt::test]
+async fn the_memory_of_an_entry_does_not_grow_with_the_tasks_declared() {
+    const JOBS: usize = 40;
+    let mut resident_kib = Vec::new();
+    for count in [36, 4_000, 10_000] {
+        let mut fleet = Fleet::start(1, 1).await;
+        let before_kib = status_kib(&mut fleet, 0, "VmRSS");
+        for id in &ids(JOBS) {
+            assert_eq!(fleet.submit(0, id, &one_step(count, "nowhere")).await, 200);
+        }
+        sleep_ms(1_000).await;
+        let after_kib = status_kib(&mut fleet, 0, "VmRSS");
+        let peak_kib = status_kib(&mut fleet, 0, "VmHWM");
+        println!("{JOBS} jobs of {count} tasks: {before_kib} to {after_kib} KiB, peak {peak_kib}");
+        resident_kib.push(after_kib);
+        assert_entries_are_small(&mut fleet);
+    }
+    let growth_kib = resident_kib[2].saturating_sub(resident_kib[0]);
+    assert!(growth_kib < 4_096, "{resident_kib:?} KiB");
+}
