--- a/components/flow/src/placement.rs
+++ b/components/flow/src/placement.rs
@@ -2,7 +2,7 @@
 
 use crate::candidate::{Candidate, FillerNeed};
 use crate::{
-    DecisionKind, FlowState, Placement, Queue, RunStage, Scheduler, TaskKey,
+    DecisionKind, FlowState, Placement, Queue, RunStage, Scheduler, StepState, TaskKey,
     scheduler::allocation_for,
 };
 use model::{JobId, ServiceName};
@@ -25,6 +25,9 @@
 /// change with the reports of the workers.
 const FILLER_RETRY_MS: u64 = 100;
 
+/// Most tasks of a step that one pass places, unless the step is a gang; later passes place the others.
+const MAX_STEP_TASKS_PER_PASS: usize = 500;
+
 /// Sort key of a flow in a scheduling pass; the lowest is placed first.
 #[derive(Debug, Clone, Copy, PartialEq, PartialOrd)]
 struct Rank {
@@ -40,11 +43,8 @@
     /// Runs one scheduling pass: activates due occurrences and places every task that fits. Starts
     /// are sent only after the records of the placements are durable.
     pub fn place(&mut self, now_ms: u64, wall_ms: u64) {
-        let due = self
-            .flows
-            .values_mut()
-            .filter(|state| state.job.spec.schedule.is_some());
-        for state in due {
+        for state in self.flows.values_mut().filter(|state| !state.is_closed()) {
+            state.release_done_steps();
             state.activate(wall_ms);
         }
         let mut order: Vec<(Rank, JobId)> = self
@@ -72,8 +72,7 @@
             .occurrences
             .iter()
             .flat_map(|occurrence| &occurrence.steps)
-            .flat_map(|step| &step.tasks)
-            .any(|task| !task.done && task.placement.is_none());
+            .any(StepState::has_queued_tasks);
         if !has_queued_tasks {
             return None;
         }
@@ -136,7 +135,8 @@
         }
     }
 
-    /// Tasks of a step that are neither done nor placed and whose restart delay has passed.
+    /// Tasks of a step that are neither done nor placed and whose restart delay has passed: all of a
+    /// gang, and otherwise as many as one pass may place.
     pub(crate) fn queued_tasks(
         &self,
         now_ms: u64,
@@ -147,22 +147,28 @@
         let Some(state) = self.flows.get(job) else {
             return Vec::new();
         };
+        let is_gang = state.step_spec(step as u32).is_some_and(|spec| spec.gang);
+        let limit = if is_gang {
+            usize::MAX
+        } else {
+            // Suspects are placed apart from the others, so that they must not take their turns.
+            MAX_STEP_TASKS_PER_PASS + self.suspects.len()
+        };
         let tasks = state
             .occurrences
             .get(occurrence)
             .and_then(|occurrence| occurrence.steps.get(step))
-            .map(|step| step.tasks.iter().enumerate());
+            .map(StepState::all_tasks);
         tasks
             .into_iter()
             .flatten()
-            .filter(|(_, task)| {
-                !task.done && task.placement.is_none() && now_ms >= task.not_before_ms
-            })
+            .filter(|(_, task)| task.is_queued() && now_ms >= task.not_before_ms)
+            .take(limit)
             .map(|(index, _)| TaskKey {
                 job: job.clone(),
                 occurrence: occurrence as u32,
                 step: step as u32,
-                index: index as u32,
+                index,
             })
             .collect()
     }
--- a/components/flow/src/record.rs
+++ b/components/flow/src/record.rs
@@ -119,7 +119,7 @@
     /// Adds the steps of an occurrence of which any task was placed.
     fn add_steps(&mut self, occurrence: u32, state: &OccurrenceState) {
         for (number, step) in state.steps.iter().enumerate() {
-            let done: Ranges = step.tasks.iter().map(is_settled).collect();
+            let done = settled_tasks(step);
             let numbered = step.tasks.iter().enumerate();
             let open = numbered.filter(|(_, task)| task.run > 0 && !is_settled(task));
             let tasks: Vec<TaskRecord> = open
@@ -166,24 +166,22 @@
     /// Applies the record to the state of a flow that was just read from the table. The runs in it
     /// are unconfirmed, because a former scheduler ordered them.
     pub fn restore(&self, state: &mut FlowState, now_ms: u64) {
-        state.failed = self.failed;
+        state.failed |= self.failed;
         let activated = self.activated.max(self.former.activated());
         let activated = activated.min(state.job.spec.occurrences()) as usize;
         while state.occurrences.len() < activated {
-            let occurrence = unplaced_occurrence(state);
+            let occurrence = OccurrenceState::new(&state.job.spec);
             state.occurrences.push(occurrence);
         }
         for number in self.finished.below(activated) {
-            let steps = &mut state.occurrences[number].steps;
-            let tasks = steps.iter_mut().flat_map(|step| step.tasks.iter_mut());
-            tasks.for_each(|task| *task = done_task());
+            state.occurrences[number] = OccurrenceState::default();
+            state.started = true;
         }
         for step in &self.steps {
             self.restore_step(state, now_ms, step);
         }
         self.restore_former(state, now_ms);
-        let has_started = state.tasks().any(|(_, task)| task.run > 0);
-        state.started |= has_started;
+        state.release_done_steps();
         self.restore_crashes(state);
     }
 
@@ -192,14 +190,17 @@
         let StepRecord(occurrence, step, done, open) = record;
         let occurrence = state.occurrences.get_mut(*occurrence as usize);
         let step = occurrence.and_then(|occurrence| occurrence.steps.get_mut(*step as usize));
-        let Some(StepState { tasks, .. }) = step else {
+        let Some(step) = step else {
             return;
         };
-        for index in done.below(tasks.len()) {
-            tasks[index] = done_task();
+        state.started = true;
+        for index in done.below(step.count as usize) {
+            if let Some(task) = step.task_mut(index as u32) {
+                *task = done_task();
+            }
         }
         for TaskRecord(index, run, failures, done, checkpoint, worker) in open {
-            let Some(task) = tasks.get_mut(*index as usize) else {
+            let Some(task) = step.task_mut(*index) else {
                 continue;
             };
             *task = TaskState {
@@ -218,9 +219,10 @@
         for (occurrence, step, index, former) in self.former.tasks() {
             let occurrence = state.occurrences.get_mut(occurrence);
             let step = occurrence.and_then(|occurrence| occurrence.steps.get_mut(step));
-            if let Some(task) = step.and_then(|step| step.tasks.get_mut(index)) {
+            if let Some(task) = step.and_then(|step| step.task_mut(index as u32)) {
                 let placement = self.restored_placement(former.worker(), now_ms);
                 *task = former.restored(placement);
+                state.started = true;
             }
         }
     }
@@ -263,18 +265,6 @@
     }
 }
 
-/// State of an occurrence of a flow of which no task was placed.
-fn unplaced_occurrence(state: &FlowState) -> OccurrenceState {
-    let specs = state.job.spec.steps.iter();
-    let steps = specs.map(|spec| StepState {
-        tasks: vec![TaskState::default(); spec.tasks as usize],
-        ..StepState::default()
-    });
-    OccurrenceState {
-        steps: steps.collect(),
-    }
-}
-
 /// State of a task that is restored as done.
 fn done_task() -> TaskState {
     TaskState {
@@ -289,10 +279,18 @@
     task.done && task.placement.is_none()
 }
 
+/// Settled tasks of a step.
+fn settled_tasks(step: &StepState) -> Ranges {
+    match step.is_released {
+        true => (0..step.count).map(|_| true).collect(),
+        false => step.tasks.iter().map(is_settled).collect(),
+    }
+}
+
 /// Whether every task of an occurrence is settled.
 fn is_finished(occurrence: &OccurrenceState) -> bool {
-    let mut tasks = occurrence.steps.iter().flat_map(|step| &step.tasks);
-    tasks.all(is_settled)
+    let is_settled_step = |step: &StepState| step.is_done() && step.tasks.iter().all(is_settled);
+    occurrence.steps.iter().all(is_settled_step)
 }
 
 /// Records of the tasks under which workers have crashed.
--- a/components/flow/src/state.rs
+++ b/components/flow/src/state.rs
@@ -1,9 +1,13 @@
-//! State of a flow and of its tasks in the scheduler.
+//! State of a flow and of its placements in the scheduler.
 
-use crate::{CrashCount, FlowJob, FlowPhase, Incarnation, StepSpec, TaskKey};
-use interference::MarginTrend;
+use crate::{
+    FlowJob, FlowPhase, Incarnation, OccurrenceState, StepSpec, StepState, TaskKey, TaskState,
+};
 use model::AgentId;
 
+/// Most occurrences of a flow that are activated and not done at once; later ones wait for them.
+const MAX_OPEN_OCCURRENCES: usize = 256;
+
 /// Progress of the start or stop of a placed run.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum RunStage {
@@ -51,61 +55,6 @@
     pub pace_changed_ms: u64,
 }
 
-/// State of a task.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
-pub struct TaskState {
-    /// Number of the newest run; 0 before the first.
-    pub run: u32,
-    /// Number of failed runs.
-    pub failures: u32,
-    /// Crashes of workers under its runs.
-    pub crashes: CrashCount,
-    /// Whether a run succeeded; never set for long-running tasks.
-    pub done: bool,
-    /// Newest checkpoint, if there is one.
-    pub checkpoint: Option<String>,
-    /// Placement of the newest run; `None` once the run is known to have ended.
-    pub placement: Option<Placement>,
-    /// Agent of the worker on which the task last failed or stalled; placement prefers others.
-    pub avoided_agent: Option<AgentId>,
-    /// Time before which the task is not placed again, in milliseconds.
-    pub not_before_ms: u64,
-}
-
-/// State of a step within one occurrence.
-#[derive(Debug, Clone, Default, PartialEq)]
-pub struct StepState {
-    /// Tasks, by index.
-    pub tasks: Vec<TaskState>,
-    /// Since when the step has been ready with queued tasks, in milliseconds; `None` if none is
-    /// queued.
-    pub queued_since_ms: Option<u64>,
-    /// Time before which no worker is searched for the step's fillers, in milliseconds.
-    pub filler_retry_ms: u64,
-    /// Margin that the step's latency-critical tasks have without fillers; `None` before the first
-    /// report of one.
-    pub margin: Option<MarginTrend>,
-}
-
-impl StepState {
-    /// Whether every task succeeded.
-    pub fn is_done(&self) -> bool {
-        self.tasks.iter().all(|task| task.done)
-    }
-
-    /// Number of failed runs of all tasks together.
-    pub fn failures(&self) -> u32 {
-        self.tasks.iter().map(|task| task.failures).sum()
-    }
-}
-
-/// State of one occurrence of a flow.
-#[derive(Debug, Clone, Default, PartialEq)]
-pub struct OccurrenceState {
-    /// Steps, by number.
-    pub steps: Vec<StepState>,
-}
-
 /// State of a flow.
 #[derive(Debug, Clone)]
 pub struct FlowState {
@@ -115,6 +64,9 @@
     pub cancelled: bool,
     /// Whether a task failed as often as its queue allows.
     pub failed: bool,
+    /// Whether the flow asks for more than [`FlowLimits::MAX`](crate::FlowLimits::MAX), so that it
+    /// failed when it was loaded.
+    pub exceeds_limits: bool,
     /// Activated occurrences, in order.
     pub occurrences: Vec<OccurrenceState>,
     /// Revision of the record; grows with each change.
@@ -125,8 +77,8 @@
     pub first_seen_ms: u64,
     /// Whether a run of any task was ever started.
     pub started: bool,
-    /// Not used: always false.
-    pub reported_end: bool,
+    /// Whether the record that a former scheduler wrote holds the flow's end.
+    pub is_end_restored: bool,
 }
 
 impl FlowState {
@@ -136,46 +88,60 @@
             job,
             cancelled: false,
             failed: false,
+            exceeds_limits: false,
             occurrences: Vec::new(),
             revision: 0,
             durable_revision: 0,
             first_seen_ms: now_ms,
             started: false,
-            reported_end: false,
+            is_end_restored: false,
         }
     }
 
-    /// Activates the occurrences that are due at `wall_ms`. Returns whether there were any.
+    /// Activates the occurrences that are due at `wall_ms`, as long as few enough are not done.
+    /// Returns whether there were any.
     pub fn activate(&mut self, wall_ms: u64) -> bool {
         let before = self.occurrences.len();
         let total = self.job.spec.occurrences() as usize;
-        while self.occurrences.len() < total {
+        let is_open = |occurrence: &&OccurrenceState| !occurrence.is_released();
+        let mut open = self.occurrences.iter().filter(is_open).count();
+        while self.occurrences.len() < total && open < MAX_OPEN_OCCURRENCES {
             let next = self.occurrences.len() as u32;
             if self.job.spec.due_wall_ms(next) > wall_ms {
                 break;
             }
-            self.occurrences.push(new_occurrence(&self.job));
+            self.occurrences.push(OccurrenceState::new(&self.job.spec));
+            open += 1;
         }
         self.occurrences.len() > before
     }
 
-    /// State of a task, or `None` if its occurrence is not activated or there is no such task.
+    /// Drops the states of tasks that can't be needed any more: those of steps that are done.
+    pub fn release_done_steps(&mut self) {
+        for occurrence in &mut self.occurrences {
+            occurrence.release_if_done();
+        }
+    }
+
+    /// State of a task, or `None` if its occurrence is not activated, its step is released, or there
+    /// is no such task.
     pub fn task(&self, key: &TaskKey) -> Option<&TaskState> {
-        self.step(key)?.tasks.get(key.index as usize)
+        self.step(key)?.task(key.index)
     }
 
     /// Mutable state of a task; `None` as for [`FlowState::task`].
     pub fn task_mut(&mut self, key: &TaskKey) -> Option<&mut TaskState> {
-        self.step_mut(key)?.tasks.get_mut(key.index as usize)
+        self.step_mut(key)?.task_mut(key.index)
     }
 
-    /// State of the step that a task belongs to; `None` as for [`FlowState::task`].
+    /// State of the step that a task belongs to, or `None` if its occurrence is not activated or is
+    /// released.
     pub fn step(&self, key: &TaskKey) -> Option<&StepState> {
         let occurrence = self.occurrences.get(key.occurrence as usize)?;
         occurrence.steps.get(key.step as usize)
     }
 
-    /// Mutable state of the step that a task belongs to; `None` as for [`FlowState::task`].
+    /// Mutable state of the step that a task belongs to; `None` as for [`FlowState::step`].
     pub fn step_mut(&mut self, key: &TaskKey) -> Option<&mut StepState> {
         let occurrence = self.occurrences.get_mut(key.occurrence as usize)?;
         occurrence.steps.get_mut(key.step as usize)
@@ -186,7 +152,7 @@
         self.job.spec.steps.get(step as usize)
     }
 
-    /// All tasks of activated occurrences with their keys, in order.
+    /// All tasks with allocated states, with their keys, in order.
     pub fn tasks(&self) -> impl Iterator<Item = (TaskKey, &TaskState)> {
         let numbered = self.occurrences.iter().enumerate();
         numbered.flat_map(move |(occurrence, state)| {
@@ -213,6 +179,9 @@
         let Some(state) = self.occurrences.get(occurrence) else {
             return false;
         };
+        if state.is_done() {
+            return true;
+        }
         let Some(spec) = self.job.spec.steps.get(step) else {
             return false;
         };
@@ -233,10 +202,7 @@
     /// Whether every occurrence was activated and every task succeeded.
     pub fn is_complete(&self) -> bool {
         self.occurrences.len() == self.job.spec.occurrences() as usize
-            && self
-                .occurrences
-                .iter()
-                .all(|occurrence| occurrence.steps.iter().all(StepState::is_done))
+            && self.occurrences.iter().all(OccurrenceState::is_done)
     }
 
     /// Whether the flow was cancelled or failed, so that no further task may start.
@@ -267,22 +233,9 @@
     pub fn phase(&self) -> FlowPhase {
         match self.end() {
             Some(FlowPhase::Cancelled) => FlowPhase::Cancelled,
-            Some(end) if self.is_durable() => end,
+            Some(end) if self.is_durable() || self.is_end_restored => end,
             _ if self.started => FlowPhase::Running,
             _ => FlowPhase::Queued,
         }
     }
 }
-
-/// State of an occurrence of which no task was placed.
-fn new_occurrence(job: &FlowJob) -> OccurrenceState {
-    let new_step = |step: &StepSpec| StepState {
-        tasks: vec![TaskState::default(); step.tasks as usize],
-        queued_since_ms: None,
-        filler_retry_ms: 0,
-        margin: None,
-    };
-    OccurrenceState {
-        steps: job.spec.steps.iter().map(new_step).collect(),
-    }
-}
--- a/components/flow/src/waiting.rs
+++ b/components/flow/src/waiting.rs
@@ -94,9 +94,7 @@
         if state.end().is_some() {
             return Vec::new();
         }
-        let ready = state.tasks().filter(|(key, task)| {
-            !task.done && state.is_step_ready(key.occurrence as usize, key.step as usize)
-        });
+        let ready = ready_tasks(state);
         if state.job.spec.is_long_running() {
             let idle = ready.filter(|(_, task)| !self.is_at_work(task));
             return idle
@@ -186,3 +184,25 @@
         }
     }
 }
+
+/// Tasks of a flow that are not done and whose turn has come, in order.
+fn ready_tasks(state: &FlowState) -> impl Iterator<Item = (TaskKey, &TaskState)> {
+    let numbered = state.occurrences.iter().enumerate();
+    let steps = numbered.flat_map(|(occurrence, occurrence_state)| {
+        let steps = occurrence_state.steps.iter().enumerate();
+        steps.map(move |(step, step_state)| (occurrence, step, step_state))
+    });
+    let ready = steps.filter(|(occurrence, step, _)| state.is_step_ready(*occurrence, *step));
+    ready.flat_map(move |(occurrence, step, step_state)| {
+        let open = step_state.all_tasks().filter(|(_, task)| !task.done);
+        open.map(move |(index, task)| {
+            let key = TaskKey {
+                job: state.job.id.clone(),
+                occurrence: occurrence as u32,
+                step: step as u32,
+                index,
+            };
+            (key, task)
+        })
+    })
+}
--- a/components/flow_entry/tests/slow_load.rs
+++ b/components/flow_entry/tests/slow_load.rs
@@ -7,7 +7,7 @@
 use common::{SlowTable, pause};
 use flow::FlowConfig;
 use flow_entry::{ConfigSource, ConfigUpdate, Dependencies, EntryHandle};
-use settings::{FlowEntrySettings, LeaseSettings, PlatformSettings};
+use settings::{FlowEntrySettings, FlowLimitSettings, LeaseSettings, PlatformSettings};
 use std::rc::Rc;
 
 /// Time until a page of a scan is read, in milliseconds. Three are read one after the other.
@@ -79,6 +79,7 @@
             timeout_ms: 100,
             row_bytes: 65_536,
         },
+        limits: FlowLimitSettings::default(),
         leases: LeaseSettings {
             longest_ms: 6_000,
             slack_ms: 300,
