--- a/components/flow/src/health.rs
+++ b/components/flow/src/health.rs
@@ -101,7 +101,7 @@
         let is_watching = newest_run_ms.is_some_and(|placed_ms| {
             placed_ms >= self.paused_until_ms && now_ms < placed_ms + PROBATION_RUN_MS
         });
-        !self.is_paused(now_ms) && !(self.is_on_probation && is_watching)
+        !(self.is_paused(now_ms) || self.is_on_probation && is_watching)
     }
 
     /// Whether the worker is paused.
