--- a/components/flow_entry/src/commits.rs
+++ b/components/flow_entry/src/commits.rs
@@ -1,19 +1,16 @@
-//! Scheduling passes, group commits, the effects that follow from a commit, and the garbage
-//! collection of ended rows.
+//! Scheduling passes and group commits.
 
 use crate::coordinator::Coordinator;
 use crate::leadership::{Leadership, encode};
-use crate::limits::{MAX_ENTRIES, commit_limits};
+use crate::limits::commit_limits;
 use crate::messages::{
-    CommitDone, InFlightCommit, ResolveConflict, RetryCommit, RowsCollected, RunSchedulingPass,
+    CommitDone, InFlightCommit, ResolveConflict, RetryCommit, RunSchedulingPass,
 };
-use crate::metrics::Metrics;
 use crate::reads::read_row;
-use crate::rows::{LEARNED_KEY, LEASE_KEY, LeaseRow, cancel_key, flow_key, record_key};
+use crate::rows::{LEARNED_KEY, LEASE_KEY, LeaseRow, record_key};
 use actix::{AsyncContext, Context, Handler};
 use backing::{StoreError, Transaction};
-use flow::{Decision, DecisionKind, Effect, FlowEnd, FlowPhase, FlowRow, RecordRows};
-use model::JobId;
+use flow::RecordRows;
 use std::time::Duration;
 use telemetry::{Event, log_event};
 use utils::{boot_ms, wall_ms};
@@ -37,10 +34,6 @@
 const WAITS_SEARCH_INTERVAL_MS: u64 = 3_000;
 /// Interval between two garbage collections of ended rows, in milliseconds.
 const COLLECT_INTERVAL_MS: u64 = 1_500;
-/// Ended flows whose rows one transaction replaces by a small one.
-const COMPACTED_PER_TXN: usize = 25;
-/// Ended flows whose last row one transaction deletes; each takes one row of the transaction.
-const DELETED_PER_TXN: usize = 25;
 
 impl Coordinator {
     /// Does the periodic work of the scheduler.
@@ -269,127 +262,6 @@
         }
     }
 
-    /// Carries out the effects that the scheduler has queued.
-    pub(crate) fn run_effects(&mut self, context: &mut Context<Self>) {
-        let effects = match self.leadership.as_mut() {
-            Some(leadership) => leadership.scheduler.take_effects(),
-            None => return,
-        };
-        for effect in effects {
-            match effect {
-                Effect::Start(run, input) => self.send_start(run, input, context),
-                Effect::Stop(run) => self.send_stop(run, context),
-                Effect::Pace(run, percent) => self.send_pace(run, percent),
-                Effect::Acknowledge(agent) => {
-                    let is_awaiting_ack = self
-                        .leadership
-                        .as_ref()
-                        .and_then(|leadership| leadership.agents.get(&agent))
-                        .is_some_and(|connection| connection.is_awaiting_ack);
-                    if is_awaiting_ack {
-                        self.poll(&agent, context);
-                    }
-                }
-                Effect::Ended(job, phase) => self.record_end(job, phase),
-                Effect::SetAside(job, fault) => {
-                    log_event!(error, Event::FlowSetAside, job = %job, reason = %fault);
-                }
-                Effect::StepDown => self.step_down("a start was fenced off", context),
-                Effect::PressureLearned(agent, change) => {
-                    log_event!(info, Event::PairJudged, agent = %agent, filler = change.filler,
-                        serving = change.critical, pressure = change.pressure);
-                }
-                Effect::Decided(decision) => self.log_decision(&decision),
-            }
-        }
-    }
-
-    /// Records that the end of a flow is durable.
-    fn record_end(&mut self, job: JobId, phase: FlowPhase) {
-        let Some(leadership) = self.leadership.as_mut() else {
-            return;
-        };
-        log_event!(info, Event::FlowEnded, job = %job, state = %phase, epoch = leadership.epoch);
-        Metrics::count(&self.metrics.ends, &phase);
-        let end = FlowEnd {
-            phase,
-            ended_wall_ms: wall_ms(),
-        };
-        leadership.ended.push_back((job.clone(), boot_ms()));
-        leadership.uncollected.push_back((job, end));
-    }
-
-    /// Counts and logs a decision of the scheduler.
-    fn log_decision(&self, decision: &Decision) {
-        Metrics::count(&self.metrics.decisions, &decision.kind);
-        let event = match decision.kind {
-            DecisionKind::Placed => Event::TaskPlaced,
-            DecisionKind::Ended => Event::RunEnded,
-            DecisionKind::Lost => Event::RunGone,
-            DecisionKind::Refused => Event::StartRefused,
-            DecisionKind::Orphaned => Event::RunStray,
-            DecisionKind::Stalled => Event::RunStalled,
-            DecisionKind::Paused => Event::WorkerPaused,
-            DecisionKind::Failed => Event::FlowFailed,
-            DecisionKind::Suspected => Event::RunSuspected,
-            DecisionKind::Moved => Event::RunMoved,
-        };
-        log_event!(info, event, job = %decision.task.job, task = %decision.task, run = decision.run,
-            agent = %decision.agent, detail = %decision.detail);
-    }
-
-    /// Replaces the rows of ended flows by one small row each, and deletes these after
-    /// `keep_ended_ms`.
-    fn collect_ended_rows(&mut self, now_ms: u64, context: &mut Context<Self>) {
-        let keep_ms = self.settings.keep_ended_ms;
-        let Some(leadership) = self.leadership.as_mut() else {
-            return;
-        };
-        leadership.collected_ms = now_ms;
-        let rows_of = |job: &JobId| leadership.scheduler.record_rows(job) + 2;
-        let first_rows = leadership.uncollected.front().map(|(job, _)| rows_of(job));
-        let room = MAX_ENTRIES.saturating_sub(first_rows.unwrap_or(0));
-        let is_old = |(_, ended_ms): &&(JobId, u64)| now_ms >= ended_ms + keep_ms;
-        let old = leadership
-            .ended
-            .iter()
-            .take_while(is_old)
-            .take(DELETED_PER_TXN.min(room));
-        let deleted: Vec<JobId> = old.map(|(job, _)| job.clone()).collect();
-        if leadership.uncollected.is_empty() && deleted.is_empty() {
-            return;
-        }
-        let mut txn = Transaction::default();
-        for job in &deleted {
-            txn = txn.delete(flow_key(job));
-        }
-        let mut compacted = Vec::new();
-        for (job, end) in leadership.uncollected.iter().take(COMPACTED_PER_TXN) {
-            if txn.writes.len() + rows_of(job) > MAX_ENTRIES {
-                break;
-            }
-            txn = txn
-                .put(flow_key(job), encode(&FlowRow::Ended(*end)))
-                .delete(cancel_key(job));
-            for number in 0..leadership.scheduler.record_rows(job) {
-                txn = txn.delete(record_key(job, number));
-            }
-            compacted.push(job.clone());
-        }
-        leadership.is_collecting = true;
-        let epoch = leadership.epoch;
-        let (table, control) = (self.table.clone(), context.address());
-        actix_rt::spawn(async move {
-            let result = table.commit(&txn).await;
-            control.do_send(RowsCollected {
-                epoch,
-                compacted,
-                deleted,
-                result,
-            });
-        });
-    }
-
     /// Releases the lease with a last commit, after the commit in flight if there is one.
     pub(crate) fn release(&mut self, context: &mut Context<Self>) {
         let is_busy = self
@@ -526,30 +398,3 @@
         }
     }
 }
-
-impl Handler<RowsCollected> for Coordinator {
-    type Result = ();
-
-    fn handle(&mut self, collected: RowsCollected, _: &mut Self::Context) {
-        self.store_health.observe(boot_ms(), &collected.result);
-        let Some(leadership) = self
-            .leadership
-            .as_mut()
-            .filter(|leadership| leadership.epoch == collected.epoch)
-        else {
-            return;
-        };
-        leadership.is_collecting = false;
-        if collected.result.is_ok() {
-            leadership
-                .uncollected
-                .retain(|(job, _)| !collected.compacted.contains(job));
-            leadership
-                .ended
-                .retain(|(job, _)| !collected.deleted.contains(job));
-            for job in &collected.deleted {
-                leadership.scheduler.evict_ended(job);
-            }
-        }
-    }
-}
--- /dev/null
+++ b/components/flow_entry/src/effects.rs
@@ -0,0 +1,80 @@
+//! Effects of the scheduler's decisions: orders to agents, ends of flows, and the log.
+
+use crate::coordinator::Coordinator;
+use crate::metrics::Metrics;
+use actix::Context;
+use flow::{Decision, DecisionKind, Effect, FlowEnd, FlowPhase};
+use model::JobId;
+use telemetry::{Event, log_event};
+use utils::{boot_ms, wall_ms};
+
+impl Coordinator {
+    /// Carries out the effects that the scheduler has queued.
+    pub(crate) fn run_effects(&mut self, context: &mut Context<Self>) {
+        let effects = match self.leadership.as_mut() {
+            Some(leadership) => leadership.scheduler.take_effects(),
+            None => return,
+        };
+        for effect in effects {
+            match effect {
+                Effect::Start(run, input) => self.send_start(run, input, context),
+                Effect::Stop(run) => self.send_stop(run, context),
+                Effect::Pace(run, percent) => self.send_pace(run, percent),
+                Effect::Acknowledge(agent) => {
+                    let is_awaiting_ack = self
+                        .leadership
+                        .as_ref()
+                        .and_then(|leadership| leadership.agents.get(&agent))
+                        .is_some_and(|connection| connection.is_awaiting_ack);
+                    if is_awaiting_ack {
+                        self.poll(&agent, context);
+                    }
+                }
+                Effect::Ended(job, phase) => self.record_end(job, phase),
+                Effect::SetAside(job, fault) => {
+                    log_event!(error, Event::FlowSetAside, job = %job, reason = %fault);
+                }
+                Effect::StepDown => self.step_down("a start was fenced off", context),
+                Effect::PressureLearned(agent, change) => {
+                    log_event!(info, Event::PairJudged, agent = %agent, filler = change.filler,
+                        serving = change.critical, pressure = change.pressure);
+                }
+                Effect::Decided(decision) => self.log_decision(&decision),
+            }
+        }
+    }
+
+    /// Records that the end of a flow is durable.
+    fn record_end(&mut self, job: JobId, phase: FlowPhase) {
+        let Some(leadership) = self.leadership.as_mut() else {
+            return;
+        };
+        log_event!(info, Event::FlowEnded, job = %job, state = %phase, epoch = leadership.epoch);
+        Metrics::count(&self.metrics.ends, &phase);
+        let end = FlowEnd {
+            phase,
+            ended_wall_ms: wall_ms(),
+        };
+        leadership.ended.push_back((job.clone(), boot_ms()));
+        leadership.uncollected.push_back((job, end));
+    }
+
+    /// Counts and logs a decision of the scheduler.
+    fn log_decision(&self, decision: &Decision) {
+        Metrics::count(&self.metrics.decisions, &decision.kind);
+        let event = match decision.kind {
+            DecisionKind::Placed => Event::TaskPlaced,
+            DecisionKind::Ended => Event::RunEnded,
+            DecisionKind::Lost => Event::RunGone,
+            DecisionKind::Refused => Event::StartRefused,
+            DecisionKind::Orphaned => Event::RunStray,
+            DecisionKind::Stalled => Event::RunStalled,
+            DecisionKind::Paused => Event::WorkerPaused,
+            DecisionKind::Failed => Event::FlowFailed,
+            DecisionKind::Suspected => Event::RunSuspected,
+            DecisionKind::Moved => Event::RunMoved,
+        };
+        log_event!(info, event, job = %decision.task.job, task = %decision.task, run = decision.run,
+            agent = %decision.agent, detail = %decision.detail);
+    }
+}
--- a/components/flow_entry/src/lib.rs
+++ b/components/flow_entry/src/lib.rs
@@ -2,12 +2,14 @@
 //! it holds the scheduler's lease. All durable state is in the table.
 
 mod agents;
+mod collection;
 mod commits;
 mod config_origin;
 mod config_source;
 mod config_view;
 mod config_watch;
 mod coordinator;
+mod effects;
 mod election;
 mod feed_watch;
 mod handle;
