Soak: jobs at and beyond limits; pools that are not paused are found by the fleet

A share of the jobs asks for 64 steps, the limit, for 65, or for two million tasks; those beyond a limit count as refused and must never run.

--- a/components/flow/src/candidate.rs
+++ b/components/flow/src/candidate.rs
@@ -7,7 +7,6 @@
 use crate::view::{Allocation, WorkerView};
 use crate::{Scheduler, StepSpec, TaskKey};
 use model::{AgentId, Resources, ServiceName};
-use std::collections::BTreeSet;
 
 /// Penalty of a worker outside of the rack that holds the task's data.
 const REMOTE_PENALTY: f64 = 100.0;
@@ -74,7 +73,7 @@
     /// Workers that accept new runs now, each with its pool: synced, neither paused nor draining. In a
     /// pool of which all are paused, these accept some runs too.
     pub(crate) fn candidates(&self, now_ms: u64) -> Vec<(ServiceName, Candidate)> {
-        let unpaused = self.unpaused_pools(now_ms);
+        let unpaused = self.fleet.unpaused_pools(now_ms);
         let accepts_work = |view: &WorkerView, pool: &ServiceName| {
             let allocations = view.allocations.values();
             let newest_ms = allocations.map(|allocation| allocation.since_ms).max();
@@ -99,16 +98,6 @@
             .collect()
     }
 
-    /// Pools with a worker that could accept runs and is not paused.
-    fn unpaused_pools(&self, now_ms: u64) -> BTreeSet<&ServiceName> {
-        let workers = self.fleet.workers.values();
-        let unpaused = workers.filter(|view| view.is_synced() && !view.health.is_paused(now_ms));
-        unpaused
-            .filter_map(|view| view.info.as_ref().filter(|info| !info.draining))
-            .map(|info| &info.service)
-            .collect()
-    }
-
     /// Determines what the latency-critical tasks of each candidate can bear, unless that is known.
     fn find_slacks(&mut self, now_ms: u64, candidates: &mut [(ServiceName, Candidate)]) {
         for (_, candidate) in candidates {
--- a/components/flow/src/view.rs
+++ b/components/flow/src/view.rs
@@ -3,8 +3,8 @@
 use crate::health::Health;
 use crate::interference::LatencyTrace;
 use crate::{ClockSample, Incarnation, Leases, TaskKey, WorkerInfo};
-use model::{AgentId, JobId, Resources};
-use std::collections::{BTreeMap, VecDeque};
+use model::{AgentId, JobId, Resources, ServiceName};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 /// Share of its reserved processors that a latency-critical task is expected to use, in percent.
 /// The rest is spare for fillers.
@@ -220,6 +220,16 @@
             .any(|view| view.orphans.contains_key(task))
     }
 
+    /// Pools with a worker that may get runs, is not draining and is not paused.
+    pub fn unpaused_pools(&self, now_ms: u64) -> BTreeSet<&ServiceName> {
+        let workers = self.workers.values();
+        let unpaused = workers.filter(|view| view.is_synced() && !view.health.is_paused(now_ms));
+        unpaused
+            .filter_map(|view| view.info.as_ref().filter(|info| !info.draining))
+            .map(|info| &info.service)
+            .collect()
+    }
+
     /// Removes the allocation of a task on a worker, if there is one.
     pub fn release(&mut self, now_ms: u64, agent: &AgentId, task: &TaskKey) {
         let Some(view) = self.workers.get_mut(agent) else {
--- a/components/soak/src/callers.rs
+++ b/components/soak/src/callers.rs
@@ -4,7 +4,7 @@
 use crate::fault::LARGE_RUN_MS;
 use crate::fleet::Fleet;
 use platform_standin::caller::Caller;
-use platform_standin::{deadly_job, job, large_job};
+use platform_standin::{deadly_job, job, large_job, wide_job};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use serde_json::Value;
@@ -25,6 +25,13 @@
 /// Share of the jobs that are cancelled if they are accepted, in percent.
 const CANCEL_PERCENT: u32 = 10;
 
+/// Most steps of a job by the settings' default.
+const MAX_STEPS: usize = 64;
+/// More tasks than any settings allow.
+const TOO_MANY_TASKS: u32 = 2_000_000;
+/// Run time of the tasks of a job at a limit, in milliseconds.
+const LIMIT_RUN_MS: u64 = 100;
+
 /// Outcome of submitting a job, as far as the caller knows it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum SubmitOutcome {
@@ -75,6 +82,8 @@
     caller: Caller,
     /// Share of deadly jobs, in percent.
     deadly_percent: u64,
+    /// Share of jobs at or beyond a limit, in percent.
+    limit_percent: u64,
     /// Tasks of the large job; 0 for none.
     large_tasks: u32,
     /// Time from the start of the load to the submission of the large job, in milliseconds.
@@ -87,6 +96,7 @@
             fleet,
             caller: Caller::new(CALL_TIMEOUT),
             deadly_percent: options.deadly_percent,
+            limit_percent: options.limit_percent,
             large_tasks: options.large_tasks,
             large_job_ms: options.durations.large_job_ms(),
         }
@@ -98,6 +108,17 @@
         hash64(id) % 100 < self.deadly_percent
     }
 
+    /// A job at or beyond a limit, if the one with this id is to be so.
+    fn limit_job(&self, id: &str) -> Option<Value> {
+        let number = hash64(&format!("limit {id}"));
+        let body = match number / 100 % 3 {
+            0 => wide_job(MAX_STEPS, LIMIT_RUN_MS),
+            1 => wide_job(MAX_STEPS + 1, LIMIT_RUN_MS),
+            _ => large_job(TOO_MANY_TASKS, LIMIT_RUN_MS),
+        };
+        (number % 100 < self.limit_percent).then_some(body)
+    }
+
     /// Submits jobs during `load_ms` and returns them after the last caller has finished.
     pub async fn run(self: Rc<Self>, seed: u64, load_ms: u64) -> Vec<SubmittedJob> {
         let mut random = StdRng::seed_from_u64(seed);
@@ -134,6 +155,8 @@
         let is_deadly = self.is_deadly(&id);
         if is_deadly {
             body = deadly_job();
+        } else if let Some(limit_job) = self.limit_job(&id) {
+            body = limit_job;
         }
         let tries_once = random.random_range(0..100) < NO_RETRY_PERCENT;
         let cancels = random.random_range(0..100) < CANCEL_PERCENT;
@@ -163,6 +186,7 @@
             match self.call("POST", &submitted.id, body, random).await {
                 200 => submitted.outcome = SubmitOutcome::Accepted,
                 0 | 504 => submitted.outcome = SubmitOutcome::Unknown,
+                400 => return,
                 _ => submitted.slowest_refusal = submitted.slowest_refusal.max(sent.elapsed()),
             }
             let is_accepted = submitted.outcome == SubmitOutcome::Accepted;
--- a/components/soak/src/fault.rs
+++ b/components/soak/src/fault.rs
@@ -85,6 +85,7 @@
 ///     agents: 4,
 ///     faults: 6,
 ///     deadly_percent: 0,
+///     limit_percent: 0,
 ///     lost_agents: 1,
 ///     large_tasks: 0,
 ///     durations: soak::PhaseDurations::for_load(10_000),
--- a/components/soak/src/main.rs
+++ b/components/soak/src/main.rs
@@ -34,6 +34,11 @@
             "1",
             "Share of the jobs that crash each worker that starts them",
         ))
+        .arg(number(
+            "limit-percent",
+            "3",
+            "Share of the jobs that ask for as much as a limit allows, or for more",
+        ))
         .arg(number(
             "lost-agents",
             "1",
@@ -77,6 +82,7 @@
         agents: number(matches, "agents") as usize,
         faults: number(matches, "faults") as usize,
         deadly_percent: number(matches, "deadly-percent"),
+        limit_percent: number(matches, "limit-percent"),
         lost_agents: number(matches, "lost-agents") as usize,
         large_tasks: number(matches, "large-tasks") as u32,
         durations: PhaseDurations::for_load(number(matches, "load-ms")),
--- a/components/soak/src/options.rs
+++ b/components/soak/src/options.rs
@@ -18,6 +18,8 @@
     pub faults: usize,
     /// Share of the jobs whose task crashes each worker that starts it, in percent.
     pub deadly_percent: u64,
+    /// Share of the jobs that ask for as much as a limit allows, or for more, in percent.
+    pub limit_percent: u64,
     /// Number of agents that are lost for good.
     pub lost_agents: usize,
     /// Number of tasks of a large job that ends while all processes are restarted; 0 for none.
