Tests: a success that a crash of the worker lost may be run again

RULES.md, TWICE, names a start after an end 'if that end is taken note of then or later'; this one never can be.

--- a/components/soak/tests/check.rs
+++ b/components/soak/tests/check.rs
@@ -13,6 +13,7 @@
         ended: Some(base + Duration::from_millis(to_ms)),
         outcome: "done",
         is_acknowledged: false,
+        is_end_lost: false,
     }
 }
 
--- a/tests/common/flow_fleet.rs
+++ b/tests/common/flow_fleet.rs
@@ -186,7 +186,8 @@
         row["owner"].as_str().unwrap()[1..].parse().unwrap()
     }
 
-    /// Asserts that no two runs of a task overlapped and that no task ran after its success.
+    /// Asserts that no two runs of a task overlapped and that no task ran after its success, unless
+    /// its worker crashed before anybody could read of that.
     pub fn assert_no_duplicate_runs(&self) {
         let mut by_task: BTreeMap<String, Vec<Execution>> = BTreeMap::new();
         for execution in self.executions() {
@@ -203,7 +204,8 @@
                     ended <= pair[1].started,
                     "{task} ran twice at once: {pair:?}"
                 );
-                assert_ne!(pair[0].outcome, "done", "{task} ran after its success");
+                let has_succeeded = pair[0].outcome == "done" && !pair[0].is_end_lost;
+                assert!(!has_succeeded, "{task} ran after its success: {runs:?}");
             }
         }
     }
