Leases of former schedulers end at a known time (LOST)

What callers saw: a side machine and the scheduler's process are lost at once, or the scheduler some seconds later; tasks that last stand still for over 10 s, with each further change of the scheduler longer.

Ruled out: detection of the loss (0.3 to 1.6 s) and loading (0.1 s).

Change: the lease's row states how long its owner's leases last, and names the workers that get none with the time until theirs have expired; a new scheduler counts from when it first saw that row, not from its takeover, and names them again. Confirmations by a read now count from the first sending of what they confirm, as another entry may have seen the row before the read. Leases during an outage of the table last 6 s at most, so that a loss of both at once keeps within 9 s.

The model's commits now carry the lease's row.

--- a/components/flow/src/contact.rs
+++ b/components/flow/src/contact.rs
@@ -47,11 +47,11 @@
 }
 
 impl Scheduler {
-    /// Plans a poll of a worker, and records the lease that it offers. The offer must be settled
+    /// Plans a poll of a worker, and records the lease that it offers, if it may get one. The offer must be settled
     /// with [`Scheduler::settle_lease`].
     pub fn plan_poll(&mut self, agent: &AgentId, limit: LeaseLimit) -> PollPlan {
         let view = self.worker_mut(agent);
-        let lease = match view.contact.is_answering() {
+        let lease = match view.may_get_lease() {
             true => offer_lease(view, limit),
             false => None,
         };
@@ -72,10 +72,10 @@
     }
 
     /// Offers the lease that an order to start a run carries; `None` unless the worker's report is
-    /// complete. The offer must be settled with [`Scheduler::settle_lease`].
+    /// complete and no commit names it as away. The offer must be settled with [`Scheduler::settle_lease`].
     pub fn offer_start_lease(&mut self, agent: &AgentId, limit: LeaseLimit) -> Option<LeaseOffer> {
         let view = self.worker_mut(agent);
-        view.is_synced().then(|| offer_lease(view, limit))?
+        (view.is_synced() && view.may_get_lease()).then(|| offer_lease(view, limit))?
     }
 
     /// Records whether the call that offered a lease may have arrived.
@@ -90,7 +90,7 @@
     }
 
     /// Sets when every lease that former schedulers granted is guaranteed to have expired, in
-    /// milliseconds.
+    /// milliseconds; [`Scheduler::restore_away`] knows better for single workers.
     pub fn set_former_leases_expired_ms(&mut self, expired_ms: u64) {
         self.former_leases_expired_ms = expired_ms;
     }
@@ -109,7 +109,7 @@
             .map(|(agent, view)| LapsedWorker {
                 agent: agent.clone(),
                 runs: view.allocations.len(),
-                expired_ms: self.leases_expired_ms(view),
+                expired_ms: view.leases_expired_ms(self.former_leases_expired_ms),
             })
             .filter(|worker| now_ms >= worker.expired_ms)
             .collect();
@@ -118,11 +118,6 @@
         }
         lapsed
     }
-
-    /// When every lease that a worker may hold is guaranteed to have expired, in milliseconds.
-    fn leases_expired_ms(&self, view: &WorkerView) -> u64 {
-        view.leases.expired_ms().max(self.former_leases_expired_ms)
-    }
 }
 
 /// Offers a worker the longest lease that `limit` allows; `None` if its clock is not known, or the
--- a/components/flow/src/lease.rs
+++ b/components/flow/src/lease.rs
@@ -82,15 +82,16 @@
         }
     }
 
-    /// Time after a takeover until nothing runs any more on an unreachable worker, in milliseconds.
+    /// Longest time from the sending of the last commit that took effect until nothing runs any more
+    /// under the leases that its sender granted, in milliseconds.
     ///
     /// ```
     /// let terms = flow::LeaseTerms {
     ///     term_ms: 4_000, outage_term_ms: 6_000, outage_after_ms: 1_000, slack_ms: 300,
     /// };
-    /// assert!(terms.takeover_wait_ms() >= 6_300);
+    /// assert!(terms.longest_ms() >= 6_300);
     /// ```
-    pub fn takeover_wait_ms(&self) -> u64 {
+    pub fn longest_ms(&self) -> u64 {
         self.outage_term_ms.max(self.term_ms) + self.slack_ms
     }
 }
--- a/components/flow/src/lib.rs
+++ b/components/flow/src/lib.rs
@@ -2,6 +2,7 @@
 //! a single scheduler. All decisions depend on arguments alone; nothing here reads a clock or uses
 //! the network.
 
+mod away;
 mod candidate;
 mod commit;
 mod config;
@@ -40,6 +41,7 @@
 mod worker;
 
 pub use self::interference::LatencyTrace;
+pub use away::AwayWorker;
 pub use config::{FlowConfig, Pool, Queue};
 pub use contact::{LapsedWorker, LeaseOffer, PollPlan};
 pub use effect::{Decision, DecisionKind, Effect, RunRef, StartInput};
--- a/components/flow/src/view.rs
+++ b/components/flow/src/view.rs
@@ -104,6 +104,11 @@
     pub clock: Option<ClockSample>,
     /// Leases that this scheduler offered to it.
     pub leases: Leases,
+    /// When the leases of former schedulers are guaranteed to have expired, in milliseconds, if they
+    /// named it as away.
+    pub former_expired_ms: Option<u64>,
+    /// Whether a commit named it as away, and none that took effect has taken this back.
+    pub is_noted_away: bool,
     /// When its last applied report was requested, in milliseconds.
     pub report_requested_ms: u64,
     /// When its last report arrived, in milliseconds.
@@ -148,6 +153,18 @@
         self.contact == Contact::Synced
     }
 
+    /// Whether it may be offered a lease: it answers, and no commit names it as away.
+    pub fn may_get_lease(&self) -> bool {
+        self.contact.is_answering() && !self.is_noted_away
+    }
+
+    /// When every lease that it may hold is guaranteed to have expired, in milliseconds, if those of
+    /// former schedulers to any worker have at `former_ms`.
+    pub fn leases_expired_ms(&self, former_ms: u64) -> u64 {
+        let former_ms = self.former_expired_ms.unwrap_or(former_ms);
+        self.leases.expired_ms().max(former_ms)
+    }
+
     /// Resources reserved for placed and orphaned runs.
     pub fn reserved(&self) -> Resources {
         let placed = self
@@ -192,7 +209,7 @@
     }
 
     /// Clears the state that belongs to an earlier incarnation and sets the new one. The heartbeat,
-    /// the allocations, the latencies, the offered leases and the times of the last report stay.
+    /// the allocations, the latencies, the leases, and the times of the last report stay.
     pub fn reset(&mut self, incarnation: Option<Incarnation>) {
         self.incarnation = incarnation;
         self.contact = Contact::Unknown;
--- a/components/flow/tests/common/mod.rs
+++ b/components/flow/tests/common/mod.rs
@@ -10,9 +10,9 @@
 use flow::CommitLimits;
 use flow::record_rows::join;
 use flow::{
-    Delivery, Effect, EndedRun, FlowConfig, FlowJob, FlowPhase, FlowRecord, FlowSpec, Incarnation,
-    LeaseTerms, Pool, Queue, QueueKey, RecordRows, ReportTimes, RunEnd, RunRef, RunningTask,
-    Schedule, Scheduler, StartOutcome, StepSpec, TaskKey, WorkerInfo, WorkerReport,
+    AwayWorker, Delivery, Effect, EndedRun, FlowConfig, FlowJob, FlowPhase, FlowRecord, FlowSpec,
+    Incarnation, LeaseTerms, Pool, Queue, QueueKey, RecordRows, ReportTimes, RunEnd, RunRef,
+    RunningTask, Schedule, Scheduler, StartOutcome, StepSpec, TaskKey, WorkerInfo, WorkerReport,
 };
 use model::{AgentId, JobId, Resources};
 use std::collections::{BTreeMap, BTreeSet};
@@ -40,6 +40,8 @@
 const DOWN_MS: u64 = 3_000;
 /// Time after which the scheduler notices that a worker refuses connections, in milliseconds.
 const NOTICE_MS: u64 = 60;
+/// Most bytes that name workers as away.
+const MAX_AWAY_BYTES: usize = 1_000;
 /// Duration of a commit, in milliseconds.
 const COMMIT_MS: u64 = 20;
 
@@ -50,6 +52,16 @@
     row_bytes: 128,
 };
 
+/// Commit of the scheduler in the model table.
+struct ModelCommit {
+    /// When it was sent, in milliseconds.
+    sent_ms: u64,
+    /// Records that it writes.
+    records: Vec<RecordRows>,
+    /// Workers that it names as away.
+    away: Vec<AwayWorker>,
+}
+
 /// A scheduler with its model workers and its model table.
 pub struct Sim {
     /// Virtual time, in milliseconds.
@@ -62,8 +74,11 @@
     pub jobs: BTreeMap<JobId, FlowJob>,
     /// Durable records.
     records: BTreeMap<JobId, Vec<String>>,
-    /// Commit in flight: the time at which it takes effect, in milliseconds, and its records.
-    commit: Option<(u64, Vec<RecordRows>)>,
+    /// Commit in flight.
+    commit: Option<ModelCommit>,
+    /// Workers that the last durable commit names as away, each with the time at which its leases
+    /// have expired, in milliseconds.
+    away: Vec<(AgentId, u64)>,
     /// Actual run time of tasks by image, in milliseconds; the declared one if absent.
     pub run_ms: BTreeMap<String, u64>,
     /// Flows of which every run fails.
@@ -184,6 +199,7 @@
             jobs: BTreeMap::new(),
             records: BTreeMap::new(),
             commit: None,
+            away: Vec::new(),
             run_ms: BTreeMap::new(),
             always_failing: BTreeSet::new(),
             deadly: BTreeSet::new(),
@@ -245,8 +261,11 @@
         self.commit = None;
         let mut scheduler = Scheduler::default();
         scheduler.set_config(config());
-        let former_leases_expired_ms = self.now_ms + LEASE_TERMS.takeover_wait_ms();
+        let former_leases_expired_ms = self.now_ms + LEASE_TERMS.longest_ms();
         scheduler.set_former_leases_expired_ms(former_leases_expired_ms);
+        for (agent, expired_ms) in &self.away {
+            scheduler.restore_away(agent, *expired_ms);
+        }
         for job in self.jobs.values() {
             match self.ended_ms.get(&job.id) {
                 Some((_, phase)) => scheduler.add_ended(job.id.clone(), *phase),
@@ -437,27 +456,42 @@
         if !self.table_up {
             return;
         }
-        if self.now_ms >= self.confirmed_ms + RENEW_INTERVAL_MS {
+        let is_renewal_due = self.now_ms >= self.confirmed_ms + RENEW_INTERVAL_MS;
+        if is_renewal_due {
             self.confirmed_ms = self.now_ms;
         }
-        if let Some((due_ms, rows)) = self.commit.take() {
-            if self.now_ms < due_ms {
-                self.commit = Some((due_ms, rows));
+        if let Some(commit) = self.commit.take() {
+            if self.now_ms < commit.sent_ms + COMMIT_MS {
+                self.commit = Some(commit);
                 return;
             }
-            for record in &rows {
-                let stored = self.records.get(&record.job).map_or(1, Vec::len);
-                assert_eq!(record.former_rows, stored, "rows of the former record");
-                self.records
-                    .insert(record.job.clone(), record.values.clone());
-            }
-            self.scheduler.on_committed(&rows);
+            self.apply_commit(&commit);
         }
         self.scheduler.place(self.now_ms, 0);
-        let rows = self.scheduler.take_commit(self.now_ms, &self.limits);
-        if !rows.is_empty() {
-            self.commit = Some((self.now_ms + COMMIT_MS, rows));
+        let records = self.scheduler.take_commit(self.now_ms, &self.limits);
+        let is_due = !records.is_empty() || self.scheduler.has_returned_worker() || is_renewal_due;
+        if is_due {
+            self.commit = Some(ModelCommit {
+                sent_ms: self.now_ms,
+                records,
+                away: self.scheduler.note_away(self.now_ms, MAX_AWAY_BYTES),
+            });
+        }
+    }
+
+    /// Lets a commit take effect.
+    fn apply_commit(&mut self, commit: &ModelCommit) {
+        for record in &commit.records {
+            let stored = self.records.get(&record.job).map_or(1, Vec::len);
+            assert_eq!(record.former_rows, stored, "rows of the former record");
+            self.records
+                .insert(record.job.clone(), record.values.clone());
         }
+        let away = commit.away.iter();
+        let away = away.map(|worker| (worker.agent.clone(), self.now_ms + worker.expires_in_ms));
+        self.away = away.collect();
+        self.scheduler.on_committed(&commit.records);
+        self.scheduler.on_away_committed(&commit.away);
     }
 
     fn carry_out_effects(&mut self) {
--- a/components/flow_entry/src/commits.rs
+++ b/components/flow_entry/src/commits.rs
@@ -140,7 +140,7 @@
         released: bool,
         context: &mut Context<Self>,
     ) {
-        let Some(leadership) = self.leadership.as_ref() else {
+        let Some(leadership) = self.leadership.as_mut() else {
             return;
         };
         let (epoch, sequence, version) = (
@@ -148,7 +148,9 @@
             leadership.sequence + 1,
             leadership.version,
         );
-        let lease = self.lease_row(epoch, sequence, released);
+        let max_bytes = self.settings.store.row_bytes / 2;
+        let away = leadership.scheduler.note_away(now_ms, max_bytes);
+        let lease = self.lease_row(epoch, sequence, released, away.clone());
         let mut txn = Transaction::default()
             .require(LEASE_KEY, Some(version))
             .put(LEASE_KEY, encode(&lease));
@@ -166,6 +168,7 @@
             leadership.in_flight = Some(InFlightCommit {
                 txn,
                 records,
+                away,
                 has_learned,
                 sequence,
                 released,
@@ -229,7 +232,7 @@
         context.notify_later(RetryCommit { epoch, sequence }, pause);
     }
 
-    /// Applies the commit in flight, which has taken effect, as a call sent at `sent_ms` showed.
+    /// Applies the commit in flight, which has taken effect and was not sent before `sent_ms`.
     fn on_committed(&mut self, sent_ms: u64, version: u64, context: &mut Context<Self>) {
         let now_ms = boot_ms();
         let Some(leadership) = self.leadership.as_mut() else {
@@ -255,6 +258,7 @@
             );
         }
         leadership.scheduler.on_committed(&done.records);
+        leadership.scheduler.on_away_committed(&done.away);
         if done.released {
             self.step_down("released", context);
         } else if !self.is_draining {
@@ -336,13 +340,11 @@
             }
             Err(StoreError::Conflict { .. }) => {
                 let (table, control) = (self.table.clone(), context.address());
-                let sent_ms = boot_ms();
                 actix_rt::spawn(async move {
                     let row = read_row(table.as_ref(), LEASE_KEY).await;
                     control.do_send(ResolveConflict {
                         epoch,
                         sequence,
-                        sent_ms,
                         row,
                     });
                 });
@@ -371,9 +373,11 @@
     fn handle(&mut self, conflict: ResolveConflict, context: &mut Self::Context) {
         self.store_health.observe(boot_ms(), &conflict.row);
         let (own_id, incarnation) = (self.own_id().to_owned(), self.incarnation);
-        if matching_commit(&mut self.leadership, conflict.epoch, conflict.sequence).is_none() {
+        let in_flight = matching_commit(&mut self.leadership, conflict.epoch, conflict.sequence)
+            .and_then(|leadership| leadership.in_flight.as_ref());
+        let Some(first_sent_ms) = in_flight.map(|commit| commit.first_sent_ms) else {
             return;
-        }
+        };
         let row = match conflict.row {
             Ok(row) => row,
             Err(_) => {
@@ -392,7 +396,8 @@
                 && lease.sequence == conflict.sequence
         });
         if is_mine {
-            self.on_committed(conflict.sent_ms, version, context);
+            // Which attempt took effect is not known: others may have seen the row before this read.
+            self.on_committed(first_sent_ms, version, context);
         } else {
             self.step_down("the lease has another owner", context);
         }
--- a/components/flow_entry/src/coordinator.rs
+++ b/components/flow_entry/src/coordinator.rs
@@ -6,6 +6,7 @@
 use crate::config_view::ConfigView;
 use crate::config_watch;
 use crate::election::Election;
+use crate::former::Claim;
 use crate::leadership::Leadership;
 use crate::messages::{
     ConfigConfirmed, Drain, GetReadiness, LeaseRead, NewConfig, PeerProbe, ProbeDone, StoreObserved,
@@ -69,6 +70,8 @@
     is_reading_lease: bool,
     /// Whether a claim of the lease is in flight.
     pub(crate) is_claiming: bool,
+    /// The last claim of the lease; absent before the first.
+    pub(crate) claim: Option<Claim>,
     /// Newest epoch in which this process became the scheduler; 0 if it never did.
     pub(crate) started_epoch: u64,
     /// State of the scheduler; absent while this entry is not the scheduler.
@@ -114,6 +117,7 @@
             scheduler_seen_ms: 0,
             is_reading_lease: false,
             is_claiming: false,
+            claim: None,
             started_epoch: 0,
             leadership: None,
             unreadable_agents: RecentSet::new(MAX_UNREADABLE_LOGGED),
@@ -188,11 +192,10 @@
     /// Reads the row of the lease; the result arrives as [`LeaseRead`].
     pub(crate) fn read_lease(&mut self, context: &mut Context<Self>) {
         self.is_reading_lease = true;
-        let requested_ms = boot_ms();
         let (table, control) = (self.table.clone(), context.address());
         actix_rt::spawn(async move {
             let row = read_row(table.as_ref(), LEASE_KEY).await;
-            control.do_send(LeaseRead { requested_ms, row });
+            control.do_send(LeaseRead { row });
         });
     }
 }
@@ -236,7 +239,7 @@
         }
         let is_mine = self.election.is_mine(self.own_id(), self.incarnation);
         if self.leadership.is_none() && is_mine && !self.is_draining {
-            self.adopt_claim(read.requested_ms, context);
+            self.adopt_claim(context);
         }
     }
 }
--- a/components/flow_entry/src/election.rs
+++ b/components/flow_entry/src/election.rs
@@ -1,5 +1,6 @@
 //! Election of the scheduler: tracks the lease and its owner, and decides when to claim the lease.
 
+use crate::former::FormerLeases;
 use crate::rows::{LEASE_KEY, LeaseRow};
 use backing::Row;
 use telemetry::{Event, log_event};
@@ -79,6 +80,11 @@
         self.is_read = true;
     }
 
+    /// Leases that the owner and earlier schedulers may have granted, of `longest_ms` at most.
+    pub fn former_leases(&self, longest_ms: u64) -> FormerLeases {
+        FormerLeases::of(self.row.as_ref(), self.version_seen_ms, longest_ms)
+    }
+
     /// Epoch of the next claim, above that of every claim so far. Over a row that can't be read,
     /// this is the row's version: versions count all transactions, and each claim is one.
     pub fn next_epoch(&self) -> u64 {
--- a/components/flow_entry/src/isolation.rs
+++ b/components/flow_entry/src/isolation.rs
@@ -58,7 +58,9 @@
             leadership.isolation = None;
         }
         let records = scheduler.take_commit(now_ms, &limits);
-        let is_due = !records.is_empty() || now_ms >= leadership.last_commit_ms + renew_ms;
+        let is_due = !records.is_empty()
+            || scheduler.has_returned_worker()
+            || now_ms >= leadership.last_commit_ms + renew_ms;
         is_due.then_some(records)
     }
 
--- a/components/flow_entry/src/leadership.rs
+++ b/components/flow_entry/src/leadership.rs
@@ -3,6 +3,7 @@
 use crate::agents::AgentConnection;
 use crate::coordinator::Coordinator;
 use crate::feed_watch;
+use crate::former::Claim;
 use crate::isolation::Isolation;
 use crate::messages::{ChangedFlow, ClaimDone, InFlightCommit, StateLoaded, StoredRows};
 use crate::reads::{read_all, read_flows, read_row};
@@ -11,7 +12,8 @@
 use actix::{AsyncContext, Context, Handler};
 use backing::{Row, StoreError, TableStore, Transaction};
 use flow::{
-    FlowEnd, FlowJob, FlowPhase, FlowRow, LeaseLimit, LeaseTerms, RecordFault, Scheduler, WaitWatch,
+    AwayWorker, FlowEnd, FlowJob, FlowPhase, FlowRow, LeaseLimit, LeaseTerms, RecordFault,
+    Scheduler, WaitWatch,
 };
 use interference::PressureModel;
 use model::{AgentId, JobId};
@@ -24,6 +26,10 @@
 /// survive a short pause of the scheduler, and short enough that the work of a VM that is cut off
 /// can soon be placed again.
 const TERM_MS: u64 = 4_000;
+/// Longest lease while the table does not answer, in milliseconds. With the time until another entry
+/// has seen the last commit (0.9 s), the workers' slack and a start, all tasks of a worker that is
+/// lost together with the scheduler run again within the 9 s that tasks may stand still.
+const MAX_OUTAGE_TERM_MS: u64 = 6_000;
 /// Margin below the longest lease that a worker grants, in milliseconds.
 const LONGEST_MARGIN_MS: u64 = 300;
 /// Age of the last confirmation of leadership from which workers get the longer leases that bridge
@@ -96,7 +102,7 @@
         let longest_ms = leases.longest_ms.saturating_sub(LONGEST_MARGIN_MS);
         LeaseTerms {
             term_ms: TERM_MS.min(longest_ms),
-            outage_term_ms: longest_ms,
+            outage_term_ms: MAX_OUTAGE_TERM_MS.min(longest_ms),
             outage_after_ms: OUTAGE_AFTER_MS,
             slack_ms: leases.slack_ms,
         }
@@ -105,7 +111,9 @@
     /// Claims the lease for the next epoch, on condition that its row is unchanged.
     pub(crate) fn claim(&mut self, now_ms: u64, context: &mut Context<Self>) {
         let epoch = self.election.next_epoch();
-        let row = self.lease_row(epoch, 0, false);
+        let claim = self.next_claim(now_ms, epoch);
+        let row = self.lease_row(epoch, 0, false, claim.former.still_away(now_ms));
+        self.claim = Some(claim);
         let txn = Transaction::default()
             .require(LEASE_KEY, self.election.version)
             .put(LEASE_KEY, encode(&row));
@@ -124,8 +132,34 @@
         });
     }
 
+    /// The claim of `epoch` over the row as last read; its first sending is that of an earlier claim
+    /// over the same version, which may still take effect.
+    fn next_claim(&self, now_ms: u64, epoch: u64) -> Claim {
+        let version = self.election.version;
+        let earlier = self.claim.as_ref();
+        let same = earlier.filter(|claim| claim.epoch == epoch && claim.version == version);
+        same.cloned().unwrap_or_else(|| Claim {
+            epoch,
+            version,
+            first_sent_ms: now_ms,
+            former: self.election.former_leases(self.longest_former_ms()),
+        })
+    }
+
+    /// Longest time for which a lease of a former scheduler of any version may last after its last
+    /// commit, in milliseconds.
+    fn longest_former_ms(&self) -> u64 {
+        self.settings.leases.longest_ms + self.settings.leases.slack_ms
+    }
+
     /// Row of the lease as this entry writes it.
-    pub(crate) fn lease_row(&self, epoch: u64, sequence: u64, released: bool) -> LeaseRow {
+    pub(crate) fn lease_row(
+        &self,
+        epoch: u64,
+        sequence: u64,
+        released: bool,
+        away: Vec<AwayWorker>,
+    ) -> LeaseRow {
         LeaseRow {
             owner: self.own_id().to_owned(),
             incarnation: self.incarnation,
@@ -133,23 +167,27 @@
             epoch,
             sequence,
             released,
+            longest_lease_ms: Some(self.lease_terms().longest_ms()),
+            away,
         }
     }
 
     /// Handles a row of the lease that names this process although it is not the scheduler, as
     /// after a claim that took effect but whose answer was lost.
-    pub(crate) fn adopt_claim(&mut self, requested_ms: u64, context: &mut Context<Self>) {
+    pub(crate) fn adopt_claim(&mut self, context: &mut Context<Self>) {
         let epoch = self.election.row.as_ref().map_or(0, |row| row.epoch);
         let has_no_commits = self
             .election
             .row
             .as_ref()
             .is_some_and(|row| row.sequence == 0);
-        let Some(version) = self.election.version else {
+        let (Some(version), claim) = (self.election.version, self.claim.as_ref()) else {
             return;
         };
-        if has_no_commits && epoch > self.started_epoch {
-            self.become_scheduler(requested_ms, epoch, version, context);
+        let claim = claim.filter(|claim| claim.epoch == epoch && epoch > self.started_epoch);
+        if let Some(claim) = claim.filter(|_| has_no_commits) {
+            // When it took effect is not known: others may have seen the row long before this read.
+            self.become_scheduler(claim.first_sent_ms, epoch, version, context);
         } else if !self.is_claiming {
             // The row is of an earlier term of this process, whose orders only a new epoch fences
             // off.
@@ -169,6 +207,11 @@
         let now_ms = boot_ms();
         self.started_epoch = epoch;
         let mut scheduler = Scheduler::default();
+        let claim = self.claim.as_ref().filter(|claim| claim.epoch == epoch);
+        match claim {
+            Some(claim) => claim.former.apply(&mut scheduler),
+            None => scheduler.set_former_leases_expired_ms(now_ms + self.longest_former_ms()),
+        }
         scheduler.set_config(flow::FlowConfig::clone(&self.config.load()));
         log_event!(info, Event::SchedulerTaken, entry = %self.settings.id, epoch, version);
         self.metrics.is_scheduler.set(1);
@@ -255,7 +298,7 @@
             // A read of the lease showed the claim before its answer arrived.
             Ok(_) if done.epoch <= self.started_epoch => {}
             Ok(version) => {
-                let row = self.lease_row(done.epoch, 0, false);
+                let row = self.lease_row(done.epoch, 0, false, Vec::new());
                 let row = Row {
                     key: LEASE_KEY.to_owned(),
                     version,
@@ -319,11 +362,6 @@
             }
             None => {}
         }
-        let wait_ms = leadership.lease_terms.takeover_wait_ms();
-        let former_expired_ms = leadership.acquired_ms + wait_ms;
-        leadership
-            .scheduler
-            .set_former_leases_expired_ms(former_expired_ms);
         leadership.is_loaded = true;
         log_event!(
             info,
--- a/components/flow_entry/src/lib.rs
+++ b/components/flow_entry/src/lib.rs
@@ -12,6 +12,7 @@
 mod effects;
 mod election;
 mod feed_watch;
+mod former;
 mod handle;
 mod isolation;
 mod leadership;
--- a/components/flow_entry/src/messages.rs
+++ b/components/flow_entry/src/messages.rs
@@ -5,7 +5,8 @@
 use actix::Message;
 use backing::{Row, StoreError};
 use flow::{
-    Delivery, FlowConfig, FlowJob, OfferId, PollReply, QueueKey, RecordRows, StartOutcome, TaskKey,
+    AwayWorker, Delivery, FlowConfig, FlowJob, OfferId, PollReply, QueueKey, RecordRows,
+    StartOutcome, TaskKey,
 };
 use model::{AgentId, JobId};
 use wire::{
@@ -122,8 +123,6 @@
 #[derive(Message)]
 #[rtype(result = "()")]
 pub(crate) struct LeaseRead {
-    /// When the read was sent.
-    pub requested_ms: u64,
     /// Row of the lease; `None` if no entry ever claimed it.
     pub row: Result<Option<Row>, StoreError>,
 }
@@ -221,8 +220,6 @@
     pub epoch: u64,
     /// Sequence number of the commit.
     pub sequence: u64,
-    /// When the read was sent.
-    pub sent_ms: u64,
     /// Row of the lease.
     pub row: Result<Option<Row>, StoreError>,
 }
@@ -307,6 +304,8 @@
     pub txn: backing::Transaction,
     /// Progress records that the transaction writes.
     pub records: Vec<RecordRows>,
+    /// Workers that the lease's row in it names as away.
+    pub away: Vec<AwayWorker>,
     /// Whether the transaction writes the learned statistics.
     pub has_learned: bool,
     /// Sequence number of the commit.
--- a/components/flow_entry/src/rows.rs
+++ b/components/flow_entry/src/rows.rs
@@ -1,6 +1,7 @@
 //! Keys of durable rows, and the row of the lease. A key consists of table, part and name; a
 //! transaction changes the rows of one part together.
 
+use flow::AwayWorker;
 use model::{AgentId, JobId};
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
@@ -40,6 +41,13 @@
     pub sequence: u64,
     /// Whether the owner released the lease, so that others may claim it at once.
     pub released: bool,
+    /// Longest time from a commit until the leases that it lets the owner grant have expired, in
+    /// milliseconds; absent in rows that earlier versions wrote.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub longest_lease_ms: Option<u64>,
+    /// Workers that get no leases until a later commit.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub away: Vec<AwayWorker>,
 }
 
 impl LeaseRow {
--- a/components/flow_entry/tests/common/mod.rs
+++ b/components/flow_entry/tests/common/mod.rs
@@ -5,7 +5,7 @@
 use backing::{
     ChangedRow, Changes, Row, ScanRange, StoreError, TableFeed, TableStore, Transaction,
 };
-use flow::FlowConfig;
+use flow::{AwayWorker, FlowConfig};
 use flow_entry::{ConfigSource, ConfigUpdate, Dependencies, EntryHandle};
 use serde::Deserialize;
 use settings::{FlowEntrySettings, FlowLimitSettings, LeaseSettings, PlatformSettings};
@@ -193,6 +193,9 @@
     pub sequence: u64,
     /// Whether the owner has released the lease.
     pub released: bool,
+    /// Workers that get no leases.
+    #[serde(default)]
+    pub away: Vec<AwayWorker>,
 }
 
 /// Reads the lease, waiting up to 5 seconds until an entry has claimed it.
--- a/components/flow_entry/tests/lease.rs
+++ b/components/flow_entry/tests/lease.rs
@@ -3,6 +3,7 @@
 
 mod common;
 
+use backing::Transaction;
 use common::{Entry, lease};
 
 /// Guards against two schedulers at a time: entries that start together claim the same row.
@@ -80,3 +81,43 @@
     assert_eq!((after.owner.as_str(), after.epoch), ("b", 2));
     drop((first, second));
 }
+
+/// Row of a lease that its owner released, with more fields behind those of all versions.
+fn released_row(more: &str) -> Transaction {
+    let fields = r#""owner":"z","incarnation":1,"control":"127.0.0.1:9","epoch":4,"sequence":7"#;
+    let value = format!("{{{fields},\"released\":true{more}}}");
+    Transaction::default().put("lease/scheduler/owner", value)
+}
+
+/// Guards against a worker that was away under a scheduler before last, and is waited for as if it had
+/// the longest lease: a claim names it again, for the time that is left.
+#[actix_rt::test]
+async fn a_claim_names_the_workers_that_were_away() {
+    let table = common::table(5);
+    let away = r#","longest_lease_ms":6300,"away":[{"agent":"a7","expires_in_ms":3000}]"#;
+    table.rows.commit_now(&released_row(away)).unwrap();
+    let entry = Entry::start("a", &table).await;
+    while lease(&table).await.owner != "a" {
+        common::pause(5).await;
+    }
+    let row = lease(&table).await;
+    assert_eq!((row.epoch, row.away.len()), (5, 1), "{row:?}");
+    assert_eq!(row.away[0].agent.as_str(), "a7");
+    assert!((1..=3_000).contains(&row.away[0].expires_in_ms), "{row:?}");
+    common::pause(3_500).await;
+    assert_eq!(lease(&table).await.away, [], "its leases have expired");
+    drop(entry);
+}
+
+/// Guards against a row of the lease that an earlier version wrote, which names no workers and no
+/// longest lease, and that no entry could claim.
+#[actix_rt::test]
+async fn a_row_of_an_earlier_version_is_claimed() {
+    let table = common::table(5);
+    table.rows.commit_now(&released_row("")).unwrap();
+    let entry = Entry::start("a", &table).await;
+    common::pause(500).await;
+    let row = lease(&table).await;
+    assert_eq!((row.owner.as_str(), row.epoch), ("a", 5));
+    drop(entry);
+}
--- a/tests/common/flow_fleet.rs
+++ b/tests/common/flow_fleet.rs
@@ -78,6 +78,12 @@
         fleet
     }
 
+    /// As [`Fleet::start`], with workers that grant leases of up to `longest_ms`, as the entries know.
+    pub async fn start_with_longest_lease(entries: usize, agents: usize, longest_ms: u64) -> Self {
+        let set = |settings: &mut Value| settings["leases"]["longest_ms"] = longest_ms.into();
+        Self::start_with(entries, agents, set).await
+    }
+
     /// As [`Fleet::start`], with a change to the settings of the entries.
     async fn start_with(entries: usize, agents: usize, change: impl Fn(&mut Value)) -> Self {
         let folder = TempDir::new().unwrap();
