A new scheduler orders the paces of the fillers that it finds

Cause: a restored placement counts as working at full pace, and a pace that equals the one in force is not ordered. Ruled out: the learned pressures; with them empty the plan is full pace at once. Change: whether the pace is known is a state of its own; an unknown one is ordered with the next plan.

--- a/components/flow/src/pacing.rs
+++ b/components/flow/src/pacing.rs
@@ -97,13 +97,15 @@
         let Some(placement) = task.and_then(|task| task.placement.as_mut()) else {
             return;
         };
-        if !matches!(placement.stage, RunStage::Running { .. }) || placement.pace == percent {
+        let is_told = placement.is_pace_known && placement.pace == percent;
+        if !matches!(placement.stage, RunStage::Running { .. }) || is_told {
             return;
         }
         let difference = placement.pace.abs_diff(percent);
         let is_limit = percent == 0 || percent == FULL_PACE_PERCENT;
         let is_settled = now_ms >= placement.pace_changed_ms + SETTLE_MS;
-        let is_due = is_settled && (is_limit || difference >= MIN_PACE_CHANGE_PERCENT);
+        let is_change = is_limit || difference >= MIN_PACE_CHANGE_PERCENT;
+        let is_due = is_settled && (is_change || !placement.is_pace_known);
         if is_due || is_halt {
             self.set_pace(now_ms, key, percent);
         }
@@ -118,6 +120,7 @@
         let run = task.run;
         if let Some(placement) = task.placement.as_mut() {
             placement.pace = pace;
+            placement.is_pace_known = true;
             placement.pace_changed_ms = now_ms;
             let run = run_ref(key, run, placement);
             self.effects.push(Effect::Pace(run, pace));
--- a/components/flow/src/placement.rs
+++ b/components/flow/src/placement.rs
@@ -306,6 +306,7 @@
             percent: 0,
             progress_ms: now_ms,
             pace: 100,
+            is_pace_known: true,
             pace_changed_ms: 0,
         });
         let run = task.run;
--- a/components/flow/src/record.rs
+++ b/components/flow/src/record.rs
@@ -260,6 +260,7 @@
             percent: 0,
             progress_ms: now_ms,
             pace: 100,
+            is_pace_known: false,
             pace_changed_ms: 0,
         })
     }
--- a/components/flow/src/state.rs
+++ b/components/flow/src/state.rs
@@ -51,6 +51,9 @@
     pub progress_ms: u64,
     /// Percentage of the full pace at which the run works; 100 when it starts.
     pub pace: u32,
+    /// Whether the run was told that pace, or began with it; not known if a former scheduler may have
+    /// ordered another, or if an order may not have been carried out.
+    pub is_pace_known: bool,
     /// When the pace was last changed, in milliseconds; 0 before the first change.
     pub pace_changed_ms: u64,
 }
--- a/components/flow/tests/common/mod.rs
+++ b/components/flow/tests/common/mod.rs
@@ -629,6 +629,13 @@
         worker.running.insert(task.clone(), started);
     }
 
+    /// Paces of a flow's runs in progress, in percent.
+    pub fn paces(&self, job: &JobId) -> Vec<u32> {
+        let running = self.workers.values().flat_map(|worker| &worker.running);
+        let of_job = running.filter(|(key, _)| key.job == *job);
+        of_job.map(|(_, run)| run.pace).collect()
+    }
+
     /// Number of runs of a flow in progress.
     pub fn running(&self, job: &JobId) -> usize {
         let workers = self.workers.values();
--- a/components/flow/tests/common/worker.rs
+++ b/components/flow/tests/common/worker.rs
@@ -69,7 +69,7 @@
     /// Whether the scheduler was told of its last crash.
     pub(super) is_crash_noticed: bool,
     /// Latency of each latency-critical task; approaches the value that its interference implies.
-    pub(super) latency_ms: BTreeMap<TaskKey, f64>,
+    pub latency_ms: BTreeMap<TaskKey, f64>,
 }
 
 impl ModelWorker {
--- a/components/flow/tests/records.rs
+++ b/components/flow/tests/records.rs
@@ -79,6 +79,7 @@
         percent: 0,
         progress_ms: NOW_MS,
         pace: 100,
+        is_pace_known: false,
         pace_changed_ms: 0,
     }
 }
