--- a/components/flow/src/orders.rs
+++ b/components/flow/src/orders.rs
@@ -100,4 +100,12 @@
             answered_ms.get_or_insert(now_ms);
         }
     }
+
+    /// Records that an order of a pace may not have been carried out, so that it is given again.
+    pub fn on_pace_lost(&mut self, key: &TaskKey, run: u32) {
+        let task = self.task_mut(key).filter(|task| task.run == run);
+        if let Some(placement) = task.and_then(|task| task.placement.as_mut()) {
+            placement.is_pace_known = false;
+        }
+    }
 }
--- a/components/flow/tests/common/mod.rs
+++ b/components/flow/tests/common/mod.rs
@@ -93,6 +93,8 @@
     pub disturbs: BTreeSet<(String, String)>,
     /// Starts whose answers are lost; the value states whether the start is executed.
     pub lose_starts: Vec<bool>,
+    /// Number of orders of a pace that are lost from now on.
+    pub lose_paces: u32,
     /// Whether orders to stop a run are lost.
     pub stops_are_lost: bool,
     /// Whether the table is available.
@@ -207,6 +209,7 @@
             crashes_under: BTreeMap::new(),
             disturbs: BTreeSet::new(),
             lose_starts: Vec::new(),
+            lose_paces: 0,
             stops_are_lost: false,
             table_up: true,
             confirmed_ms: 1_000,
@@ -610,6 +613,11 @@
         let view = self.scheduler.worker(&run.agent);
         let is_halted = view.is_some_and(|view| view.over_target_ms(self.now_ms) >= HALT_MS);
         self.paced_in_halts += u32::from(is_halted && percent > 0);
+        if self.lose_paces > 0 {
+            self.lose_paces -= 1;
+            self.scheduler.on_pace_lost(&run.task, run.run);
+            return;
+        }
         let worker = self.workers.get_mut(&run.agent).unwrap();
         if let Some(run_state) = worker.running.get_mut(&run.task) {
             run_state.pace = percent;
--- a/components/flow/tests/paces.rs
+++ b/components/flow/tests/paces.rs
@@ -1,4 +1,4 @@
-//! Paces that a former scheduler ordered, in virtual time.
+//! Orders of paces that are lost, or that a former scheduler gave, in virtual time.
 
 mod common;
 
@@ -9,6 +9,10 @@
 /// Longest time until a worker's fillers have the pace that the present load asks for, in
 /// milliseconds.
 const PACED_MS: u64 = 1_500;
+/// Longest time for which fillers may work on beside a task that is over its target, in milliseconds,
+/// by the platform's pages.
+const MAX_HARM_MS: u64 = 4_000;
+
 /// A service beside a filler that disturbs it, on one worker; returns the filler's flow.
 fn disturbed_service() -> (Sim, JobId) {
     let mut sim = Sim::new(1);
@@ -50,3 +54,20 @@
     sim.run_for(PACED_MS);
     assert_eq!(sim.paces(&filler), [100]);
 }
+
+/// Guards against a filler that disturbs a task for good because the order that halts it was lost.
+#[test]
+fn a_lost_order_of_a_pace_is_given_again() {
+    let (mut sim, filler) = disturbed_service();
+    sim.disturbs
+        .insert(("loud".to_owned(), "fragile".to_owned()));
+    sim.lose_paces = 3;
+    sim.run_for(10_000);
+    assert_eq!(sim.lose_paces, 0, "orders were lost");
+    assert!(
+        sim.longest_interference_ms < MAX_HARM_MS,
+        "{} ms",
+        sim.longest_interference_ms
+    );
+    assert_ne!(sim.paces(&filler), [100]);
+}
--- a/components/flow_entry/src/agents.rs
+++ b/components/flow_entry/src/agents.rs
@@ -2,7 +2,7 @@
 
 use crate::coordinator::Coordinator;
 use crate::leadership::Leadership;
-use crate::messages::{AgentsRead, PollDone, StartDone, StopDone};
+use crate::messages::{AgentsRead, PaceLost, PollDone, StartDone, StopDone};
 use crate::reads::read_all;
 use crate::rows::parse_agent;
 use actix::{AsyncContext, Context, Handler};
@@ -221,7 +221,7 @@
     }
 
     /// Orders the agent of a worker to let a run work at `percent` of its full pace.
-    pub(crate) fn send_pace(&mut self, run: RunRef, percent: u32) {
+    pub(crate) fn send_pace(&mut self, run: RunRef, percent: u32, context: &mut Context<Self>) {
         let Some(leadership) = self.leadership.as_ref() else {
             return;
         };
@@ -232,8 +232,9 @@
         else {
             return;
         };
+        let (epoch, control) = (leadership.epoch, context.address());
         let order = PaceOrder {
-            fence: leadership.epoch,
+            fence: epoch,
             incarnation: run.incarnation,
             task: run.task,
             run: run.run,
@@ -242,11 +243,13 @@
         actix_rt::spawn(async move {
             log_event!(info, Event::RunPaced, agent = %run.agent, task = %order.task, run = run.run,
                 percent);
+            let (task, run) = (order.task.clone(), order.run);
             let call = link.call(ORDER_TIMEOUT, |client, context| async move {
                 client.pace(context, order).await
             });
-            // A lost change of pace is corrected by the next measurement.
-            drop(call.await);
+            if call.await != Ok(true) {
+                control.do_send(PaceLost { epoch, task, run });
+            }
         });
     }
 
@@ -483,3 +486,17 @@
         }
     }
 }
+
+impl Handler<PaceLost> for Coordinator {
+    type Result = ();
+
+    fn handle(&mut self, lost: PaceLost, _: &mut Self::Context) {
+        if let Some(leadership) = self
+            .leadership
+            .as_mut()
+            .filter(|leadership| leadership.epoch == lost.epoch)
+        {
+            leadership.scheduler.on_pace_lost(&lost.task, lost.run);
+        }
+    }
+}
--- a/components/flow_entry/src/effects.rs
+++ b/components/flow_entry/src/effects.rs
@@ -19,7 +19,7 @@
             match effect {
                 Effect::Start(run, input) => self.send_start(run, input, context),
                 Effect::Stop(run) => self.send_stop(run, context),
-                Effect::Pace(run, percent) => self.send_pace(run, percent),
+                Effect::Pace(run, percent) => self.send_pace(run, percent, context),
                 Effect::Acknowledge(agent) => {
                     let is_awaiting_ack = self
                         .leadership
--- a/components/flow_entry/src/messages.rs
+++ b/components/flow_entry/src/messages.rs
@@ -283,6 +283,18 @@
     pub run: u32,
 }
 
+/// An order of a pace was not confirmed.
+#[derive(Message)]
+#[rtype(result = "()")]
+pub(crate) struct PaceLost {
+    /// Epoch of the scheduler.
+    pub epoch: u64,
+    /// Task of the run.
+    pub task: TaskKey,
+    /// Number of the run.
+    pub run: u32,
+}
+
 /// Result of a transaction that shrinks or deletes rows of ended flows.
 #[derive(Message)]
 #[rtype(result = "()")]
