The lease's row states the longer leases of earlier versions too (TWICE)

What callers would see: during an upgrade, from a version whose schedulers granted leases of up to 9.7 s, two changes of the scheduler within ten seconds let the second new one wait for 6.3 s only: a task could run twice.

Cause: a row stated the leases of its own owner, not those that its owner waits for itself. Change: it states the longer of both. Test: a_row_of_an_earlier_version_is_claimed_and_its_longer_leases_are_stated failed before with 6000 for 6300.

--- a/components/flow_entry/src/commits.rs
+++ b/components/flow_entry/src/commits.rs
@@ -150,7 +150,7 @@
         );
         let max_bytes = self.settings.store.row_bytes / 2;
         let away = leadership.scheduler.note_away(now_ms, max_bytes);
-        let lease = self.lease_row(epoch, sequence, released, away.clone());
+        let lease = self.lease_row(now_ms, epoch, sequence, released, away.clone());
         let mut txn = Transaction::default()
             .require(LEASE_KEY, Some(version))
             .put(LEASE_KEY, encode(&lease));
--- a/components/flow_entry/src/leadership.rs
+++ b/components/flow_entry/src/leadership.rs
@@ -112,8 +112,9 @@
     pub(crate) fn claim(&mut self, now_ms: u64, context: &mut Context<Self>) {
         let epoch = self.election.next_epoch();
         let claim = self.next_claim(now_ms, epoch);
-        let row = self.lease_row(epoch, 0, false, claim.former.still_away(now_ms));
+        let away = claim.former.still_away(now_ms);
         self.claim = Some(claim);
+        let row = self.lease_row(now_ms, epoch, 0, false, away);
         let txn = Transaction::default()
             .require(LEASE_KEY, self.election.version)
             .put(LEASE_KEY, encode(&row));
@@ -152,9 +153,19 @@
         self.settings.leases.longest_ms + self.settings.leases.slack_ms
     }
 
+    /// Longest time from `now_ms` for which leases of the scheduler of `epoch`, or of those before it,
+    /// may last, in milliseconds. An earlier version may have granted longer ones.
+    fn longest_lease_ms(&self, now_ms: u64, epoch: u64) -> u64 {
+        let claim = self.claim.as_ref().filter(|claim| claim.epoch == epoch);
+        let former_ms = claim.map_or(0, |claim| claim.former.expired_ms);
+        let own_ms = self.lease_terms().longest_ms();
+        own_ms.max(former_ms.saturating_sub(now_ms))
+    }
+
     /// Row of the lease as this entry writes it.
     pub(crate) fn lease_row(
         &self,
+        now_ms: u64,
         epoch: u64,
         sequence: u64,
         released: bool,
@@ -167,7 +178,7 @@
             epoch,
             sequence,
             released,
-            longest_lease_ms: Some(self.lease_terms().longest_ms()),
+            longest_lease_ms: Some(self.longest_lease_ms(now_ms, epoch)),
             away,
         }
     }
@@ -298,7 +309,7 @@
             // A read of the lease showed the claim before its answer arrived.
             Ok(_) if done.epoch <= self.started_epoch => {}
             Ok(version) => {
-                let row = self.lease_row(done.epoch, 0, false, Vec::new());
+                let row = self.lease_row(done.sent_ms, done.epoch, 0, false, Vec::new());
                 let row = Row {
                     key: LEASE_KEY.to_owned(),
                     version,
--- a/components/flow_entry/tests/common/mod.rs
+++ b/components/flow_entry/tests/common/mod.rs
@@ -193,6 +193,8 @@
     pub sequence: u64,
     /// Whether the owner has released the lease.
     pub released: bool,
+    /// Longest time for which leases may last after the row was written, in milliseconds.
+    pub longest_lease_ms: Option<u64>,
     /// Workers that get no leases.
     #[serde(default)]
     pub away: Vec<AwayWorker>,
--- a/components/flow_entry/tests/lease.rs
+++ b/components/flow_entry/tests/lease.rs
@@ -110,14 +110,21 @@
 }
 
 /// Guards against a row of the lease that an earlier version wrote, which names no workers and no
-/// longest lease, and that no entry could claim.
+/// longest lease, and that no entry could claim; and against longer leases of that version that the
+/// scheduler after the next one does not wait for.
 #[actix_rt::test]
-async fn a_row_of_an_earlier_version_is_claimed() {
+async fn a_row_of_an_earlier_version_is_claimed_and_its_longer_leases_are_stated() {
     let table = common::table(5);
     table.rows.commit_now(&released_row("")).unwrap();
     let entry = Entry::start("a", &table).await;
-    common::pause(500).await;
+    while lease(&table).await.owner != "a" {
+        common::pause(5).await;
+    }
     let row = lease(&table).await;
     assert_eq!((row.owner.as_str(), row.epoch), ("a", 5));
+    // Its own leases last 6,000 ms at most, those of the former version 6,300 ms.
+    assert!(row.longest_lease_ms > Some(6_000), "{row:?}");
+    common::pause(1_500).await;
+    assert_eq!(lease(&table).await.longest_lease_ms, Some(6_000));
     drop(entry);
 }
