--- a/components/flow_entry/src/metrics.rs
+++ b/components/flow_entry/src/metrics.rs
@@ -21,6 +21,12 @@
 pub(crate) enum MemoryUse {
     /// Bodies that are being read, and submissions that wait for the store.
     Requests,
+    /// Accepted flows, in the scheduler.
+    Flows,
+    /// States of occurrences, steps and tasks, in the scheduler.
+    Tasks,
+    /// Ended flows whose state can still be queried, in the scheduler.
+    Ended,
 }
 
 /// Label by which memory is measured.
@@ -51,8 +57,12 @@
     pub(crate) flows_waiting: Gauge,
     /// Memory that callers set, by kind of use, in bytes.
     pub(crate) memory_bytes: Family<MemoryLabel, Gauge>,
-    /// Limits of this memory, by kind of use, in bytes.
+    /// Limits of this memory, by kind of use, in bytes; that of `flows` holds for all of the scheduler.
     pub(crate) memory_limit_bytes: Family<MemoryLabel, Gauge>,
+    /// Open connections of callers.
+    pub(crate) connections: Gauge,
+    /// Connections whose answers wait for their callers.
+    pub(crate) blocked_connections: Gauge,
     /// Version of the configuration in force.
     pub(crate) config: Gauge,
     /// Time of a read of the configuration, its wait for a change included, in seconds.
@@ -79,6 +89,8 @@
             flows_waiting: Gauge::default(),
             memory_bytes: Family::default(),
             memory_limit_bytes: Family::default(),
+            connections: Gauge::default(),
+            blocked_connections: Gauge::default(),
             config: Gauge::default(),
             config_read_seconds: buckets(),
             config_read_failures: Counter::default(),
@@ -101,16 +113,22 @@
         self.memory_bytes.get_or_create(&label).set(bytes as i64);
     }
 
-    /// Updates the metrics of the memory for requests.
+    /// Updates the metrics of connections, of the memory for requests, and of the limits.
     pub(crate) fn observe_memory(&self, shares: &MemoryShares) {
+        self.connections.set(shares.counters.open() as i64);
+        self.blocked_connections
+            .set(shares.counters.blocked() as i64);
         self.set_memory(MemoryUse::Requests, shares.requests.used_bytes());
-        let label = MemoryLabel {
-            kind: MemoryUse::Requests.into(),
-        };
-        let limit_bytes = shares.requests.limit_bytes() as i64;
-        self.memory_limit_bytes
-            .get_or_create(&label)
-            .set(limit_bytes);
+        let limits = [
+            (MemoryUse::Requests, shares.requests.limit_bytes()),
+            (MemoryUse::Flows, shares.flow_bytes),
+        ];
+        for (kind, bytes) in limits {
+            let label = MemoryLabel { kind: kind.into() };
+            self.memory_limit_bytes
+                .get_or_create(&label)
+                .set(bytes as i64);
+        }
     }
 
     /// The metrics in the text format of Prometheus.
@@ -154,6 +172,16 @@
             "Limits of this memory, by kind of use",
             self.memory_limit_bytes.clone(),
         );
+        registry.register(
+            "flow_connections",
+            "Open connections of callers",
+            self.connections.clone(),
+        );
+        registry.register(
+            "flow_blocked_connections",
+            "Connections whose answers wait for their callers",
+            self.blocked_connections.clone(),
+        );
         registry.register(
             "flow_config",
             "Number of the configuration in force",
--- a/tests/memory.rs
+++ b/tests/memory.rs
@@ -123,3 +123,22 @@
     drop(connections);
     fleet.wait_until_completed(&ids[1..]).await;
 }
+
+/// Guards against callers that send requests and read no answers: an entry kept all answers and
+/// exceeded its memory.
+#[actix_rt::test]
+async fn answers_that_are_not_read_take_a_bounded_memory() {
+    let mut fleet = Fleet::start(1, 1).await;
+    let front = fleet.entries[0].0.front;
+    let ids = ids(2);
+    let request = format!("GET /q/{} HTTP/1.1\r\nHost: a.example\r\n\r\n", ids[0]);
+    let requests = request.repeat(20_000).into_bytes();
+    let connections = send_parts(front, 300, &requests);
+    for _ in 0..10 {
+        sleep_ms(500).await;
+        assert_entries_keep_their_memory(&mut fleet);
+    }
+    assert_serves_small_requests(&fleet, 0, &ids[1]).await;
+    drop(connections);
+    fleet.wait_until_completed(&ids[1..]).await;
+}
