Callers that wait for the store take few connections to it

What callers could set: each query, submission and cancellation in flight had a call of the store of its own, so that 600 callers beside a slow store took 1,235 descriptors of 4,100, and some 270 KB each: the heap of the control thread grew to 81 MB with 300 connections that repeat their query.

Cause: no limit of these calls; and each call that was late replaced the HTTP client of the store anew, so that hundreds of late calls opened as many sets of connections.

Change: 256 calls of the store are in flight for callers at most; others wait for their turn, within their deadlines, in which nothing was sent. Calls of the scheduler (commits, leases, the feed) are not limited.

--- a/components/flow_entry/src/coordinator.rs
+++ b/components/flow_entry/src/coordinator.rs
@@ -1,6 +1,7 @@
 //! The control thread of an entry for flows: it follows which entry is the scheduler, and owns the
 //! scheduler's state while this entry is.
 
+use crate::call_limit::CallLimit;
 use crate::config_origin::ConfigOrigin;
 use crate::config_source::ConfigSource;
 use crate::config_view::ConfigView;
@@ -37,6 +38,8 @@
 /// Time without an answer from the table or the scheduler after which an entry reports that it is
 /// not ready, in milliseconds.
 const ISOLATED_MS: u64 = 2_500;
+/// Most calls of the table that are in flight for callers.
+const MAX_CALLER_CALLS: usize = 256;
 /// Most rows that can't be read of which it is known that they are logged.
 const MAX_UNREADABLE_LOGGED: usize = 1_000;
 
@@ -48,6 +51,9 @@
     pub(crate) incarnation: u64,
     /// Store of all durable rows.
     pub(crate) table: Rc<dyn TableStore>,
+    /// Limits the calls of the table that are in flight for callers; each takes memory and a
+    /// descriptor.
+    pub(crate) caller_calls: Rc<CallLimit>,
     /// Feed of changed rows of the table.
     pub(crate) feed: Rc<dyn TableFeed>,
     /// Source from which the configuration is polled.
@@ -107,6 +113,7 @@
             settings,
             incarnation,
             table: dependencies.table,
+            caller_calls: Rc::new(CallLimit::new(MAX_CALLER_CALLS)),
             feed: dependencies.feed,
             configs: dependencies.configs,
             config,
--- a/components/flow_entry/src/lib.rs
+++ b/components/flow_entry/src/lib.rs
@@ -2,6 +2,7 @@
 //! it holds the scheduler's lease. All durable state is in the table.
 
 mod agents;
+mod call_limit;
 mod collection;
 mod commits;
 mod config_origin;
--- a/components/flow_entry/src/requests.rs
+++ b/components/flow_entry/src/requests.rs
@@ -167,10 +167,11 @@
         let link = self.scheduler_link();
         let (table, control, metrics) =
             (self.table.clone(), context.address(), self.metrics.clone());
+        let caller_calls = self.caller_calls.clone();
         Box::pin(async move {
             let mut outcome = SubmitOutcome::Refused;
             let mut by = "table";
-            if !is_unavailable {
+            if !is_unavailable && let Some(_turn) = caller_calls.turn(until_ms).await {
                 outcome = store_flow(table.as_ref(), &job, until_ms).await;
             }
             if let Some(link) = link.filter(|_| outcome == SubmitOutcome::Refused) {
@@ -251,9 +252,10 @@
         let is_unavailable = self.store_health.is_unavailable(boot_ms());
         let link = self.scheduler_link();
         let (table, control) = (self.table.clone(), context.address());
+        let caller_calls = self.caller_calls.clone();
         Box::pin(async move {
             let mut outcome = CancelOutcome::Unavailable;
-            if !is_unavailable {
+            if !is_unavailable && let Some(_turn) = caller_calls.turn(until_ms).await {
                 outcome = store_cancel(table.as_ref(), &job, until_ms).await;
             }
             if let Some(link) = link.filter(|_| outcome == CancelOutcome::Unavailable) {
@@ -316,7 +318,11 @@
         }
         let link = self.scheduler_link();
         let (table, control) = (self.table.clone(), context.address());
+        let caller_calls = self.caller_calls.clone();
         Box::pin(async move {
+            let Some(_turn) = caller_calls.turn(query.until_ms).await else {
+                return PhaseAnswer::Unavailable;
+            };
             loop {
                 let known = match link.clone() {
                     Some(link) => query_phase(link, job.clone()).await,
--- a/tests/memory.rs
+++ b/tests/memory.rs
@@ -142,3 +142,28 @@
     drop(connections);
     fleet.wait_until_completed(&ids[1..]).await;
 }
+
+/// Guards against one connection to the store for each caller that waits for it, which took the
+/// descriptors and the memory of an entry while the store was slow.
+#[actix_rt::test]
+async fn callers_that_wait_for_a_slow_store_take_few_connections_to_it() {
+    /// Callers that wait at once.
+    const CALLERS: usize = 600;
+    /// Descriptors of the entry besides these callers' connections and 256 calls of the store.
+    const OTHER_DESCRIPTORS: usize = 100;
+    let fleet = Fleet::start(1, 1).await;
+    let front = fleet.entries[0].0.front;
+    let ids = ids(2);
+    fleet.store.answer_reads_late("flows", 1_500);
+    let request = format!("GET /q/{} HTTP/1.1\r\nHost: a.example\r\n\r\n", ids[0]);
+    let connections = send_parts(front, CALLERS, request.as_bytes());
+    let folder = format!("/proc/{}/fd", fleet.entries[0].1.process.child.id());
+    let mut most = 0;
+    for _ in 0..20 {
+        most = most.max(std::fs::read_dir(&folder).unwrap().count());
+        sleep_ms(50).await;
+    }
+    println!("{most} descriptors");
+    assert!(most < CALLERS + 256 + OTHER_DESCRIPTORS, "{most} descriptors");
+    drop(connections);
+}
