Accepted jobs take a bounded memory, in sum and each (Fault)

Callers saw: 1,500 accepted jobs of 40,422 bytes took the scheduler from 10 to 74 MB, 43 KB a job for as long as it waits. With 7,000 of them in the table, each entry that became the scheduler exceeded its memory while it loaded them, for ever; no other job completed.

Cause: the limits hold for one job, and nothing for their sum. The scheduler keeps the whole text of each; a load holds all rows and all parsed flows at once; entries accept whatever the table takes. A pass over 280 such jobs took some 25 ms, so that with thousands a scheduler can't renew its lease either.

Ruled out: a smaller limit of bytes a job (it moves the number of jobs that it takes). Waiting jobs that are only read when it is their turn: jobs that can never be placed would fill the turns and stop the others.

Change: - Names in a specification (label, rack of the data, image) are kept as digests from 48 bytes on. - A third of the memory (35 %) is for flows, waiting, in progress or ended. The scheduler measures it each second and grants entries room in pieces, a sixteenth of what is left at most (new call grant_room, appended to the interface; without an answer an entry accepts 64 KB a second, 1 MB in sum). A job without room gets 503 and Retry-After before it is stored; if it is stored already, by a submission whose answer was lost, it gets 200. - Steps begin only while the states of tasks take less than half of that; those that have begun go on. So do occurrences, of which one of each flow always may be open. - Rows of flows are loaded page by page (some 0.5 MB), also after dropped changes; changes too many for one answer count as dropped (before, their read failed until the store had dropped them). The lease is renewed while pages arrive. - A step for which no worker of its pool has label and room is passed over at once, by what found none in the same pass. - The search for waiting flows watches 1,000 of them at most. - Metric flow_memory_bytes of kinds flows, tasks and ended.

With 64 MB, jobs of 41 KB are accepted up to 559 (22 MB) and refused after that; cancelling them makes room again. Not reached: under 4 KB for a waiting job of any size; a step takes some 300 bytes, a payload its length.

--- a/components/flow/src/candidate.rs
+++ b/components/flow/src/candidate.rs
@@ -5,7 +5,7 @@
 use crate::slack::{CriticalSlack, image_of};
 use crate::suspects::Isolation;
 use crate::view::{Allocation, WorkerView};
-use crate::{Scheduler, StepSpec, TaskKey};
+use crate::{Scheduler, StepSpec, TaskKey, WorkerInfo, has_form};
 use model::{AgentId, Resources, ServiceName};
 
 /// Penalty of a worker outside of the rack that holds the task's data.
@@ -353,8 +353,11 @@
 /// Whether a worker has the label that a step's tasks need, if they need one.
 pub(crate) fn has_label(view: &WorkerView, spec: &StepSpec) -> bool {
     let labels = view.info.as_ref().map(|info| &info.labels);
-    let has = |label| labels.is_some_and(|labels| labels.contains(label));
-    spec.label.as_ref().is_none_or(has)
+    let has = |label| {
+        let mut labels = labels.into_iter().flatten();
+        labels.any(|own| has_form(own, label))
+    };
+    spec.label.as_deref().is_none_or(has)
 }
 
 /// Whether enough processors are spare for a filler.
@@ -386,7 +389,8 @@
     let is_near = spec.data_rack.as_deref().is_none_or(|rack| {
         view.info
             .as_ref()
-            .is_some_and(|info| info.rack() == Some(rack))
+            .and_then(WorkerInfo::rack)
+            .is_some_and(|own| has_form(own, rack))
     });
     if is_near { 0.0 } else { REMOTE_PENALTY }
 }
--- a/components/flow/src/lib.rs
+++ b/components/flow/src/lib.rs
@@ -3,12 +3,15 @@
 //! the network.
 
 mod away;
+mod begun;
 mod candidate;
 mod commit;
 mod config;
 mod contact;
 mod effect;
 mod ends;
+mod footprint;
+mod full_pool;
 mod gang;
 mod health;
 mod holds;
@@ -18,6 +21,7 @@
 mod limits;
 mod lookup;
 mod messages;
+mod names;
 mod orders;
 mod pacing;
 mod placement;
@@ -45,11 +49,13 @@
 pub use config::{FlowConfig, Pool, Queue};
 pub use contact::{LapsedWorker, LeaseOffer, PollPlan};
 pub use effect::{Decision, DecisionKind, Effect, RunRef, StartInput};
+pub use footprint::Footprint;
 pub use health::Health;
 pub use job::{FlowEnd, FlowJob, FlowPhase, FlowRow, QueueKey};
 pub use lease::{ClockSample, Delivery, LeaseLimit, LeaseTerms, Leases, OfferId};
 pub use limits::{FlowLimits, LimitExceeded, LimitedField};
 pub use messages::{PaceOrder, PollReply, PollRequest, StartOrder, StartOutcome, StopOrder};
+pub use names::{bounded_name, has_form};
 pub use record::FlowRecord;
 pub use record_rows::{CommitLimits, RecordRows};
 pub use reports::ReportTimes;
--- a/components/flow/src/placement.rs
+++ b/components/flow/src/placement.rs
@@ -1,6 +1,7 @@
 //! Scheduling pass: orders the flows and places their queued tasks on candidate workers.
 
 use crate::candidate::{Candidate, FillerNeed};
+use crate::full_pool::FullPools;
 use crate::{
     DecisionKind, FlowState, Placement, Queue, RunStage, Scheduler, StepState, TaskKey,
     scheduler::allocation_for,
@@ -43,9 +44,10 @@
     /// Runs one scheduling pass: activates due occurrences and places every task that fits. Starts
     /// are sent only after the records of the placements are durable.
     pub fn place(&mut self, now_ms: u64, wall_ms: u64) {
+        let max_open = self.measure_progress();
         for state in self.flows.values_mut().filter(|state| !state.is_closed()) {
             state.release_done_steps();
-            state.activate(wall_ms);
+            state.activate_within(wall_ms, max_open);
         }
         let mut order: Vec<(Rank, JobId)> = self
             .flows
@@ -60,8 +62,9 @@
         order.sort_by(|left, right| left.partial_cmp(right).unwrap_or(std::cmp::Ordering::Equal));
         let mut candidates = self.candidates(now_ms);
         self.place_suspects(now_ms, &mut candidates);
+        let mut full = FullPools::default();
         for (_, job) in order {
-            self.place_flow(now_ms, &job, &mut candidates);
+            self.place_flow(now_ms, &job, &mut candidates, &mut full);
         }
         self.move_fillers(now_ms, starved, &mut candidates);
     }
@@ -101,6 +104,7 @@
         now_ms: u64,
         job: &JobId,
         candidates: &mut [(ServiceName, Candidate)],
+        full: &mut FullPools,
     ) {
         let state = self.flows.get(job);
         let Some(state) = state.filter(|state| !state.is_closed()) else {
@@ -122,19 +126,47 @@
             }
         }
         for (occurrence, step) in ready {
-            let is_gang = self
-                .flows
-                .get(job)
-                .and_then(|state| state.step_spec(step as u32))
-                .is_some_and(|spec| spec.gang);
+            let first = TaskKey {
+                job: job.clone(),
+                occurrence: occurrence as u32,
+                step: step as u32,
+                index: 0,
+            };
+            if self.has_no_room(&first, &service, candidates, full) {
+                self.keep_waiting(now_ms, &first);
+                continue;
+            }
+            if !self.may_place(job, occurrence, step) {
+                continue;
+            }
+            let had_begun = self.has_begun(job, occurrence, step);
+            let is_gang = self.step_spec(&first).is_some_and(|spec| spec.gang);
             if is_gang {
                 self.place_gang(now_ms, job, occurrence, step, &service, candidates);
             } else {
                 self.place_step(now_ms, job, occurrence, step, &service, candidates);
             }
+            if !had_begun {
+                self.count_begun(job, occurrence, step);
+            }
         }
     }
 
+    /// Whether there is no room for the tasks of a step. Gangs, fillers and suspects are placed by rules
+    /// of their own.
+    fn has_no_room(
+        &self,
+        first: &TaskKey,
+        service: &ServiceName,
+        candidates: &[(ServiceName, Candidate)],
+        full: &mut FullPools,
+    ) -> bool {
+        let spec = self.step_spec(first);
+        let spec = spec.filter(|spec| !spec.gang && !spec.filler);
+        spec.filter(|_| self.suspects.is_empty())
+            .is_some_and(|spec| self.finds_no_room(service, spec, candidates, full))
+    }
+
     /// Tasks of a step that are neither done nor placed and whose restart delay has passed: all of a
     /// gang, and otherwise as many as one pass may place.
     pub(crate) fn queued_tasks(
--- a/components/flow/src/scheduler.rs
+++ b/components/flow/src/scheduler.rs
@@ -1,6 +1,7 @@
 //! The scheduler of flows: a state machine that uses neither a clock nor the network. Times are
 //! arguments, and actions are returned as effects.
 
+use crate::begun::ProgressLimit;
 use crate::suspects::suspects;
 use crate::view::{Allocation, Fleet, WorkerView};
 use crate::{
@@ -44,6 +45,8 @@
     pub(crate) starved_searched_ms: u64,
     /// When every lease that former schedulers granted is guaranteed to have expired, in milliseconds.
     pub(crate) former_leases_expired_ms: u64,
+    /// Memory for flows in progress.
+    pub(crate) progress: ProgressLimit,
     /// Effects since the last call of [`Scheduler::take_effects`].
     pub(crate) effects: Vec<Effect>,
 }
@@ -67,17 +70,18 @@
         self.config.version
     }
 
-    /// Adds an accepted flow and activates its due occurrences. Returns whether it was new. A flow
+    /// Adds an accepted flow and activates its first occurrence if that is due. Returns whether it was new. A flow
     /// beyond [`FlowLimits::MAX`], which an earlier version may have accepted, fails instead.
-    pub fn add(&mut self, now_ms: u64, wall_ms: u64, job: FlowJob) -> bool {
+    pub fn add(&mut self, now_ms: u64, wall_ms: u64, mut job: FlowJob) -> bool {
         if self.flows.contains_key(&job.id) || self.ended.contains_key(&job.id) {
             return false;
         }
         let id = job.id.clone();
+        job.spec.compact();
         let mut state = FlowState::new(job, now_ms);
         let exceeded = FlowLimits::MAX.check_spec(&state.job.spec).err();
         if exceeded.is_none() {
-            state.activate(wall_ms);
+            state.activate_within(wall_ms, 1);
         }
         self.flows.insert(id.clone(), state);
         if let Some(exceeded) = exceeded {
--- a/components/flow/src/state.rs
+++ b/components/flow/src/state.rs
@@ -6,7 +6,7 @@
 use model::AgentId;
 
 /// Most occurrences of a flow that are activated and not done at once; later ones wait for them.
-const MAX_OPEN_OCCURRENCES: usize = 256;
+pub(crate) const MAX_OPEN_OCCURRENCES: usize = 256;
 
 /// Progress of the start or stop of a placed run.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -104,11 +104,16 @@
     /// Activates the occurrences that are due at `wall_ms`, as long as few enough are not done.
     /// Returns whether there were any.
     pub fn activate(&mut self, wall_ms: u64) -> bool {
+        self.activate_within(wall_ms, MAX_OPEN_OCCURRENCES)
+    }
+
+    /// As [`FlowState::activate`], with at most `max_open` occurrences that are not done.
+    pub(crate) fn activate_within(&mut self, wall_ms: u64, max_open: usize) -> bool {
         let before = self.occurrences.len();
         let total = self.job.spec.occurrences() as usize;
         let is_open = |occurrence: &&OccurrenceState| !occurrence.is_released();
         let mut open = self.occurrences.iter().filter(is_open).count();
-        while self.occurrences.len() < total && open < MAX_OPEN_OCCURRENCES {
+        while self.occurrences.len() < total && open < max_open {
             let next = self.occurrences.len() as u32;
             if self.job.spec.due_wall_ms(next) > wall_ms {
                 break;
--- a/components/flow/src/waiting.rs
+++ b/components/flow/src/waiting.rs
@@ -7,6 +7,9 @@
 /// Time without a run after which a flow counts as waiting, in milliseconds.
 const WAITING_AFTER_MS: u64 = 3_000;
 
+/// Most flows and long-running tasks that are watched at once.
+const MAX_WATCHED: usize = 1_000;
+
 /// Why a task has no run in progress.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, strum::Display, strum::IntoStaticStr)]
 #[strum(serialize_all = "kebab-case")]
@@ -63,7 +66,8 @@
 }
 
 impl WaitWatch {
-    /// Flows that have waited for longer than [`WAITING_AFTER_MS`], ordered by identifier.
+    /// Flows that have waited for longer than [`WAITING_AFTER_MS`], ordered by identifier; some of them
+    /// if there are very many.
     ///
     /// ```
     /// let mut watch = flow::WaitWatch::default();
@@ -71,8 +75,10 @@
     /// ```
     pub fn observe(&mut self, now_ms: u64, scheduler: &Scheduler) -> Vec<WaitingFlow> {
         let flows = scheduler.flows();
-        let idle: BTreeMap<Waiting, TaskKey> =
-            flows.flat_map(|state| scheduler.idle(state)).collect();
+        let idle: BTreeMap<Waiting, TaskKey> = flows
+            .flat_map(|state| scheduler.idle(state))
+            .take(MAX_WATCHED)
+            .collect();
         self.since_ms
             .retain(|waiting, _| idle.contains_key(waiting));
         let mut waiting = Vec::new();
@@ -98,6 +104,7 @@
         if state.job.spec.is_long_running() {
             let idle = ready.filter(|(_, task)| !self.is_at_work(task));
             return idle
+                .take(MAX_WATCHED)
                 .map(|(key, _)| (Waiting::LongRunningTask(key.clone()), key))
                 .collect();
         }
--- a/components/flow_entry/src/commits.rs
+++ b/components/flow_entry/src/commits.rs
@@ -18,7 +18,8 @@
 /// Longest interval between two commits, in milliseconds. Each commit renews the lease and confirms
 /// that no other entry is the scheduler.
 const RENEW_INTERVAL_MS: u64 = 500;
-/// Longest time for which the lease is renewed before the stored state is loaded, in milliseconds.
+/// Longest time without progress for which the lease is renewed before the stored state is loaded, in
+/// milliseconds.
 const MAX_LOAD_MS: u64 = 10_000;
 /// Pause before a release of the lease is tried again because a commit is in flight.
 const RELEASE_PAUSE: Duration = Duration::from_millis(2);
@@ -52,6 +53,9 @@
             self.collect_ended_rows(now_ms, context);
         }
         self.run_scheduling_pass(context);
+        if let Some(leadership) = self.leadership.as_mut() {
+            leadership.measure_memory(now_ms, &self.metrics);
+        }
         self.log_waiting_flows(now_ms);
     }
 
@@ -118,14 +122,14 @@
         self.run_effects(context);
     }
 
-    /// Renews the lease while the stored state is being loaded, for [`MAX_LOAD_MS`] at most, so that
-    /// another entry takes over if it can't be.
+    /// Renews the lease while the stored state is being loaded, for [`MAX_LOAD_MS`] at most after the last
+    /// page arrived, so that another entry takes over if it can't be.
     fn renew_while_loading(&mut self, now_ms: u64, context: &mut Context<Self>) {
         let is_due = self.leadership.as_ref().is_some_and(|leadership| {
             !leadership.is_loaded
                 && leadership.in_flight.is_none()
                 && now_ms >= leadership.last_commit_ms + RENEW_INTERVAL_MS
-                && now_ms < leadership.acquired_ms + MAX_LOAD_MS
+                && now_ms < leadership.load_progress_ms + MAX_LOAD_MS
         });
         if is_due && !self.is_draining {
             self.commit(now_ms, Vec::new(), false, context);
--- a/components/flow_entry/src/coordinator.rs
+++ b/components/flow_entry/src/coordinator.rs
@@ -9,11 +9,13 @@
 use crate::election::Election;
 use crate::former::Claim;
 use crate::leadership::Leadership;
+use crate::memory::MemoryShares;
 use crate::messages::{
     ConfigConfirmed, Drain, GetReadiness, LeaseRead, NewConfig, PeerProbe, ProbeDone, StoreObserved,
 };
 use crate::metrics::Metrics;
 use crate::reads::read_row;
+use crate::room::Room;
 use crate::rows::LEASE_KEY;
 use crate::store_health::StoreHealth;
 use actix::{Actor, AsyncContext, Context, Handler, MessageResult};
@@ -51,6 +53,10 @@
     pub(crate) incarnation: u64,
     /// Store of all durable rows.
     pub(crate) table: Rc<dyn TableStore>,
+    /// Memory of flows in the scheduler, in bytes.
+    pub(crate) flow_bytes: usize,
+    /// Room for the flows that this entry accepts.
+    pub(crate) room: Room,
     /// Limits the calls of the table that are in flight for callers; each takes memory and a
     /// descriptor.
     pub(crate) caller_calls: Rc<CallLimit>,
@@ -110,9 +116,11 @@
     ) -> Self {
         Self {
             election: Election::new(settings.processor_share),
+            flow_bytes: MemoryShares::new(settings.memory_mb).flow_bytes,
             settings,
             incarnation,
             table: dependencies.table,
+            room: Room::default(),
             caller_calls: Rc::new(CallLimit::new(MAX_CALLER_CALLS)),
             feed: dependencies.feed,
             configs: dependencies.configs,
@@ -157,6 +165,7 @@
 
     fn tick(&mut self, context: &mut Context<Self>) {
         let now_ms = boot_ms();
+        self.request_room(now_ms, context);
         if self.leadership.is_some() {
             self.tick_as_scheduler(now_ms, context);
             return;
--- a/components/flow_entry/src/leadership.rs
+++ b/components/flow_entry/src/leadership.rs
@@ -1,15 +1,19 @@
 //! State that exists only in the scheduler, and how an entry becomes the scheduler and steps down.
 
+use crate::acceptance::FlowMemory;
 use crate::agents::AgentConnection;
 use crate::coordinator::Coordinator;
 use crate::feed_watch;
 use crate::former::Claim;
 use crate::isolation::Isolation;
-use crate::messages::{ChangedFlow, ClaimDone, InFlightCommit, StateLoaded, StoredRows};
-use crate::reads::{read_all, read_flows, read_row};
+use crate::messages::{
+    ChangedFlow, ClaimDone, FlowsLoaded, InFlightCommit, StateLoaded, StoredRows,
+};
+use crate::metrics::MemoryUse;
+use crate::reads::{read_all, read_flow_pages, read_row};
 use crate::record_reads::{group_records, parse_record};
 use crate::rows::{FlowKey, LEARNED_KEY, LEASE_KEY, LeaseRow, RECORD_PREFIX, flow_key, record_key};
-use actix::{AsyncContext, Context, Handler};
+use actix::{Addr, AsyncContext, Context, Handler};
 use backing::{Row, StoreError, TableStore, Transaction};
 use flow::{
     AwayWorker, FlowEnd, FlowJob, FlowPhase, FlowRow, LeaseLimit, LeaseTerms, RecordFault,
@@ -52,10 +56,14 @@
     pub scheduler: Scheduler,
     /// Whether the state that earlier schedulers wrote is loaded; nothing is placed before.
     pub is_loaded: bool,
-    /// Changes of flows that the feed reported before that. They may be newer than the loaded rows.
-    pub early_changes: Vec<ChangedFlow>,
+    /// Cancellations that the feed reported before that.
+    pub early_cancels: Vec<ChangedFlow>,
+    /// Memory that flows take.
+    pub memory: FlowMemory,
     /// When this entry became the scheduler.
     pub acquired_ms: u64,
+    /// When a part of the stored state last arrived, from `acquired_ms` on.
+    pub load_progress_ms: u64,
     /// Commit whose outcome is not known yet; at most one at a time.
     pub in_flight: Option<InFlightCommit>,
     /// Records of a refused commit that are written alone; `None` while no commit is refused.
@@ -223,6 +231,7 @@
             Some(claim) => claim.former.apply(&mut scheduler),
             None => scheduler.set_former_leases_expired_ms(now_ms + self.longest_former_ms()),
         }
+        scheduler.set_task_limit(self.flow_bytes / 2);
         scheduler.set_config(flow::FlowConfig::clone(&self.config.load()));
         log_event!(info, Event::SchedulerTaken, entry = %self.settings.id, epoch, version);
         self.metrics.is_scheduler.set(1);
@@ -234,8 +243,10 @@
             confirmed_ms,
             scheduler,
             is_loaded: false,
-            early_changes: Vec::new(),
+            early_cancels: Vec::new(),
+            memory: FlowMemory::default(),
             acquired_ms: now_ms,
+            load_progress_ms: now_ms,
             in_flight: None,
             isolation: None,
             last_commit_ms: now_ms,
@@ -262,7 +273,7 @@
     fn load(&self, epoch: u64, context: &mut Context<Self>) {
         let (table, control) = (self.table.clone(), context.address());
         actix_rt::spawn(async move {
-            let rows = load_rows(table.as_ref()).await;
+            let rows = load_rows(table.as_ref(), &control, epoch).await;
             control.do_send(StateLoaded { epoch, rows });
         });
     }
@@ -275,6 +286,9 @@
         log_event!(warn, Event::SchedulerLost, entry = %self.settings.id, epoch = leadership.epoch,
             reason);
         self.metrics.is_scheduler.set(0);
+        for kind in [MemoryUse::Flows, MemoryUse::Tasks, MemoryUse::Ended] {
+            self.metrics.set_memory(kind, 0);
+        }
         self.election = crate::election::Election::new(self.settings.processor_share);
         self.read_lease(context);
     }
@@ -286,12 +300,21 @@
     serde_json::to_string(row).unwrap_or_default()
 }
 
-/// Reads the rows of [`StoredRows`]. Records are read before flows, so that a flow whose record was
-/// deleted in the meantime is then read as ended.
-async fn load_rows(table: &dyn TableStore) -> Result<StoredRows, StoreError> {
+/// Reads the rows of [`StoredRows`], and sends those of flows to the control thread page by page.
+/// Records are read before flows, so that a flow whose record was deleted in the meantime is then read
+/// as ended.
+async fn load_rows(
+    table: &dyn TableStore,
+    control: &Addr<Coordinator>,
+    epoch: u64,
+) -> Result<StoredRows, StoreError> {
     let learned = read_row(table, LEARNED_KEY).await?;
     let records = read_all(table, RECORD_PREFIX).await?;
-    let flows = read_flows(table).await?;
+    let flows = read_flow_pages(table, |rows| async move {
+        let sent = control.send(FlowsLoaded { epoch, rows }).await;
+        sent.unwrap_or(false)
+    });
+    let flows = flows.await?;
     Ok(StoredRows {
         learned,
         records,
@@ -299,6 +322,24 @@
     })
 }
 
+impl Handler<FlowsLoaded> for Coordinator {
+    type Result = bool;
+
+    fn handle(&mut self, loaded: FlowsLoaded, _: &mut Self::Context) -> bool {
+        let now_ms = boot_ms();
+        let leadership = self.leadership.as_mut();
+        let loading = leadership.filter(|leadership| leadership.epoch == loaded.epoch);
+        let Some(leadership) = loading.filter(|leadership| !leadership.is_loaded) else {
+            return false;
+        };
+        leadership.load_progress_ms = now_ms;
+        for row in &loaded.rows {
+            apply_flow_row(leadership, now_ms, &row.key, Some(&row.value));
+        }
+        true
+    }
+}
+
 impl Handler<ClaimDone> for Coordinator {
     type Result = ();
 
@@ -357,13 +398,10 @@
                 return;
             }
         };
-        for row in &flows {
-            apply_flow_row(leadership, now_ms, &row.key, Some(&row.value));
-        }
         for (job, rows) in group_records(&records) {
             restore_record(leadership, now_ms, &job, &rows);
         }
-        for (key, value) in std::mem::take(&mut leadership.early_changes) {
+        for (key, value) in std::mem::take(&mut leadership.early_cancels) {
             apply_flow_row(leadership, now_ms, &key, value.as_deref());
         }
         match learned.map(|row| PressureModel::parse(&row.value)) {
@@ -380,7 +418,7 @@
             epoch = leadership.epoch,
             flows = leadership.scheduler.flows().count(),
             records = records.len(),
-            rows = flows.len(),
+            rows = flows,
             after_ms = now_ms.saturating_sub(leadership.acquired_ms)
         );
         self.poll_all(context);
--- a/components/flow_entry/src/lib.rs
+++ b/components/flow_entry/src/lib.rs
@@ -1,6 +1,7 @@
 //! An entry for flows. It accepts and cancels flows, reports their state, and schedules them while
 //! it holds the scheduler's lease. All durable state is in the table.
 
+mod acceptance;
 mod agents;
 mod call_limit;
 mod collection;
@@ -25,6 +26,7 @@
 mod reads;
 mod record_reads;
 mod requests;
+mod room;
 mod rows;
 mod rpc;
 mod run;
--- a/components/flow_entry/src/messages.rs
+++ b/components/flow_entry/src/messages.rs
@@ -2,6 +2,7 @@
 
 use crate::config_origin::ConfigOrigin;
 use crate::handle::PhaseAnswer;
+use crate::room::Taken;
 use actix::Message;
 use backing::{Row, StoreError};
 use flow::{
@@ -10,8 +11,8 @@
 };
 use model::{AgentId, JobId};
 use wire::{
-    CancelOutcome, LinkError, PhaseReply, QueuedCountReply, SchedulerProbe, SchedulerProbeReply,
-    SubmitOutcome,
+    CancelOutcome, LinkError, PhaseReply, QueuedCountReply, RoomReply, SchedulerProbe,
+    SchedulerProbeReply, SubmitOutcome,
 };
 
 /// Submission of a flow, by a caller of this entry or forwarded by another entry.
@@ -94,6 +95,27 @@
 #[rtype(result = "QueuedCountReply")]
 pub(crate) struct PeerCountQueued(pub QueueKey);
 
+/// Takes room for a flow that this entry accepts.
+#[derive(Message)]
+#[rtype(result = "Taken")]
+pub(crate) struct TakeRoom {
+    /// Memory that the flow takes in the scheduler, in bytes.
+    pub bytes: usize,
+}
+
+/// Answer to this entry's request for room for flows.
+#[derive(Message)]
+#[rtype(result = "()")]
+pub(crate) struct RoomGranted {
+    /// Granted room, in bytes; `None` if no scheduler answered.
+    pub bytes: Option<usize>,
+}
+
+/// Request of another entry to the scheduler for room for flows.
+#[derive(Message)]
+#[rtype(result = "RoomReply")]
+pub(crate) struct PeerGrantRoom;
+
 /// Configuration read from its source or received from the scheduler, new or not.
 #[derive(Message)]
 #[rtype(result = "()")]
@@ -155,8 +177,19 @@
     pub learned: Option<Row>,
     /// Progress records of flows.
     pub records: Vec<Row>,
-    /// Rows of flows and of cancellations.
-    pub flows: Vec<Row>,
+    /// Number of rows of flows and of cancellations, which were sent as [`FlowsLoaded`].
+    pub flows: usize,
+}
+
+/// A page of the rows of flows and of cancellations, while a scheduler loads them. Returns false once
+/// the load has to end.
+#[derive(Message)]
+#[rtype(result = "bool")]
+pub(crate) struct FlowsLoaded {
+    /// Epoch of the scheduler that loads them.
+    pub epoch: u64,
+    /// The rows.
+    pub rows: Vec<Row>,
 }
 
 /// Result of loading the state that earlier schedulers wrote.
--- a/components/flow_entry/src/requests.rs
+++ b/components/flow_entry/src/requests.rs
@@ -1,5 +1,6 @@
 //! Submissions, cancellations and queries of callers and of other entries.
 
+use crate::acceptance::{submit_without_room, take_room};
 use crate::coordinator::Coordinator;
 use crate::handle::PhaseAnswer;
 use crate::leadership::{add_flow, apply_flow_row, encode};
@@ -10,7 +11,7 @@
 use crate::metrics::Metrics;
 use crate::reads::read_all;
 use crate::record_reads::{RecordError, group_records, parse_record};
-use crate::rows::{cancel_key, flow_key, record_key};
+use crate::rows::{cancel_key, flow_key, is_cancel_key, record_key};
 use actix::{AsyncContext, Handler, MessageResult, ResponseFuture};
 use backing::{StoreError, TableStore, Transaction};
 use flow::{FlowJob, FlowPhase, FlowRow, FlowState, QueueKey};
@@ -169,12 +170,17 @@
             (self.table.clone(), context.address(), self.metrics.clone());
         let caller_calls = self.caller_calls.clone();
         Box::pin(async move {
+            let has_room = take_room(&control, job.footprint()).await;
             let mut outcome = SubmitOutcome::Refused;
-            let mut by = "table";
+            let mut by = if has_room { "table" } else { "no-room" };
             if !is_unavailable && let Some(_turn) = caller_calls.turn(until_ms).await {
-                outcome = store_flow(table.as_ref(), &job, until_ms).await;
+                outcome = match has_room {
+                    true => store_flow(table.as_ref(), &job, until_ms).await,
+                    false => submit_without_room(table.as_ref(), &job.id).await,
+                };
             }
-            if let Some(link) = link.filter(|_| outcome == SubmitOutcome::Refused) {
+            let link = link.filter(|_| has_room && outcome == SubmitOutcome::Refused);
+            if let Some(link) = link {
                 by = "scheduler";
                 outcome = relay_submit(link, job.clone()).await;
             }
@@ -427,13 +433,16 @@
         else {
             return false;
         };
-        if !leadership.is_loaded {
-            leadership.early_changes.extend(changed.rows);
-            return true;
-        }
         for (key, value) in &changed.rows {
             apply_flow_row(leadership, now_ms, key, value.as_deref());
         }
+        if !leadership.is_loaded {
+            // The flows that they cancel may not be loaded yet.
+            let rows = changed.rows.into_iter();
+            let cancels = rows.filter(|(key, _)| is_cancel_key(key));
+            leadership.early_cancels.extend(cancels);
+            return true;
+        }
         if !changed.rows.is_empty() {
             self.request_scheduling_pass(context);
         }
--- a/components/flow_entry/src/rows.rs
+++ b/components/flow_entry/src/rows.rs
@@ -104,6 +104,11 @@
     format!("{}{CANCEL_SUFFIX}", flow_key(job))
 }
 
+/// Whether a key is that of a flow's cancellation.
+pub(crate) fn is_cancel_key(key: &str) -> bool {
+    matches!(FlowKey::parse(key), Some(FlowKey::Cancel(_)))
+}
+
 /// Key of one of the rows that hold a flow's progress record, by its number; the first has 0.
 pub(crate) fn record_key(job: &JobId, number: usize) -> String {
     match number {
--- a/components/flow_entry/src/rpc.rs
+++ b/components/flow_entry/src/rpc.rs
@@ -2,7 +2,8 @@
 
 use crate::coordinator::Coordinator;
 use crate::messages::{
-    Cancel, NotifyAccepted, NotifyCancelled, PeerCountQueued, PeerGetPhase, PeerProbe, Submit,
+    Cancel, NotifyAccepted, NotifyCancelled, PeerCountQueued, PeerGetPhase, PeerGrantRoom,
+    PeerProbe, Submit,
 };
 use actix::Addr;
 use flow::{FlowJob, QueueKey};
@@ -10,7 +11,7 @@
 use tarpc::context::Context;
 use utils::boot_ms;
 use wire::{
-    CancelOutcome, PhaseReply, QueuedCountReply, SchedulerControl, SchedulerProbe,
+    CancelOutcome, PhaseReply, QueuedCountReply, RoomReply, SchedulerControl, SchedulerProbe,
     SchedulerProbeReply, SubmitOutcome,
 };
 
@@ -68,4 +69,9 @@
         let sent = self.0.send(Cancel { job, until_ms }).await;
         sent.unwrap_or(CancelOutcome::Unavailable)
     }
+
+    async fn grant_room(self, _: Context) -> RoomReply {
+        let sent = self.0.send(PeerGrantRoom).await;
+        sent.unwrap_or(RoomReply::NotScheduler)
+    }
 }
--- a/components/flow_entry/tests/common/mod.rs
+++ b/components/flow_entry/tests/common/mod.rs
@@ -165,6 +165,7 @@
                 slack_ms: 300,
             },
             limits: FlowLimitSettings::default(),
+            memory_mb: 160,
             keep_ended_ms: 1_500,
             grace_ms: 1_000,
         };
--- a/components/flow_entry/tests/slow_load.rs
+++ b/components/flow_entry/tests/slow_load.rs
@@ -84,6 +84,7 @@
             longest_ms: 6_000,
             slack_ms: 300,
         },
+        memory_mb: 160,
         keep_ended_ms: 1_500,
         grace_ms: 1_000,
     };
--- a/components/wire/src/scheduler_control.rs
+++ b/components/wire/src/scheduler_control.rs
@@ -68,6 +68,15 @@
     NotScheduler,
 }
 
+/// Answer to a request for room for flows that an entry accepts.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum RoomReply {
+    /// Memory that these flows may take in the scheduler, in bytes; 0 if none is left.
+    Bytes(u64),
+    /// The process is not the scheduler, or has not read the table yet.
+    NotScheduler,
+}
+
 /// RPC interface between entries about flows.
 ///
 /// Calls are encoded by position: the order of methods and of their arguments must not change.
@@ -87,4 +96,6 @@
     async fn submit(job: FlowJob) -> SubmitOutcome;
     /// Cancels a flow for an entry that can't reach the table.
     async fn cancel(job: JobId) -> CancelOutcome;
+    /// Grants an entry room for flows that it accepts.
+    async fn grant_room() -> RoomReply;
 }
--- a/tests/common/flow_fleet.rs
+++ b/tests/common/flow_fleet.rs
@@ -84,6 +84,12 @@
         Self::start_with(entries, agents, set).await
     }
 
+    /// As [`Fleet::start`], with entries that may use `memory_mb` mebibytes.
+    pub async fn start_with_memory(entries: usize, agents: usize, memory_mb: u32) -> Self {
+        let set = |settings: &mut Value| settings["memory_mb"] = memory_mb.into();
+        Self::start_with(entries, agents, set).await
+    }
+
     /// As [`Fleet::start`], with a change to the settings of the entries.
     async fn start_with(entries: usize, agents: usize, change: impl Fn(&mut Value)) -> Self {
         let folder = TempDir::new().unwrap();
--- a/tests/memory.rs
+++ b/tests/memory.rs
@@ -4,7 +4,7 @@
 
 use common::flow_fleet::{Fleet, ids};
 use common::sleep_ms;
-use platform_standin::job;
+use platform_standin::{job, long_names_job};
 use serde_json::Value;
 use std::io::{ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpStream};
@@ -164,6 +164,107 @@
         sleep_ms(50).await;
     }
     println!("{most} descriptors");
-    assert!(most < CALLERS + 256 + OTHER_DESCRIPTORS, "{most} descriptors");
+    assert!(
+        most < CALLERS + 256 + OTHER_DESCRIPTORS,
+        "{most} descriptors"
+    );
     drop(connections);
 }
+
+/// Submits jobs with this body under `ids` at the first entry; returns how many were accepted before
+/// one was refused for some seconds.
+async fn submit_until_refused(fleet: &Fleet, ids: &[String], body: &Value) -> usize {
+    for (number, id) in ids.iter().enumerate() {
+        let mut refusals = 0;
+        while refusals < 6 {
+            let (status, answer) = fleet.call("POST", 0, id, body).await;
+            if status == 200 {
+                break;
+            }
+            println!("{status} after {number} jobs: {answer}");
+            assert_eq!(status, 503);
+            assert_eq!(answer["retry_after_s"], "1");
+            refusals += 1;
+            sleep_ms(500).await;
+        }
+        if refusals == 6 {
+            return number;
+        }
+    }
+    ids.len()
+}
+
+/// Guards against accepted jobs whose whole text the scheduler keeps for as long as they wait.
+#[actix_rt::test]
+async fn a_job_that_waits_takes_less_memory_than_its_text() {
+    const JOBS: usize = 500;
+    let mut fleet = Fleet::start(1, 1).await;
+    let before_kib = status_kib(&mut fleet, 0, "VmRSS");
+    let body = long_names_job(30, 1_060);
+    assert_eq!(submit_until_refused(&fleet, &ids(JOBS), &body).await, JOBS);
+    sleep_ms(1_000).await;
+    let grown_kib = status_kib(&mut fleet, 0, "VmRSS") - before_kib;
+    println!(
+        "{JOBS} jobs of {} bytes: {grown_kib} KiB",
+        body.to_string().len()
+    );
+    assert!(grown_kib < 16 * JOBS as u64, "{grown_kib} KiB");
+    assert_entries_keep_their_memory(&mut fleet);
+}
+
+/// Guards against a sum of stored jobs that ends each scheduler while it loads them, for ever.
+#[actix_rt::test]
+async fn many_large_stored_jobs_are_loaded_by_any_entry() {
+    const JOBS: usize = 2_000;
+    let mut fleet = Fleet::start(2, 1).await;
+    let ids = ids(JOBS + 2);
+    let body = long_names_job(30, 1_060);
+    assert_eq!(fleet.submit(0, &ids[0], &body).await, 200);
+    let (_, value) = fleet.store.values("flows").remove(0);
+    for (_, node) in &mut fleet.entries {
+        node.process.kill();
+    }
+    for id in &ids[1..JOBS] {
+        let part = fleet.store.part_of("flows", &ids[0]);
+        fleet
+            .store
+            .put("flows", &part, id, &value.replace(&ids[0], id));
+    }
+    for (_, node) in &mut fleet.entries {
+        node.restart();
+    }
+    fleet.wait_until_ready().await;
+    let small = &ids[JOBS..];
+    assert_eq!(fleet.submit(1, &small[0], &job(1, 100)).await, 200);
+    fleet.wait_until_completed(&small[..1]).await;
+    assert_entries_keep_their_memory(&mut fleet);
+}
+
+/// Guards against accepted jobs that exceed the scheduler's memory in sum, and against answers about
+/// accepted ones that change while no further one is accepted.
+#[actix_rt::test]
+async fn jobs_beyond_the_memory_for_them_are_refused_and_accepted_ones_go_on() {
+    let mut fleet = Fleet::start_with_memory(2, 1, 64).await;
+    let ids = ids(1_000);
+    let mut body = long_names_job(1, 10);
+    body["taskSpec"] = "a".repeat(40_000).into();
+    let accepted = submit_until_refused(&fleet, &ids, &body).await;
+    // Each takes some 41 KB of 22 MB.
+    assert!((400..570).contains(&accepted), "{accepted} are accepted");
+    for entry in 0..2 {
+        let (status, _) = fleet.call("POST", entry, &ids[0], &body).await;
+        assert_eq!(status, 200, "a repeated submission of an accepted job");
+        assert_eq!(fleet.state(entry, &ids[0]).await, "queued");
+    }
+    let refused = &ids[accepted];
+    assert_eq!(fleet.call("GET", 1, refused, &Value::Null).await.0, 410);
+    let peak_kib = status_kib(&mut fleet, 0, "VmHWM").max(status_kib(&mut fleet, 1, "VmHWM"));
+    assert!(peak_kib < 80 * 1_024, "an entry used {peak_kib} KiB");
+    for id in &ids[..accepted] {
+        assert_eq!(fleet.call("DELETE", 0, id, &Value::Null).await.0, 200);
+    }
+    assert_eq!(fleet.submit(1, refused, &job(1, 100)).await, 200);
+    fleet
+        .wait_until_completed(std::slice::from_ref(refused))
+        .await;
+}
