--- a/tests/memory.rs
+++ b/tests/memory.rs
@@ -225,7 +225,8 @@
         node.process.kill();
     }
     for id in &ids[1..JOBS] {
-        let part = fleet.store.part_of("flows", &ids[0]);
+        // Flows are in four parts, by a hash of their identifiers.
+        let part = (utils::hash64(id) % 4).to_string();
         fleet
             .store
             .put("flows", &part, id, &value.replace(&ids[0], id));
@@ -237,6 +238,13 @@
     let small = &ids[JOBS..];
     assert_eq!(fleet.submit(1, &small[0], &job(1, 100)).await, 200);
     fleet.wait_until_completed(&small[..1]).await;
+    for id in [&ids[1], &ids[JOBS - 1]] {
+        let (status, answer) = fleet.call("GET", 0, id, &Value::Null).await;
+        assert_eq!((status, answer["state"].as_str()), (200, Some("queued")));
+    }
+    let loaded = fleet.call("GET", 0, "", &Value::Null).await;
+    println!("{} jobs wait", loaded.1);
+    assert_eq!(loaded.1["waiting"], JOBS);
     assert_entries_keep_their_memory(&mut fleet);
 }
 
