--- a/tests/memory.rs
+++ b/tests/memory.rs
@@ -4,7 +4,8 @@
 
 use common::flow_fleet::{Fleet, ids};
 use common::sleep_ms;
-use platform_standin::{job, long_names_job};
+use platform_standin::caller::request_head;
+use platform_standin::{job, long_names_job, long_payload_job};
 use serde_json::Value;
 use std::io::{ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpStream};
@@ -105,11 +106,7 @@
     let mut fleet = Fleet::start(1, 1).await;
     let front = fleet.entries[0].0.front;
     let ids = ids(3);
-    let head = format!(
-        "POST /q/{} HTTP/1.1\r\nHost: a.example\r\nX-Deadline-Milliseconds: 3000\r\n\
-         Content-Type: application/json\r\nContent-Length: 299999\r\n\r\n",
-        ids[0]
-    );
+    let head = request_head("POST", &ids[0], 299_999);
     let part = [head.into_bytes(), vec![b' '; 290_000]].concat();
     let mut connections = send_parts(front, 460, &part);
     assert_serves_small_requests(&fleet, 0, &ids[1]).await;
@@ -131,7 +128,7 @@
     let mut fleet = Fleet::start(1, 1).await;
     let front = fleet.entries[0].0.front;
     let ids = ids(2);
-    let request = format!("GET /q/{} HTTP/1.1\r\nHost: a.example\r\n\r\n", ids[0]);
+    let request = request_head("GET", &ids[0], 0);
     let requests = request.repeat(20_000).into_bytes();
     let connections = send_parts(front, 300, &requests);
     for _ in 0..10 {
@@ -155,7 +152,7 @@
     let front = fleet.entries[0].0.front;
     let ids = ids(2);
     fleet.store.answer_reads_late("flows", 1_500);
-    let request = format!("GET /q/{} HTTP/1.1\r\nHost: a.example\r\n\r\n", ids[0]);
+    let request = request_head("GET", &ids[0], 0);
     let connections = send_parts(front, CALLERS, request.as_bytes());
     let folder = format!("/proc/{}/fd", fleet.entries[0].1.process.child.id());
     let mut most = 0;
@@ -254,8 +251,7 @@
 async fn jobs_beyond_the_memory_for_them_are_refused_and_accepted_ones_go_on() {
     let mut fleet = Fleet::start_with_memory(2, 1, 64).await;
     let ids = ids(1_000);
-    let mut body = long_names_job(1, 10);
-    body["taskSpec"] = "a".repeat(40_000).into();
+    let body = long_payload_job(40_000);
     let accepted = submit_until_refused(&fleet, &ids, &body).await;
     // Each takes some 41 KB of 22 MB.
     assert!((400..570).contains(&accepted), "{accepted} are accepted");
