Requests without an exchange don't add up to a head that is too long

What callers would see: a connection of the checks of readiness, or of scrapes of metrics, closed after 62 requests of 32 bytes with a limit of 2,000 (some 100 checks with 12 KB): counted the bytes of heads until a handler begins an exchange, and the handlers of monitoring begin none. Found on reading the diff.

Change: the bytes are counted from the end of one head to the end of the next. Test: many_short_requests_may_follow_each_other_on_a_connection; with the change undone it fails, 62 for 200.

--- a/components/http_server/src/stream.rs
+++ b/components/http_server/src/stream.rs
@@ -119,7 +119,7 @@
         let phase = self.connection.phase();
         let total = self.connection.count_read(read_bytes);
         let is_exceeded = match phase {
-            Phase::Head => total > self.limits.head_bytes,
+            Phase::Head => self.head_end.bytes > self.limits.head_bytes,
             Phase::Discarding(_) => total > self.limits.discarded_bytes,
             Phase::Body(_) | Phase::Answering => false,
         };
@@ -217,6 +217,8 @@
 /// Finds the empty line that ends the head of a request.
 #[derive(Debug, Default)]
 struct HeadEnd {
+    /// Bytes of a head that has not ended.
+    bytes: usize,
     /// Whether the last line feed was followed by nothing but carriage returns.
     is_line_empty: bool,
 }
@@ -228,7 +230,7 @@
         for (index, byte) in bytes.enumerate() {
             match byte {
                 b'\n' if self.is_line_empty => {
-                    self.is_line_empty = false;
+                    *self = Self::default();
                     return index + 1;
                 }
                 b'\n' => self.is_line_empty = true,
@@ -236,6 +238,7 @@
                 _ => self.is_line_empty = false,
             }
         }
+        self.bytes += all;
         all
     }
 }
--- a/components/http_server/tests/server.rs
+++ b/components/http_server/tests/server.rs
@@ -87,6 +87,7 @@
         App::new()
             .app_data(shared.0.clone())
             .app_data(Data::new(shared.1.clone()))
+            .route("/plain", web::get().to(HttpResponse::Ok))
             .default_service(web::to(handle))
     });
     actix_rt::spawn(server.unwrap());
@@ -202,6 +203,28 @@
     assert_eq!(lengths, expected);
 }
 
+/// Guards against a connection that is closed because its requests, of which each is short, exceed the
+/// limit of a head together. Their handler begins no exchange, like that of a check of readiness.
+#[actix_rt::test]
+async fn many_short_requests_may_follow_each_other_on_a_connection() {
+    let server = start(limits());
+    let address = server.address;
+    let answered = on_thread(move || {
+        let mut connection = connect(address);
+        let mut answered = 0;
+        for _ in 0..200 {
+            let sent = connection.write_all(b"GET /plain HTTP/1.1\r\nHost: a\r\n\r\n");
+            let mut answer = [0; 1_000];
+            if sent.is_err() || !connection.read(&mut answer).is_ok_and(|read| read > 0) {
+                break;
+            }
+            answered += 1;
+        }
+        answered
+    });
+    assert_eq!(answered.await, 200);
+}
+
 /// Guards against connections beyond the limit that wait without an answer.
 #[actix_rt::test]
 async fn connections_beyond_the_limit_are_refused_at_once() {
