--- a/components/flow_entry/src/memory.rs
+++ b/components/flow_entry/src/memory.rs
@@ -43,7 +43,7 @@
     /// ```
     pub fn new(memory_mb: u32) -> Self {
         let memory_mib = memory_mb as usize;
-        let percent = |share: usize| memory_mib * MIB / 100 * share;
+        let percent = |share: usize| memory_mib * MIB * share / 100;
         Self {
             connections: (memory_mib * CONNECTIONS_PER_MIB).min(MAX_CONNECTIONS),
             blocked_connections: memory_mib * BLOCKED_CONNECTIONS_PER_8_MIB / 8,
