A task whose last allowed run failed before the configuration came is not run again (BUDGET)

Cause: the limit of failed runs was checked only where an end is applied, as unlimited while the queue is not known. Ruled out: a lost count (the log says "4 runs failed").

Change: before a pass places tasks, it fails the flows of which a queued task, or a gang, has failed as often as its queue allows.

Test: a_task_that_used_up_its_runs_before_the_configuration_came_does_not_run_again; with the change undone "failing was started 4 times".

--- a/components/flow/src/ends.rs
+++ b/components/flow/src/ends.rs
@@ -2,7 +2,7 @@
 
 use crate::view::PendingAck;
 use crate::{DecisionKind, EndedRun, RunEnd, Scheduler, TaskKey};
-use model::AgentId;
+use model::{AgentId, JobId};
 
 /// Backoff before a failed long-running task is placed again, in milliseconds.
 const RESTART_BACKOFF_MS: u64 = 100;
@@ -146,6 +146,33 @@
         step.map_or(0, crate::StepState::failures)
     }
 
+    /// Fails a flow of which a queued task, or a gang, has failed as often as its queue allows. Ends that
+    /// were applied while the queue was not known have failed nothing.
+    pub(crate) fn fail_exhausted(&mut self, now_ms: u64, job: &JobId) {
+        if let Some((key, failures)) = self.exhausted_task(job) {
+            let detail = format!("{failures} runs failed");
+            self.fail_flow(now_ms, &key, &"".into(), detail);
+        }
+    }
+
+    /// First queued task of a flow that must not run again, and the failures that count for it.
+    fn exhausted_task(&self, job: &JobId) -> Option<(TaskKey, u32)> {
+        let state = self.flows.get(job)?;
+        let queue = self.config.queue(&state.job.queue)?;
+        let limit = queue.max_attempts.max(1);
+        let mut failed = state
+            .tasks()
+            .filter(|(_, task)| task.failures > 0 && task.is_queued());
+        failed.find_map(|(key, task)| {
+            let spec = state.step_spec(key.step)?;
+            let failures = match spec.gang {
+                true => self.gang_failures(&key),
+                false => task.failures,
+            };
+            (!spec.long_running && failures >= limit).then_some((key, failures))
+        })
+    }
+
     /// Fails a flow and stops its runs, unless it has ended.
     pub(crate) fn fail_flow(
         &mut self,
--- a/components/flow/src/placement.rs
+++ b/components/flow/src/placement.rs
@@ -60,6 +60,9 @@
             return;
         }
         order.sort_by(|left, right| left.partial_cmp(right).unwrap_or(std::cmp::Ordering::Equal));
+        for (_, job) in &order {
+            self.fail_exhausted(now_ms, job);
+        }
         let mut candidates = self.candidates(now_ms);
         self.place_suspects(now_ms, &mut candidates);
         let mut full = FullPools::default();
--- a/components/flow/tests/takeovers.rs
+++ b/components/flow/tests/takeovers.rs
@@ -59,3 +59,36 @@
         "its lease was renewed, so that its run went on"
     );
 }
+
+/// Guards against a further run of a task whose last allowed one failed while the scheduler had no
+/// configuration, as after a start beside a silent store.
+#[test]
+fn a_task_that_used_up_its_runs_before_the_configuration_came_does_not_run_again() {
+    /// Runs that the queue allows.
+    const MAX_ATTEMPTS: u32 = 3;
+    for is_gang in [false, true] {
+        let mut sim = Sim::new(3);
+        let spec = flow::StepSpec {
+            gang: is_gang,
+            ..step(1, 1_000, 300)
+        };
+        let job = sim.submit("failing", vec![spec]);
+        sim.always_failing.insert(job.clone());
+        while sim.starts.get(&job) != Some(&MAX_ATTEMPTS) {
+            sim.step();
+        }
+        sim.run_for(100);
+        sim.take_over();
+        let config = flow::FlowConfig {
+            version: 1,
+            ..flow::FlowConfig::default()
+        };
+        sim.scheduler.set_config(config);
+        sim.run_for(2_000);
+        assert!(!sim.ended_ms.contains_key(&job), "no limit is known yet");
+        sim.scheduler.set_config(common::config());
+        sim.run_for(2_000);
+        assert_eq!(sim.starts[&job], MAX_ATTEMPTS, "runs of the task");
+        assert_eq!(sim.ended_ms[&job].1, flow::FlowPhase::Failed);
+    }
+}
