--- a/components/bench/src/deciding.rs
+++ b/components/bench/src/deciding.rs
@@ -34,7 +34,7 @@
     row_bytes: 65_536,
 };
 /// Time between two scheduling passes, in milliseconds.
-const PASS_INTERVAL_MS: u64 = 20;
+pub(crate) const PASS_INTERVAL_MS: u64 = 20;
 
 fn queue() -> QueueKey {
     QueueKey {
@@ -77,22 +77,27 @@
     }
 }
 
-/// Submits a flow of one step.
-fn add(scheduler: &mut Scheduler, now_ms: u64, id: String, step: StepSpec) {
+/// Submits a flow.
+pub(crate) fn add(scheduler: &mut Scheduler, now_ms: u64, id: String, spec: FlowSpec) {
     let job = FlowJob {
         id: id.into(),
         queue: queue(),
-        spec: FlowSpec {
-            payload: String::new(),
-            steps: vec![step],
-            schedule: None,
-        },
+        spec,
         accepted_wall_ms: 0,
     };
     scheduler.add(now_ms, 0, job);
 }
 
-fn step(tasks: u32, processors_milli: u32) -> StepSpec {
+/// Flow of one step.
+fn flow_of(step: StepSpec) -> FlowSpec {
+    FlowSpec {
+        payload: String::new(),
+        steps: vec![step],
+        schedule: None,
+    }
+}
+
+pub(crate) fn step(tasks: u32, processors_milli: u32) -> StepSpec {
     StepSpec {
         tasks,
         need: Resources::new(processors_milli, 500, 0),
@@ -102,7 +107,7 @@
 }
 
 /// Scheduler whose workers all run latency-critical tasks.
-fn loaded_scheduler(workers: usize) -> Scheduler {
+pub(crate) fn loaded_scheduler(workers: usize) -> Scheduler {
     let mut scheduler = Scheduler::default();
     scheduler.set_config(config());
     let times = ReportTimes {
@@ -131,7 +136,7 @@
             &mut scheduler,
             1_000,
             format!("serving{number}"),
-            latency_critical,
+            flow_of(latency_critical),
         );
     }
     place_all(&mut scheduler, 1_000);
@@ -161,8 +166,18 @@
             image: Some(format!("filler{}", number % FILLER_IMAGES)),
             ..step(TASKS, 1_000)
         };
-        add(&mut scheduler, now_ms, format!("plain{number}"), plain);
-        add(&mut scheduler, now_ms, format!("filler{number}"), filler);
+        add(
+            &mut scheduler,
+            now_ms,
+            format!("plain{number}"),
+            flow_of(plain),
+        );
+        add(
+            &mut scheduler,
+            now_ms,
+            format!("filler{number}"),
+            flow_of(filler),
+        );
         let started = Instant::now();
         starts += place_all(&mut scheduler, now_ms);
         spent_us += started.elapsed().as_secs_f64() * 1e6;
--- a/components/bench/src/main.rs
+++ b/components/bench/src/main.rs
@@ -19,6 +19,7 @@
 mod stats;
 mod takeover;
 mod trace;
+mod waiting;
 mod work;
 
 use clap::{Arg, Command, value_parser};
@@ -78,7 +79,7 @@
         )
         .subcommand(
             Command::new("policy")
-                .about("Decision time of the scheduler of flows")
+                .about("Times of decisions and passes of the scheduler of flows")
                 .arg(only()),
         )
         .subcommand(Command::new("report").about("Write the saved results to an HTML page"))
--- a/components/flow/src/begun.rs
+++ b/components/flow/src/begun.rs
@@ -2,7 +2,7 @@
 //! states of their tasks.
 
 use crate::state::MAX_OPEN_OCCURRENCES;
-use crate::{FlowState, Scheduler, StepState, TaskState};
+use crate::{Scheduler, StepState, TaskState};
 use model::JobId;
 use std::mem::size_of;
 
@@ -35,10 +35,13 @@
     /// Measures the states of tasks before a pass. Returns how many occurrences of a flow may be open:
     /// one if there is no room for more.
     pub(crate) fn measure_progress(&mut self) -> usize {
-        let flows = self.flows.values();
-        let steps = flows.clone().flat_map(FlowState::steps);
-        self.progress.used_bytes = steps.map(StepState::state_bytes).sum();
-        let state_bytes: usize = flows.map(FlowState::state_bytes).sum();
+        let (mut used_bytes, mut state_bytes) = (0, 0);
+        for flow in self.flows.values() {
+            let task_bytes: usize = flow.steps().map(StepState::state_bytes).sum();
+            used_bytes += task_bytes;
+            state_bytes += task_bytes + flow.own_bytes();
+        }
+        self.progress.used_bytes = used_bytes;
         let limit_bytes = self.progress.task_bytes.saturating_mul(2);
         if state_bytes < limit_bytes {
             MAX_OPEN_OCCURRENCES
--- a/components/flow/src/ends.rs
+++ b/components/flow/src/ends.rs
@@ -1,7 +1,7 @@
 //! Applies the ends of runs to their flow and to the health of their worker.
 
 use crate::view::PendingAck;
-use crate::{DecisionKind, EndedRun, RunEnd, Scheduler, TaskKey};
+use crate::{DecisionKind, EndedRun, RunEnd, Scheduler, TaskKey, TaskState};
 use model::{AgentId, JobId};
 
 /// Backoff before a failed long-running task is placed again, in milliseconds.
@@ -160,9 +160,13 @@
         let state = self.flows.get(job)?;
         let queue = self.config.queue(&state.job.queue)?;
         let limit = queue.max_attempts.max(1);
-        let mut failed = state
-            .tasks()
-            .filter(|(_, task)| task.failures > 0 && task.is_queued());
+        let has_failed = |task: &TaskState| task.failures > 0 && task.is_queued();
+        // Few flows have such a task, and keys of all tasks are dear.
+        let mut tasks = state.steps().flat_map(|step| &step.tasks);
+        if !tasks.any(has_failed) {
+            return None;
+        }
+        let mut failed = state.tasks().filter(|(_, task)| has_failed(task));
         failed.find_map(|(key, task)| {
             let spec = state.step_spec(key.step)?;
             let failures = match spec.gang {
--- a/components/flow/src/footprint.rs
+++ b/components/flow/src/footprint.rs
@@ -106,17 +106,18 @@
 }
 
 impl FlowState {
-    /// Memory of its occurrences, steps and tasks without checkpoints and runs, in bytes.
-    pub(crate) fn state_bytes(&self) -> usize {
+    /// Memory of its occurrences and steps without the states of tasks, in bytes.
+    pub(crate) fn own_bytes(&self) -> usize {
         let occurrences = self.occurrences.capacity() * size_of::<OccurrenceState>();
-        let step_bytes = |step: &StepState| size_of::<StepState>() + step.state_bytes();
-        occurrences + self.steps().map(step_bytes).sum::<usize>()
+        let steps = self.occurrences.iter().map(|state| state.steps.len());
+        occurrences + steps.sum::<usize>() * size_of::<StepState>()
     }
 
     /// Estimated memory of its progress, in bytes.
     fn progress_bytes(&self) -> usize {
         let tasks = self.steps().flat_map(|step| &step.tasks);
-        self.state_bytes() + tasks.map(task_bytes).sum::<usize>()
+        let states = self.steps().map(StepState::state_bytes);
+        self.own_bytes() + states.sum::<usize>() + tasks.map(task_bytes).sum::<usize>()
     }
 
     /// States of the steps of all activated occurrences.
--- a/components/flow/src/full_pool.rs
+++ b/components/flow/src/full_pool.rs
@@ -1,8 +1,8 @@
 //! Steps for which no worker of a pool has room, so that a pass over many waiting flows is short.
 
 use crate::candidate::{Candidate, has_label};
-use crate::{Scheduler, StepSpec, TaskKey};
-use model::{Resources, ServiceName};
+use crate::{Scheduler, StepSpec};
+use model::{JobId, Resources, ServiceName};
 
 /// Most needs that are known to find no room; further ones are examined each time.
 const MAX_NEEDS: usize = 32;
@@ -61,15 +61,21 @@
         !may_fit
     }
 
-    /// Keeps the time since which tasks of a step wait, of which none is placed in this pass.
-    pub(crate) fn keep_waiting(&mut self, now_ms: u64, first: &TaskKey) {
-        let state = self.flows.get_mut(&first.job);
-        let Some(step) = state.and_then(|state| state.step_mut(first)) else {
+    /// Keeps the times since which tasks of these steps wait, pairs of occurrence and step, of which none
+    /// is placed in this pass.
+    pub(crate) fn keep_waiting(&mut self, now_ms: u64, job: &JobId, steps: &[(usize, usize)]) {
+        let Some(state) = self.flows.get_mut(job) else {
             return;
         };
-        let is_due = step
-            .all_tasks()
-            .any(|(_, task)| task.is_queued() && now_ms >= task.not_before_ms);
-        step.queued_since_ms = is_due.then(|| step.queued_since_ms.unwrap_or(now_ms));
+        for (occurrence, step) in steps {
+            let occurrence = state.occurrences.get_mut(*occurrence);
+            let Some(step) = occurrence.and_then(|state| state.steps.get_mut(*step)) else {
+                continue;
+            };
+            let is_due = step
+                .all_tasks()
+                .any(|(_, task)| task.is_queued() && now_ms >= task.not_before_ms);
+            step.queued_since_ms = is_due.then(|| step.queued_since_ms.unwrap_or(now_ms));
+        }
     }
 }
--- a/components/flow/src/placement.rs
+++ b/components/flow/src/placement.rs
@@ -3,7 +3,7 @@
 use crate::candidate::{Candidate, FillerNeed};
 use crate::full_pool::FullPools;
 use crate::{
-    DecisionKind, FlowState, Placement, Queue, RunStage, Scheduler, StepState, TaskKey,
+    DecisionKind, FlowState, Placement, Queue, RunStage, Scheduler, StepSpec, StepState, TaskKey,
     scheduler::allocation_for,
 };
 use model::{JobId, ServiceName};
@@ -120,30 +120,30 @@
         else {
             return;
         };
-        let mut ready = Vec::new();
-        for (occurrence, occurrence_state) in state.occurrences.iter().enumerate() {
-            for (step, step_state) in occurrence_state.steps.iter().enumerate() {
-                if !step_state.is_done() && state.is_step_ready(occurrence, step) {
-                    ready.push((occurrence, step));
-                }
-            }
+        let ready = state.ready_steps();
+        let mut specs = ready.iter().map(|(_, step)| state.step_spec(*step as u32));
+        let mut waits = |spec| self.has_no_room(spec, &service, candidates, full);
+        if specs.all(|spec| spec.is_some_and(&mut waits)) {
+            self.keep_waiting(now_ms, job, &ready);
+            return;
         }
         for (occurrence, step) in ready {
-            let first = TaskKey {
-                job: job.clone(),
-                occurrence: occurrence as u32,
-                step: step as u32,
-                index: 0,
+            let Some(spec) = self
+                .flows
+                .get(job)
+                .and_then(|state| state.step_spec(step as u32))
+            else {
+                continue;
             };
-            if self.has_no_room(&first, &service, candidates, full) {
-                self.keep_waiting(now_ms, &first);
+            let is_gang = spec.gang;
+            if self.has_no_room(spec, &service, candidates, full) {
+                self.keep_waiting(now_ms, job, &[(occurrence, step)]);
                 continue;
             }
             if !self.may_place(job, occurrence, step) {
                 continue;
             }
             let had_begun = self.has_begun(job, occurrence, step);
-            let is_gang = self.step_spec(&first).is_some_and(|spec| spec.gang);
             if is_gang {
                 self.place_gang(now_ms, job, occurrence, step, &service, candidates);
             } else {
@@ -159,15 +159,13 @@
     /// of their own.
     fn has_no_room(
         &self,
-        first: &TaskKey,
+        spec: &StepSpec,
         service: &ServiceName,
         candidates: &[(ServiceName, Candidate)],
         full: &mut FullPools,
     ) -> bool {
-        let spec = self.step_spec(first);
-        let spec = spec.filter(|spec| !spec.gang && !spec.filler);
-        spec.filter(|_| self.suspects.is_empty())
-            .is_some_and(|spec| self.finds_no_room(service, spec, candidates, full))
+        let is_plain = !spec.gang && !spec.filler && self.suspects.is_empty();
+        is_plain && self.finds_no_room(service, spec, candidates, full)
     }
 
     /// Tasks of a step that are neither done nor placed and whose restart delay has passed: all of a
--- a/components/flow/src/state.rs
+++ b/components/flow/src/state.rs
@@ -202,6 +202,22 @@
         spec.after.iter().all(is_done)
     }
 
+    /// Steps that are not done and whose dependencies are, as pairs of occurrence and step. The whole
+    /// occurrence is examined once, as passes do this for each waiting flow.
+    pub(crate) fn ready_steps(&self) -> Vec<(usize, usize)> {
+        let mut ready = Vec::new();
+        for (occurrence, state) in self.occurrences.iter().enumerate() {
+            let is_done: Vec<bool> = state.steps.iter().map(StepState::is_done).collect();
+            for (step, spec) in self.job.spec.steps.iter().enumerate() {
+                let is_after_done = |at: &u32| is_done.get(*at as usize) == Some(&true);
+                if is_done.get(step) == Some(&false) && spec.after.iter().all(is_after_done) {
+                    ready.push((occurrence, step));
+                }
+            }
+        }
+        ready
+    }
+
     /// Whether any task is placed, so that its run may still exist.
     pub fn has_placements(&self) -> bool {
         self.tasks().any(|(_, task)| task.placement.is_some())
