Test: those of memory run one at a time

Cause: six tests of one binary sent their waves at once, 460 bodies of 290 KB among them, and each measured the others' load too. bodies_sent_in_part failed in four of nine plays at load 16 to 18 (three binaries at once and three busy processes): its small POST got no answer or took over a second. Change: a lock; the bounds, the sums and the times asserted are as they were. Not played: three at once.

--- a/tests/memory.rs
+++ b/tests/memory.rs
@@ -10,6 +10,7 @@
 use std::io::{ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::time::{Duration, Instant};
+use tokio::sync::Mutex;
 
 /// Memory that an entry may use unless its settings state another, in kibibytes.
 const MEMORY_KIB: u64 = 160 * 1_024;
@@ -21,6 +22,9 @@
 /// Time for which a client tries to send more.
 const SEND_TIMEOUT: Duration = Duration::from_millis(300);
 
+/// Held by each test: each measures entries under a load of its own, and would measure the others' too.
+static ONE_AT_A_TIME: Mutex<()> = Mutex::const_new(());
+
 /// Field of the status of an entry's process, in kibibytes; the entry must not have ended.
 fn status_kib(fleet: &mut Fleet, entry: usize, field: &str) -> u64 {
     let child = &mut fleet.entries[entry].1.process.child;
@@ -106,6 +110,7 @@
 /// sum or time, and exceeded its memory.
 #[actix_rt::test]
 async fn bodies_sent_in_part_take_a_bounded_memory_and_time() {
+    let _only = ONE_AT_A_TIME.lock().await;
     let mut fleet = Fleet::start(1, 1).await;
     let front = fleet.entries[0].0.front;
     let ids = ids(3);
@@ -134,6 +139,7 @@
 /// exceeded its memory.
 #[actix_rt::test]
 async fn answers_that_are_not_read_take_a_bounded_memory() {
+    let _only = ONE_AT_A_TIME.lock().await;
     let mut fleet = Fleet::start(1, 1).await;
     let front = fleet.entries[0].0.front;
     let ids = ids(2);
@@ -157,6 +163,7 @@
     const CALLERS: usize = 600;
     /// Descriptors of the entry besides these callers' connections and 256 calls of the store.
     const OTHER_DESCRIPTORS: usize = 100;
+    let _only = ONE_AT_A_TIME.lock().await;
     let fleet = Fleet::start(1, 1).await;
     let front = fleet.entries[0].0.front;
     let ids = ids(2);
@@ -204,6 +211,7 @@
 #[actix_rt::test]
 async fn a_job_that_waits_takes_less_memory_than_its_text() {
     const JOBS: usize = 500;
+    let _only = ONE_AT_A_TIME.lock().await;
     let mut fleet = Fleet::start(1, 1).await;
     let before_kib = status_kib(&mut fleet, 0, "VmRSS");
     let body = long_names_job(30, 1_060);
@@ -222,6 +230,7 @@
 #[actix_rt::test]
 async fn many_large_stored_jobs_are_loaded_by_any_entry() {
     const JOBS: usize = 2_000;
+    let _only = ONE_AT_A_TIME.lock().await;
     let mut fleet = Fleet::start(2, 1).await;
     let ids = ids(JOBS + 2);
     let body = long_names_job(30, 1_060);
@@ -258,6 +267,7 @@
 /// accepted ones that change while no further one is accepted.
 #[actix_rt::test]
 async fn jobs_beyond_the_memory_for_them_are_refused_and_accepted_ones_go_on() {
+    let _only = ONE_AT_A_TIME.lock().await;
     let mut fleet = Fleet::start_with_memory(2, 1, 64).await;
     let ids = ids(1_000);
     let body = long_payload_job(40_000);
