Tests: confirmations count from the first sending of what they confirm

Tests: flow_entry, confirmations: a claim whose answer is late and that a read shows first; commits whose answers are lost, settled by a conflict and a read. The scheduler is asked all the time; its confirmation may never be younger than the row of the lease.

--- a/components/flow_entry/tests/common/mod.rs
+++ b/components/flow_entry/tests/common/mod.rs
@@ -10,7 +10,7 @@
 use serde::Deserialize;
 use settings::{FlowEntrySettings, FlowLimitSettings, LeaseSettings, PlatformSettings};
 use standin::MemoryTable;
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -26,6 +26,8 @@
     pub commit_ms: u64,
     /// Delay between a commit taking effect and its answer, in milliseconds; reads are not delayed.
     pub answer_ms: u64,
+    /// Delay after which the answers to commits are lost, in milliseconds; `None` if they arrive.
+    lost_after_ms: Cell<Option<u64>>,
     /// Names of entries whose commits of the lease are refused.
     refused: RefCell<Vec<String>>,
     /// Keys of rows that can't be written: a transaction that does is invalid.
@@ -33,6 +35,11 @@
 }
 
 impl SlowTable {
+    /// Loses the answers to commits that take effect from now on, `lost_ms` after they did. Conflicts are answered.
+    pub fn lose_answers_after(&self, lost_ms: u64) {
+        self.lost_after_ms.set(Some(lost_ms));
+    }
+
     /// Refuses every commit of the lease by the entry with this name from now on.
     pub fn refuse_commits_of(&self, entry: &str) {
         self.refused.borrow_mut().push(entry.to_owned());
@@ -77,6 +84,7 @@
         rows: MemoryTable::default(),
         commit_ms,
         answer_ms,
+        lost_after_ms: Cell::default(),
         refused: RefCell::default(),
         invalid: RefCell::default(),
     })
@@ -95,6 +103,10 @@
             return Err(StoreError::Invalid("a value is refused".to_owned()));
         }
         let result = self.rows.commit_now(txn);
+        if let (Some(lost_ms), Ok(_)) = (self.lost_after_ms.get(), &result) {
+            pause(lost_ms).await;
+            return Err(StoreError::Unknown("the answer was lost".to_owned()));
+        }
         pause(self.answer_ms).await;
         result
     }
@@ -199,6 +211,8 @@
     pub owner: String,
     /// Number of the term; each claim increases it.
     pub epoch: u64,
+    /// Address at which the owner's process answers others.
+    pub control: SocketAddr,
     /// Number of the owner's last commit in this term.
     pub sequence: u64,
     /// Whether the owner has released the lease.
