Test: many stored jobs are held to the share for accepted jobs

Cause: many_large_stored_jobs_are_loaded_by_any_entry passed with its fix undone (trial on: pages and digests off, peak 124,380 KiB of the 160 MB asserted). Earlier it failed so as "there is no scheduler", by the time of the load alone. Change: peaks are asserted below 80 MB: the 35 % of memory_mb for accepted jobs, and 24 MB that an entry takes without any. Undone on a scratch copy, four plays: "an entry used 123524 KiB", "124160 KiB", twice "there is no scheduler". With the fix: 43,448 KiB.

--- a/tests/memory.rs
+++ b/tests/memory.rs
@@ -14,6 +14,9 @@
 
 /// Memory that an entry may use unless its settings state another, in kibibytes.
 const MEMORY_KIB: u64 = 160 * 1_024;
+/// Memory that an entry may use beside accepted jobs alone, in kibibytes: their share, 35 % of it, and 24 MB that
+/// an entry takes without any.
+const JOBS_KIB: u64 = (56 + 24) * 1_024;
 /// Time within which a small request is answered beside a wave of others.
 const SMALL_REQUEST_LIMIT: Duration = Duration::from_millis(1_000);
 /// Time after which no connection may be open whose body does not arrive: five times the caller's deadline,
@@ -37,10 +40,15 @@
 
 /// Asserts that no entry has ended or has used more than its memory.
 fn assert_entries_keep_their_memory(fleet: &mut Fleet) {
+    assert_peaks_are_below(fleet, MEMORY_KIB);
+}
+
+/// Asserts that no entry has ended or has used `limit_kib` or more.
+fn assert_peaks_are_below(fleet: &mut Fleet, limit_kib: u64) {
     for entry in 0..fleet.entries.len() {
         let peak_kib = status_kib(fleet, entry, "VmHWM");
         println!("entry {entry}: peak {peak_kib} KiB");
-        assert!(peak_kib < MEMORY_KIB, "an entry used {peak_kib} KiB");
+        assert!(peak_kib < limit_kib, "an entry used {peak_kib} KiB");
     }
 }
 
@@ -260,7 +268,7 @@
     let loaded = fleet.call("GET", 0, "", &Value::Null).await;
     println!("{} jobs wait", loaded.1);
     assert_eq!(loaded.1["waiting"], JOBS);
-    assert_entries_keep_their_memory(&mut fleet);
+    assert_peaks_are_below(&mut fleet, JOBS_KIB);
 }
 
 /// Guards against accepted jobs that exceed the scheduler's memory in sum, and against answers about
