Test: drawn sums of all kinds of memory together

No entry may end or have used 160 MB (the highest mark that the system keeps, so stricter than an end at that size); some jobs must be refused, for a second; a query beside it all is answered within 1 s. Not tried: the test with each fix undone; that all kinds come from the soak as well.

--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -1,6 +1,7 @@
 //! Runs a system of separate processes on loopback, with a stand-in of the platform, for tests.
 #![allow(dead_code)]
 
+pub mod entry_memory;
 pub mod flow_fleet;
 
 use awc::Client;
--- a/tests/memory.rs
+++ b/tests/memory.rs
@@ -2,88 +2,30 @@
 
 mod common;
 
+use common::entry_memory::{
+    SMALL_REQUEST_LIMIT, assert_entries_keep_their_memory, assert_peaks_are_below, send_parts,
+    status_kib,
+};
 use common::flow_fleet::{Fleet, ids};
 use common::sleep_ms;
 use platform_standin::caller::request_head;
 use platform_standin::{job, long_names_job, long_payload_job};
 use serde_json::Value;
-use std::io::{ErrorKind, Read, Write};
-use std::net::{SocketAddr, TcpStream};
+use std::io::{ErrorKind, Read};
+use std::net::TcpStream;
 use std::time::{Duration, Instant};
 use tokio::sync::Mutex;
 
-/// Memory that an entry may use unless its settings state another, in kibibytes.
-const MEMORY_KIB: u64 = 160 * 1_024;
 /// Memory that an entry may use beside accepted jobs alone, in kibibytes: their share, 35 % of it, and 24 MB that
 /// an entry takes without any.
 const JOBS_KIB: u64 = (56 + 24) * 1_024;
-/// Time within which a small request is answered beside a wave of others.
-const SMALL_REQUEST_LIMIT: Duration = Duration::from_millis(1_000);
 /// Time after which no connection may be open whose body does not arrive: five times the caller's deadline,
 /// as an entry without processor time is late to read what has arrived.
 const BODY_LIMIT: Duration = Duration::from_secs(15);
-/// Time for which a client tries to send more.
-const SEND_TIMEOUT: Duration = Duration::from_millis(300);
 
 /// Held by each test: each measures entries under a load of its own, and would measure the others' too.
 static ONE_AT_A_TIME: Mutex<()> = Mutex::const_new(());
 
-/// Field of the status of an entry's process, in kibibytes; the entry must not have ended.
-fn status_kib(fleet: &mut Fleet, entry: usize, field: &str) -> u64 {
-    let child = &mut fleet.entries[entry].1.process.child;
-    assert!(child.try_wait().unwrap().is_none(), "an entry has ended");
-    let status = std::fs::read_to_string(format!("/proc/{}/status", child.id())).unwrap();
-    let value = status.lines().find_map(|line| line.strip_prefix(field));
-    let value = value.and_then(|value| value.split_whitespace().nth(1)?.parse().ok());
-    value.expect("the memory of the process is known")
-}
-
-/// Asserts that no entry has ended or has used more than its memory.
-fn assert_entries_keep_their_memory(fleet: &mut Fleet) {
-    assert_peaks_are_below(fleet, MEMORY_KIB);
-}
-
-/// Asserts that no entry has ended or has used `limit_kib` or more.
-fn assert_peaks_are_below(fleet: &mut Fleet, limit_kib: u64) {
-    for entry in 0..fleet.entries.len() {
-        let peak_kib = status_kib(fleet, entry, "VmHWM");
-        println!("entry {entry}: peak {peak_kib} KiB");
-        assert!(peak_kib < limit_kib, "an entry used {peak_kib} KiB");
-    }
-}
-
-/// Opens a connection and sends as much of `bytes` as the server takes.
-fn send_part(address: SocketAddr, bytes: &[u8]) -> TcpStream {
-    let mut connection = TcpStream::connect(address).unwrap();
-    connection.set_write_timeout(Some(SEND_TIMEOUT)).unwrap();
-    let mut sent = 0;
-    while sent < bytes.len() {
-        match connection.write(&bytes[sent..]) {
-            Ok(0) | Err(_) => break,
-            Ok(more) => sent += more,
-        }
-    }
-    connection
-}
-
-/// Opens `count` connections at once and sends a part of a request on each.
-fn send_parts(address: SocketAddr, count: usize, bytes: &[u8]) -> Vec<TcpStream> {
-    const THREADS: usize = 20;
-    std::thread::scope(|scope| {
-        let threads: Vec<_> = (0..THREADS)
-            .map(|thread| {
-                let own = count / THREADS + usize::from(thread < count % THREADS);
-                scope.spawn(move || {
-                    let sent = (0..own).map(|_| send_part(address, bytes));
-                    sent.collect::<Vec<_>>()
-                })
-            })
-            .collect();
-        let opened = threads.into_iter().map(|thread| thread.join().unwrap());
-        opened.flatten().collect()
-    })
-}
-
 /// Whether the server has closed a connection; what it has sent before is dropped.
 fn is_closed(mut connection: &TcpStream) -> bool {
     connection.set_nonblocking(true).unwrap();
