Test: bodies in part are held to their share of the memory

The drawn sums send at least 150,000 bytes of each body, at least 200 times, and an entry gets a second to read them: with drawn shares of a body it had read next to nothing (peak 22 MB), so that this wave added nothing.

--- a/tests/memory_sums.rs
+++ b/tests/memory_sums.rs
@@ -4,6 +4,7 @@
 
 use common::entry_memory::{SMALL_REQUEST_LIMIT, assert_entries_keep_their_memory, send_parts};
 use common::flow_fleet::{Fleet, ids};
+use common::sleep_ms;
 use platform_standin::caller::request_head;
 use platform_standin::{job, long_payload_job};
 use rand::rngs::StdRng;
@@ -13,6 +14,9 @@
 use std::net::TcpStream;
 use std::time::Instant;
 
+/// Time in which an entry reads what arrived, in milliseconds.
+const READ_AFTER_MS: u64 = 1_000;
+
 /// Ways in which callers set what an entry keeps.
 #[derive(Debug, Clone, Copy)]
 enum Wave {
@@ -51,10 +55,10 @@
     println!("{wave:?} at entry {entry}");
     match wave {
         Wave::BodiesInPart => {
-            let declared = random.random_range(100_000..300_000);
-            let sent = vec![b' '; random.random_range(0..declared)];
-            let bytes = [request_head("POST", &ids[0], declared).into_bytes(), sent].concat();
-            send_parts(front, random.random_range(100..=460), &bytes)
+            let head = request_head("POST", &ids[0], 299_999);
+            let sent = vec![b' '; random.random_range(150_000..299_999)];
+            let count = random.random_range(200..=460);
+            send_parts(front, count, &[head.into_bytes(), sent].concat())
         }
         Wave::UnreadAnswers => {
             let request = request_head("GET", &ids[0], 0);
@@ -95,6 +99,7 @@
         let mut open = Vec::new();
         for wave in waves {
             open.extend(send_drawn_wave(&fleet, &mut random, wave, &ids).await);
+            sleep_ms(READ_AFTER_MS).await;
             assert_entries_keep_their_memory(&mut fleet);
         }
         for entry in 0..fleet.entries.len() {
