--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -449,17 +449,20 @@
         let path = format!("/v1/jobs/{job}");
         let admin = self.entries[entry].admin;
         let started = Instant::now();
-        let mut last = Value::Null;
+        let mut answers = 0;
+        let mut last = Err((0, Value::Null));
         while started.elapsed() < WAIT_LIMIT {
-            if let Ok(status) = self.get(admin, &path).await {
-                last = status;
-                if last["phase"] == "ended" {
-                    return last;
-                }
+            let asked = Instant::now();
+            last = self.get(admin, &path).await;
+            answers += 1;
+            match &last {
+                Ok(status) if status["phase"] == "ended" => return status.clone(),
+                Ok(_) => {}
+                Err(failure) => println!("{job}: {failure:?} after {:?}", asked.elapsed()),
             }
             sleep_ms(100).await;
         }
-        panic!("job {job} did not end: {last}");
+        panic!("job {job} did not end, {answers} answers: {last:?}");
     }
 
     /// Sends a request to the service through an entry; `mark` identifies it in the records of the
