Settings: policies of the scheduler that a deployment switches on

The section policies of an entry's settings names the policies; all are off by default, so that existing deployments are served as before. flow::Policies carries them into the scheduler. No decision uses them yet.

--- a/components/flow/src/scheduler.rs
+++ b/components/flow/src/scheduler.rs
@@ -6,7 +6,8 @@
 use crate::view::{Allocation, Fleet, WorkerView};
 use crate::{
     Decision, DecisionKind, Effect, FlowConfig, FlowJob, FlowLimits, FlowPhase, FlowRecord,
-    FlowState, LimitExceeded, Placement, QueueKey, RunRef, RunStage, StartInput, StepSpec, TaskKey,
+    FlowState, LimitExceeded, Placement, Policies, QueueKey, RunRef, RunStage, StartInput,
+    StepSpec, TaskKey,
 };
 use interference::PressureModel;
 use model::{AgentId, JobId};
@@ -17,6 +18,8 @@
 pub struct Scheduler {
     /// Configuration in force.
     pub(crate) config: FlowConfig,
+    /// Policies in force.
+    pub(crate) policies: Policies,
     /// Flows that have not ended, and those whose end is not durable yet.
     pub(crate) flows: BTreeMap<JobId, FlowState>,
     /// Flows whose end is durable.
@@ -65,6 +68,16 @@
         }
     }
 
+    /// Puts policies in force.
+    ///
+    /// ```
+    /// let mut scheduler = flow::Scheduler::default();
+    /// scheduler.set_policies(flow::Policies { overload_order: true, ..Default::default() });
+    /// ```
+    pub fn set_policies(&mut self, policies: Policies) {
+        self.policies = policies;
+    }
+
     /// Version of the configuration in force; 0 before the first.
     pub fn config_version(&self) -> u64 {
         self.config.version
--- a/components/flow_entry/src/leadership.rs
+++ b/components/flow_entry/src/leadership.rs
@@ -16,11 +16,12 @@
 use actix::{Addr, AsyncContext, Context, Handler};
 use backing::{Row, StoreError, TableStore, Transaction};
 use flow::{
-    AwayWorker, FlowEnd, FlowJob, FlowPhase, FlowRow, LeaseLimit, LeaseTerms, RecordFault,
-    Scheduler, WaitWatch,
+    AwayWorker, FlowEnd, FlowJob, FlowPhase, FlowRow, LeaseLimit, LeaseTerms, Policies,
+    RecordFault, Scheduler, WaitWatch,
 };
 use interference::PressureModel;
 use model::{AgentId, JobId};
+use settings::PolicySettings;
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 use telemetry::{Event, log_event};
@@ -233,6 +234,7 @@
         }
         scheduler.set_task_limit(self.flow_bytes / 2);
         scheduler.set_config(flow::FlowConfig::clone(&self.config.load()));
+        scheduler.set_policies(policies(&self.settings.policies));
         log_event!(info, Event::SchedulerTaken, entry = %self.settings.id, epoch, version);
         self.metrics.is_scheduler.set(1);
         self.metrics.terms_started.inc();
@@ -294,6 +296,16 @@
     }
 }
 
+/// Policies of the scheduler by the settings.
+fn policies(settings: &PolicySettings) -> Policies {
+    Policies {
+        evacuation_bound_ms: settings.evacuation_bound_ms,
+        learned_run_times: settings.learned_run_times,
+        overload_order: settings.overload_order,
+        remote_factor: settings.remote_factor,
+    }
+}
+
 /// JSON text of a row.
 pub(crate) fn encode(row: &impl serde::Serialize) -> String {
     // Rows are plain data, whose serialization does not fail.
--- a/components/flow_entry/tests/common/mod.rs
+++ b/components/flow_entry/tests/common/mod.rs
@@ -189,6 +189,7 @@
             memory_mb: 160,
             keep_ended_ms: 1_500,
             grace_ms: 1_000,
+            policies: settings::PolicySettings::default(),
         };
         let config = FlowConfig {
             version: 1,
--- a/components/flow_entry/tests/slow_load.rs
+++ b/components/flow_entry/tests/slow_load.rs
@@ -87,6 +87,7 @@
         memory_mb: 160,
         keep_ended_ms: 1_500,
         grace_ms: 1_000,
+        policies: settings::PolicySettings::default(),
     };
     let table = Rc::new(SlowScans(table.clone()));
     let dependencies = Dependencies {
--- a/components/settings/src/flow.rs
+++ b/components/settings/src/flow.rs
@@ -55,6 +55,33 @@
     #[serde(default = "default_grace_ms")]
     #[garde(range(min = 100, max = 600_000))]
     pub grace_ms: u64,
+    /// Policies of the scheduler that a deployment switches on.
+    #[serde(default)]
+    #[garde(dive)]
+    pub policies: PolicySettings,
+}
+
+/// Policies of the scheduler that a deployment switches on; all are off by default.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Serialize, Deserialize, Validate)]
+#[serde(deny_unknown_fields, default)]
+pub struct PolicySettings {
+    /// Time after the request for an evacuation from which no task may start in the failure domain,
+    /// in milliseconds; absent if the deployment states no bound.
+    #[garde(inner(range(min = 1_000, max = 600_000)))]
+    pub evacuation_bound_ms: Option<u64>,
+    /// Whether run times of tasks and speeds of workers are learned.
+    #[garde(skip)]
+    pub learned_run_times: bool,
+    /// Whether flows that can still end in time come first when there is too little room.
+    #[garde(skip)]
+    pub overload_order: bool,
+    /// Whether flows that can't end in time are refused when they are submitted.
+    #[garde(skip)]
+    pub admission: bool,
+    /// Factor by which a task takes longer away from its data or its group; absent if tasks don't
+    /// wait for a near worker.
+    #[garde(inner(range(min = 1.0, max = 100.0)))]
+    pub remote_factor: Option<f64>,
 }
 
 /// Limits on what one flow may ask for; a flow beyond them is refused when it is submitted.
--- a/components/settings/src/lib.rs
+++ b/components/settings/src/lib.rs
@@ -17,7 +17,9 @@
 pub use drain::DrainSettings;
 pub use entry::EntrySettings;
 pub use error::{FieldError, SettingsErrors};
-pub use flow::{FlowAgentSettings, FlowEntrySettings, FlowLimitSettings, LeaseSettings};
+pub use flow::{
+    FlowAgentSettings, FlowEntrySettings, FlowLimitSettings, LeaseSettings, PolicySettings,
+};
 pub use load::{Settings, load, parse};
 pub use platform::PlatformSettings;
 pub use routing::{RoutingPolicy, RoutingSettings};
