--- a/components/flow_entry/src/leadership.rs
+++ b/components/flow_entry/src/leadership.rs
@@ -302,6 +302,8 @@
         evacuation_bound_ms: settings.evacuation_bound_ms,
         learned_run_times: settings.learned_run_times,
         overload_order: settings.overload_order,
+        duplicates: settings.duplicates,
+        fair_shares: settings.fair_shares,
         remote_factor: settings.remote_factor,
     }
 }
