Evacuation: nothing starts in a failure domain after the bound

Cause: the code had no notion of an evacuation.

Change: every entry reads the operator's requests together with the configuration, in one range of rows, so that a new scheduler knows them before its first start. Workers of an evacuated domain are no candidates, and placements whose starts were not sent are revoked. With a bound in the settings, nothing is placed or started unless the requests were read recently; the lease in a start order ends at the bound, so that a worker refuses an order that arrives later. Long runs that save their progress and long-running tasks within their disruption budget move once the evacuation has lasted for 5 s. A configuration that can't be decoded no longer hides other rows of the operator.

Ruled out: a new field in start orders, as control calls are encoded by position; requests in the configuration that the scheduler passes on, as its version does not grow with them.

Tests: 13 in virtual time (7 fail without the filter of candidates, 2 without the revocation), rows in the adapter, and two with processes: killed and paused schedulers, and all modes of a faulty store.

--- a/components/flow/src/candidate.rs
+++ b/components/flow/src/candidate.rs
@@ -70,9 +70,13 @@
 }
 
 impl Scheduler {
-    /// Workers that accept new runs now, each with its pool: synced, neither paused nor draining. In a
-    /// pool of which all are paused, these accept some runs too.
+    /// Workers that accept new runs now, each with its pool: synced, neither paused nor draining, and in
+    /// no failure domain that is or may be evacuated. In a pool of which all are paused, these accept some
+    /// runs too.
     pub(crate) fn candidates(&self, now_ms: u64) -> Vec<(ServiceName, Candidate)> {
+        if !self.is_evacuation_known(now_ms) {
+            return Vec::new();
+        }
         let unpaused = self.fleet.unpaused_pools(now_ms);
         let accepts_work = |view: &WorkerView, pool: &ServiceName| {
             let allocations = view.allocations.values();
@@ -85,6 +89,7 @@
         let workers = self.fleet.workers.iter();
         workers
             .filter(|(_, view)| view.is_synced() && now_ms >= view.not_before_ms)
+            .filter(|(_, view)| !self.evacuations.includes_worker(view))
             .filter_map(|(agent, view)| {
                 let info = view.info.as_ref().filter(|info| !info.draining)?;
                 if !accepts_work(view, &info.service) {
--- a/components/flow/src/effect.rs
+++ b/components/flow/src/effect.rs
@@ -93,6 +93,9 @@
     Failed,
     /// The worker crashed so soon after the start of the run that the run may be the cause.
     Suspected,
-    /// A filler is moved away from latency-critical tasks beside which it makes little progress.
+    /// A run is stopped so that its task goes on elsewhere: a filler that makes little progress beside
+    /// latency-critical tasks, or a run in an evacuated failure domain.
     Moved,
+    /// A placement is taken back before its start was sent, as its failure domain is evacuated.
+    Revoked,
 }
--- a/components/flow/src/placement.rs
+++ b/components/flow/src/placement.rs
@@ -56,7 +56,7 @@
             .filter_map(|state| Some((self.rank(now_ms, state)?, state.job.id.clone())))
             .collect();
         let starved = self.starved_fillers_if_due(now_ms);
-        if order.is_empty() && starved.is_empty() {
+        if order.is_empty() && starved.is_empty() && !self.has_evacuations() {
             return;
         }
         order.sort_by(|left, right| left.partial_cmp(right).unwrap_or(std::cmp::Ordering::Equal));
@@ -70,6 +70,7 @@
             self.place_flow(now_ms, &job, &mut candidates, &mut full);
         }
         self.move_fillers(now_ms, starved, &mut candidates);
+        self.move_evacuated(now_ms, &mut candidates);
     }
 
     /// Sort key of a flow, or `None` if it has no queued task.
--- a/components/flow/src/scheduler.rs
+++ b/components/flow/src/scheduler.rs
@@ -2,6 +2,7 @@
 //! arguments, and actions are returned as effects.
 
 use crate::begun::ProgressLimit;
+use crate::evacuation::Evacuations;
 use crate::suspects::suspects;
 use crate::view::{Allocation, Fleet, WorkerView};
 use crate::{
@@ -20,6 +21,8 @@
     pub(crate) config: FlowConfig,
     /// Policies in force.
     pub(crate) policies: Policies,
+    /// Requested evacuations of failure domains.
+    pub(crate) evacuations: Evacuations,
     /// Flows that have not ended, and those whose end is not durable yet.
     pub(crate) flows: BTreeMap<JobId, FlowState>,
     /// Flows whose end is durable.
--- a/components/flow/src/starved.rs
+++ b/components/flow/src/starved.rs
@@ -1,8 +1,7 @@
 //! Moves fillers that are slowed down for long to workers on which they can work.
 
 use crate::candidate::Candidate;
-use crate::placement::MIN_PLACED_PACE;
-use crate::{DecisionKind, RunStage, Scheduler, TaskKey};
+use crate::{RunStage, Scheduler, TaskKey};
 use model::ServiceName;
 
 /// Interval between two searches for starved fillers, in milliseconds.
@@ -70,45 +69,18 @@
             && is_cheap
     }
 
-    /// Stops a filler if another worker has slack for it, and takes up what it needs there. Returns whether the
-    /// stop was ordered.
+    /// Stops a filler if another worker has slack for it. Returns whether the stop was ordered.
     fn move_filler(
         &mut self,
         now_ms: u64,
         key: &TaskKey,
         candidates: &mut [(ServiceName, Candidate)],
     ) -> bool {
-        let Some(state) = self.flows.get(&key.job) else {
+        let Some(placement) = self.placement(key) else {
             return false;
         };
-        let Some(service) = self
-            .config
-            .queue(&state.job.queue)
-            .map(|queue| queue.service.clone())
-        else {
-            return false;
-        };
-        let (Some(spec), Some(task)) = (state.step_spec(key.step).cloned(), state.task(key)) else {
-            return false;
-        };
-        let (run, Some(placement)) = (task.run, task.placement.clone()) else {
-            return false;
-        };
-        let filler = self.filler_need(now_ms, &spec, MIN_PLACED_PACE, candidates);
-        let found = self.best_candidate(key, &service, candidates, None, &filler);
-        let Some(candidate) = found.map(|index| &mut candidates[index].1) else {
-            return false;
-        };
-        if candidate.agent == placement.agent {
-            return false;
-        }
-        candidate.choose(key, &spec, &filler);
-        let detail = format!(
-            "pace {}% beside latency-critical tasks; progress {}%",
-            placement.pace, placement.percent
-        );
-        self.log_decision(DecisionKind::Moved, key, run, &placement.agent, detail);
-        self.stop_run(now_ms, key, run, &placement);
-        true
+        let (pace, percent) = (placement.pace, placement.percent);
+        let detail = format!("pace {pace}% beside latency-critical tasks; progress {percent}%");
+        self.move_run(now_ms, key, detail, candidates)
     }
 }
--- a/components/flow/src/waiting.rs
+++ b/components/flow/src/waiting.rs
@@ -30,6 +30,10 @@
     NoQueue,
     /// No worker of its pool accepts new runs.
     NoWorker,
+    /// Every worker of its pool is in an evacuated failure domain.
+    Evacuated,
+    /// The requested evacuations were not read recently enough to start anything.
+    EvacuationsUnknown,
     /// Every worker of its pool that accepts new runs is kept free for suspects.
     WorkersHeld,
     /// No worker of its pool that accepts new runs is suitable and has room.
@@ -177,6 +181,12 @@
         let Some(queue) = queue else {
             return WaitCause::NoQueue;
         };
+        if !self.is_evacuation_known(now_ms) {
+            return WaitCause::EvacuationsUnknown;
+        }
+        if self.is_pool_evacuated(&queue.service) {
+            return WaitCause::Evacuated;
+        }
         let candidates = self.candidates(now_ms);
         let mut pool = candidates
             .iter()
--- a/components/flow/tests/common/mod.rs
+++ b/components/flow/tests/common/mod.rs
@@ -11,10 +11,11 @@
 use flow::record_rows::join;
 use flow::{
     AwayWorker, Delivery, Effect, EndedRun, FlowConfig, FlowJob, FlowPhase, FlowRecord, FlowSpec,
-    Incarnation, LeaseTerms, Pool, Queue, QueueKey, RecordRows, ReportTimes, RunEnd, RunRef,
-    RunningTask, Schedule, Scheduler, StartOutcome, StepSpec, TaskKey, WorkerInfo, WorkerReport,
+    Incarnation, LeaseTerms, Policies, Pool, Queue, QueueKey, RecordRows, ReportTimes, RunEnd,
+    RunRef, RunningTask, Schedule, Scheduler, StartOutcome, StepSpec, TaskKey, WorkerInfo,
+    WorkerReport,
 };
-use model::{AgentId, JobId, Resources};
+use model::{AgentId, DomainName, JobId, Resources};
 use std::collections::{BTreeMap, BTreeSet};
 use worker::ModelRun;
 pub use worker::{Mode, ModelWorker};
@@ -120,6 +121,14 @@
     interference_ms: BTreeMap<TaskKey, u64>,
     /// Longest such time, in milliseconds.
     pub longest_interference_ms: u64,
+    /// Policies of the scheduler.
+    pub policies: Policies,
+    /// Failure domains that the operator has evacuated.
+    pub evacuated: BTreeSet<DomainName>,
+    /// Whether the scheduler's reads of the evacuations are answered.
+    pub evacuations_are_read: bool,
+    /// When each run started: task, agent and time in milliseconds, in order.
+    pub started: Vec<(TaskKey, AgentId, u64)>,
     /// Orders that let a filler work although a target on its worker has been missed for [`HALT_MS`].
     pub paced_in_halts: u32,
 }
@@ -180,6 +189,7 @@
                 incarnation: incarnation(&name, 1),
                 capacity: Resources::new(16_000, 64_000, 0),
                 labels: vec!["a".to_owned(), "r1".to_owned()],
+                domain: "d".into(),
                 running: BTreeMap::new(),
                 ended: Vec::new(),
                 superseded_up_to: BTreeMap::new(),
@@ -222,6 +232,10 @@
             over_target_ms: 0,
             interference_ms: BTreeMap::new(),
             longest_interference_ms: 0,
+            policies: Policies::default(),
+            evacuated: BTreeSet::new(),
+            evacuations_are_read: true,
+            started: Vec::new(),
             paced_in_halts: 0,
         }
     }
@@ -264,6 +278,7 @@
         self.commit = None;
         let mut scheduler = Scheduler::default();
         scheduler.set_config(config());
+        scheduler.set_policies(self.policies);
         let former_leases_expired_ms = self.now_ms + LEASE_TERMS.longest_ms();
         scheduler.set_former_leases_expired_ms(former_leases_expired_ms);
         for (agent, expired_ms) in &self.away {
@@ -381,11 +396,26 @@
         self.ended_ms.len() == self.jobs.len()
     }
 
+    /// Puts policies in force, also for later schedulers.
+    pub fn set_policies(&mut self, policies: Policies) {
+        self.policies = policies;
+        self.scheduler.set_policies(policies);
+    }
+
+    /// Lets the scheduler read the evacuations.
+    fn read_evacuations(&mut self) {
+        if self.evacuations_are_read {
+            self.scheduler.set_evacuations(self.now_ms, &self.evacuated);
+            self.scheduler.confirm_evacuations(self.now_ms);
+        }
+    }
+
     /// Advances the simulation by [`STEP_MS`] and checks the invariants.
     pub fn step(&mut self) {
         self.now_ms += STEP_MS;
         self.advance();
         self.notice_crashes();
+        self.read_evacuations();
         self.send_due_polls();
         self.scheduler.release_lapsed(self.now_ms);
         self.commit();
@@ -414,7 +444,7 @@
         let info = WorkerInfo {
             incarnation: worker.incarnation.clone(),
             service: "pool".into(),
-            domain: "d".into(),
+            domain: worker.domain.clone(),
             capacity: worker.capacity,
             labels: worker.labels.clone(),
             draining: false,
@@ -517,7 +547,7 @@
 
     fn start(&mut self, run: &RunRef) {
         let now_ms = self.now_ms;
-        let limit = self.lease_limit();
+        let limit = self.scheduler.start_lease_limit(self.lease_limit());
         let outcome = match self.scheduler.offer_start_lease(&run.agent, limit) {
             None => StartOutcome::Late,
             Some(lease) => {
@@ -563,6 +593,8 @@
             "{run:?} does not fit"
         );
         *self.starts.entry(run.task.job.clone()).or_default() += 1;
+        self.started
+            .push((run.task.clone(), run.agent.clone(), now_ms));
         assert!(
             !self.acknowledged_done.contains(&run.task),
             "{} starts after its success was acknowledged",
--- a/components/flow/tests/common/worker.rs
+++ b/components/flow/tests/common/worker.rs
@@ -1,7 +1,7 @@
 //! Model of a worker.
 
 use flow::{EndedRun, Incarnation, PollPlan, RunEnd, TaskKey};
-use model::Resources;
+use model::{DomainName, Resources};
 use std::collections::BTreeMap;
 
 /// Difference between the clocks of workers and of the scheduler, in milliseconds.
@@ -48,6 +48,8 @@
     pub capacity: Resources,
     /// Labels; the second one is the name of its rack.
     pub labels: Vec<String>,
+    /// Failure domain.
+    pub domain: DomainName,
     /// Runs in progress.
     pub(super) running: BTreeMap<TaskKey, ModelRun>,
     /// Unacknowledged ends, oldest first.
--- a/components/flow_entry/src/agents.rs
+++ b/components/flow_entry/src/agents.rs
@@ -142,6 +142,7 @@
             return;
         };
         let lease_limit = leadership.lease_limit(now_ms);
+        let lease_limit = leadership.scheduler.start_lease_limit(lease_limit);
         let epoch = leadership.epoch;
         let link = leadership
             .agents
--- a/components/flow_entry/src/commits.rs
+++ b/components/flow_entry/src/commits.rs
@@ -56,6 +56,7 @@
         if let Some(leadership) = self.leadership.as_mut() {
             leadership.measure_memory(now_ms, &self.metrics);
         }
+        self.watch_evacuations(now_ms);
         self.log_waiting_flows(now_ms);
     }
 
--- a/components/flow_entry/src/config_watch.rs
+++ b/components/flow_entry/src/config_watch.rs
@@ -1,9 +1,9 @@
-//! Polls the source of the configuration.
+//! Polls the source of the configuration and of the requested evacuations.
 
 use crate::config_origin::ConfigOrigin;
 use crate::config_source::{ConfigSource, ConfigUpdate};
 use crate::coordinator::Coordinator;
-use crate::messages::{ConfigConfirmed, NewConfig, StoreObserved};
+use crate::messages::{ConfigConfirmed, EvacuationsRead, NewConfig, StoreObserved};
 use crate::metrics::Metrics;
 use crate::overlapping_reads::{PATIENCE, first_answer};
 use actix::Addr;
@@ -16,6 +16,8 @@
 /// Longest wait for a change. It bounds the age of the configuration if the source silently drops
 /// changes.
 const WAIT: Duration = Duration::from_millis(700);
+/// Pause before the next read after a configuration that can't be decoded.
+const UNREADABLE_PAUSE: Duration = Duration::from_millis(200);
 /// Successful reads after which the whole configuration is read even without a change.
 const READS_PER_FULL_READ: u32 = 8;
 
@@ -48,18 +50,38 @@
         )
         .await;
         reads += 1;
-        cursor = (reads % READS_PER_FULL_READ != 0).then_some(read.update.cursor);
         control.do_send(StoreObserved(Ok(())));
-        if let Some(config) = read.update.config {
-            control.do_send(NewConfig {
-                config,
-                origin: read.origin,
-                spent_ms: read.spent_ms,
-            });
-        }
-        control.do_send(ConfigConfirmed {
+        let ConfigUpdate {
+            config,
+            evacuations,
+            cursor: next,
+        } = read.update;
+        control.do_send(EvacuationsRead {
+            update: evacuations,
             at_ms: read.sent_ms,
         });
+        match config {
+            Ok(config) => {
+                cursor = (reads % READS_PER_FULL_READ != 0).then_some(next);
+                if let Some(config) = config {
+                    control.do_send(NewConfig {
+                        config,
+                        origin: read.origin,
+                        spent_ms: read.spent_ms,
+                    });
+                }
+                control.do_send(ConfigConfirmed {
+                    at_ms: read.sent_ms,
+                });
+            }
+            Err(error) => {
+                metrics.config_read_failures.inc();
+                log_failure(read.origin, read.spent_ms, &error);
+                control.do_send(StoreObserved(Err(error)));
+                cursor = None;
+                actix_rt::time::sleep(UNREADABLE_PAUSE).await;
+            }
+        }
     }
 }
 
--- a/components/flow_entry/src/coordinator.rs
+++ b/components/flow_entry/src/coordinator.rs
@@ -7,6 +7,7 @@
 use crate::config_view::ConfigView;
 use crate::config_watch;
 use crate::election::Election;
+use crate::evacuations::KnownEvacuations;
 use crate::former::Claim;
 use crate::leadership::Leadership;
 use crate::memory::MemoryShares;
@@ -66,6 +67,8 @@
     configs: Rc<dyn ConfigSource>,
     /// Configuration in force, shared with the HTTP servers.
     pub(crate) config: ConfigView,
+    /// Requested evacuations of failure domains.
+    pub(crate) evacuations: KnownEvacuations,
     /// Availability of the table as seen by this entry.
     pub(crate) store_health: StoreHealth,
     /// Last known state of the scheduler's lease.
@@ -125,6 +128,7 @@
             feed: dependencies.feed,
             configs: dependencies.configs,
             config,
+            evacuations: KnownEvacuations::default(),
             store_health: StoreHealth::default(),
             link: None,
             probe_sent_ms: 0,
--- a/components/flow_entry/src/effects.rs
+++ b/components/flow_entry/src/effects.rs
@@ -73,6 +73,7 @@
             DecisionKind::Failed => Event::FlowFailed,
             DecisionKind::Suspected => Event::RunSuspected,
             DecisionKind::Moved => Event::RunMoved,
+            DecisionKind::Revoked => Event::StartRevoked,
         };
         log_event!(info, event, job = %decision.task.job, task = %decision.task, run = decision.run,
             agent = %decision.agent, detail = %decision.detail);
--- /dev/null
+++ b/components/flow_entry/src/evacuations.rs
@@ -0,0 +1,128 @@
+//! Requested evacuations as every entry knows them, and their progress in the scheduler.
+
+use crate::coordinator::Coordinator;
+use crate::messages::EvacuationsRead;
+use actix::Handler;
+use flow::{EvacuationProgress, Scheduler};
+use model::DomainName;
+use std::collections::{BTreeMap, BTreeSet};
+use telemetry::{Event, log_event};
+use utils::boot_ms;
+
+/// Interval between two measurements of the progress of evacuations, in milliseconds.
+const MEASURE_INTERVAL_MS: u64 = 500;
+/// Interval between two log lines about an evacuation with runs left, in milliseconds.
+const LOG_INTERVAL_MS: u64 = 5_000;
+
+/// Requested evacuations, as last read by this entry.
+#[derive(Debug, Default)]
+pub(crate) struct KnownEvacuations {
+    /// Domains to be evacuated.
+    domains: BTreeSet<DomainName>,
+    /// When the last answered read was sent, in milliseconds; `None` before the first.
+    confirmed_ms: Option<u64>,
+}
+
+impl KnownEvacuations {
+    /// Tells a scheduler of the evacuations.
+    pub fn apply(&self, now_ms: u64, scheduler: &mut Scheduler) {
+        scheduler.set_evacuations(now_ms, &self.domains);
+        if let Some(at_ms) = self.confirmed_ms {
+            scheduler.confirm_evacuations(at_ms);
+        }
+    }
+}
+
+/// Progress of the evacuations, as last measured by the scheduler.
+#[derive(Debug, Default)]
+pub(crate) struct EvacuationWatch {
+    /// When it was last measured, in milliseconds.
+    measured_ms: u64,
+    /// When the runs that are left in each domain were last logged, in milliseconds; `None` once it
+    /// was logged that there are none.
+    logged_ms: BTreeMap<DomainName, Option<u64>>,
+}
+
+impl EvacuationWatch {
+    /// Evacuations to log now: those that are complete since the last call, and from time to time those
+    /// that are not.
+    fn due<'a>(
+        &mut self,
+        now_ms: u64,
+        evacuations: &'a [EvacuationProgress],
+    ) -> Vec<&'a EvacuationProgress> {
+        let is_known = |domain: &DomainName| evacuations.iter().any(|one| one.domain == *domain);
+        self.logged_ms.retain(|domain, _| is_known(domain));
+        let mut due = Vec::new();
+        for evacuation in evacuations {
+            let logged_ms = self
+                .logged_ms
+                .entry(evacuation.domain.clone())
+                .or_insert(Some(evacuation.since_ms));
+            match (evacuation.runs_left, *logged_ms) {
+                (0, Some(_)) => *logged_ms = None,
+                (0, None) => continue,
+                (_, Some(at_ms)) if now_ms < at_ms + LOG_INTERVAL_MS => continue,
+                (_, _) => *logged_ms = Some(now_ms),
+            }
+            due.push(evacuation);
+        }
+        due
+    }
+}
+
+impl Coordinator {
+    /// Measures and logs the progress of the evacuations, if that is due.
+    pub(crate) fn watch_evacuations(&mut self, now_ms: u64) {
+        let Some(leadership) = self.leadership.as_mut() else {
+            return;
+        };
+        let watch = &mut leadership.evacuation_watch;
+        if now_ms < watch.measured_ms + MEASURE_INTERVAL_MS {
+            return;
+        }
+        watch.measured_ms = now_ms;
+        let evacuations = leadership.scheduler.evacuations();
+        let runs_left: usize = evacuations.iter().map(|one| one.runs_left).sum();
+        self.metrics.evacuations.set(evacuations.len() as i64);
+        self.metrics.evacuation_runs_left.set(runs_left as i64);
+        for evacuation in watch.due(now_ms, &evacuations) {
+            let spent_ms = now_ms.saturating_sub(evacuation.since_ms);
+            let (domain, runs_left) = (&evacuation.domain, evacuation.runs_left);
+            if runs_left == 0 {
+                let seconds = spent_ms as f64 / 1_000.0;
+                self.metrics.evacuation_seconds.observe(seconds);
+                log_event!(info, Event::DomainEmptied, domain = %domain, spent_ms,
+                    workers = evacuation.workers);
+            } else {
+                log_event!(info, Event::DomainNotEmpty, domain = %domain, spent_ms, runs_left,
+                    workers = evacuation.workers);
+            }
+        }
+    }
+}
+
+impl Handler<EvacuationsRead> for Coordinator {
+    type Result = ();
+
+    fn handle(&mut self, read: EvacuationsRead, context: &mut Self::Context) {
+        let now_ms = boot_ms();
+        let known = &mut self.evacuations;
+        let before = known.domains.clone();
+        read.update.apply(&mut known.domains);
+        known.confirmed_ms = known.confirmed_ms.max(Some(read.at_ms));
+        for domain in known.domains.difference(&before) {
+            log_event!(info, Event::EvacuationRequested, domain = %domain);
+        }
+        for domain in before.difference(&known.domains) {
+            log_event!(info, Event::EvacuationEnded, domain = %domain);
+        }
+        let has_changed = known.domains != before;
+        if let Some(leadership) = self.leadership.as_mut() {
+            self.evacuations.apply(now_ms, &mut leadership.scheduler);
+        }
+        if has_changed {
+            self.request_scheduling_pass(context);
+        }
+    }
+}
--- a/components/flow_entry/src/leadership.rs
+++ b/components/flow_entry/src/leadership.rs
@@ -3,6 +3,7 @@
 use crate::acceptance::FlowMemory;
 use crate::agents::AgentConnection;
 use crate::coordinator::Coordinator;
+use crate::evacuations::EvacuationWatch;
 use crate::feed_watch;
 use crate::former::Claim;
 use crate::isolation::Isolation;
@@ -87,6 +88,8 @@
     pub collected_ms: u64,
     /// When the learned statistics were last added to a commit.
     pub learned_written_ms: u64,
+    /// Progress of the evacuations, for metrics and the log.
+    pub evacuation_watch: EvacuationWatch,
     /// Finds flows that wait, for the log.
     pub wait_watch: WaitWatch,
     /// When it last looked for them.
@@ -235,6 +238,7 @@
         scheduler.set_task_limit(self.flow_bytes / 2);
         scheduler.set_config(flow::FlowConfig::clone(&self.config.load()));
         scheduler.set_policies(policies(&self.settings.policies));
+        self.evacuations.apply(now_ms, &mut scheduler);
         log_event!(info, Event::SchedulerTaken, entry = %self.settings.id, epoch, version);
         self.metrics.is_scheduler.set(1);
         self.metrics.terms_started.inc();
@@ -260,6 +264,7 @@
             is_collecting: false,
             collected_ms: now_ms,
             learned_written_ms: now_ms,
+            evacuation_watch: EvacuationWatch::default(),
             wait_watch: WaitWatch::default(),
             waits_searched_ms: now_ms,
             is_pass_requested: false,
@@ -288,6 +293,8 @@
         log_event!(warn, Event::SchedulerLost, entry = %self.settings.id, epoch = leadership.epoch,
             reason);
         self.metrics.is_scheduler.set(0);
+        self.metrics.evacuations.set(0);
+        self.metrics.evacuation_runs_left.set(0);
         for kind in [MemoryUse::Flows, MemoryUse::Tasks, MemoryUse::Ended] {
             self.metrics.set_memory(kind, 0);
         }
--- a/components/flow_entry/src/lib.rs
+++ b/components/flow_entry/src/lib.rs
@@ -13,6 +13,7 @@
 mod coordinator;
 mod effects;
 mod election;
+mod evacuations;
 mod feed_watch;
 mod former;
 mod handle;
@@ -32,7 +33,7 @@
 mod run;
 mod store_health;
 
-pub use config_source::{ConfigSource, ConfigUpdate};
+pub use config_source::{ConfigSource, ConfigUpdate, EvacuationChange, EvacuationUpdate};
 pub use coordinator::Dependencies;
 pub use handle::{EntryHandle, PhaseAnswer};
 pub use limits::FlowTooLarge;
--- a/components/flow_entry/src/messages.rs
+++ b/components/flow_entry/src/messages.rs
@@ -1,6 +1,7 @@
 //! Messages to the control thread of an entry.
 
 use crate::config_origin::ConfigOrigin;
+use crate::config_source::EvacuationUpdate;
 use crate::handle::PhaseAnswer;
 use crate::room::Taken;
 use actix::Message;
@@ -128,6 +129,16 @@
     pub spent_ms: u64,
 }
 
+/// Requested evacuations, read with the configuration.
+#[derive(Message)]
+#[rtype(result = "()")]
+pub(crate) struct EvacuationsRead {
+    /// What was read.
+    pub update: EvacuationUpdate,
+    /// When the read was sent.
+    pub at_ms: u64,
+}
+
 /// A read of the configuration was answered; a change that it found was sent before.
 #[derive(Message)]
 #[rtype(result = "()")]
--- a/components/flow_entry/src/metrics.rs
+++ b/components/flow_entry/src/metrics.rs
@@ -55,6 +55,12 @@
     pub(crate) flows: Gauge,
     /// Flows of which nothing runs although a task could, by the scheduler.
     pub(crate) flows_waiting: Gauge,
+    /// Evacuations in force, by the scheduler.
+    pub(crate) evacuations: Gauge,
+    /// Runs on workers of evacuated failure domains, by the scheduler.
+    pub(crate) evacuation_runs_left: Gauge,
+    /// Time from the request for an evacuation until the domain has no runs, in seconds.
+    pub(crate) evacuation_seconds: Histogram,
     /// Memory that callers set, by kind of use, in bytes.
     pub(crate) memory_bytes: Family<MemoryLabel, Gauge>,
     /// Limits of this memory, by kind of use, in bytes; that of `flows` holds for all of the scheduler.
@@ -87,6 +93,9 @@
             terms_started: Counter::default(),
             flows: Gauge::default(),
             flows_waiting: Gauge::default(),
+            evacuations: Gauge::default(),
+            evacuation_runs_left: Gauge::default(),
+            evacuation_seconds: Histogram::new(exponential_buckets(0.1, 2.0, 14)),
             memory_bytes: Family::default(),
             memory_limit_bytes: Family::default(),
             connections: Gauge::default(),
@@ -162,6 +171,21 @@
             "Flows of which nothing has run for a while although a task could",
             self.flows_waiting.clone(),
         );
+        registry.register(
+            "flow_evacuations",
+            "Evacuations of failure domains in force",
+            self.evacuations.clone(),
+        );
+        registry.register(
+            "flow_evacuation_runs_left",
+            "Runs on workers of evacuated failure domains",
+            self.evacuation_runs_left.clone(),
+        );
+        registry.register(
+            "flow_evacuation_seconds",
+            "Time until an evacuated failure domain has no runs",
+            self.evacuation_seconds.clone(),
+        );
         registry.register(
             "flow_memory_bytes",
             "Memory that callers set, by kind of use",
--- a/components/flow_entry/tests/common/mod.rs
+++ b/components/flow_entry/tests/common/mod.rs
@@ -139,7 +139,8 @@
             pause(wait_ms).await;
         }
         Ok(ConfigUpdate {
-            config: cursor.is_none().then(|| self.0.clone()),
+            config: Ok(cursor.is_none().then(|| self.0.clone())),
+            evacuations: Default::default(),
             cursor: 1,
         })
     }
--- a/components/flow_entry/tests/slow_load.rs
+++ b/components/flow_entry/tests/slow_load.rs
@@ -46,7 +46,8 @@
             ..FlowConfig::default()
         };
         Ok(ConfigUpdate {
-            config: cursor.is_none().then_some(config),
+            config: Ok(cursor.is_none().then_some(config)),
+            evacuations: Default::default(),
             cursor: 1,
         })
     }
--- a/components/telemetry/src/event.rs
+++ b/components/telemetry/src/event.rs
@@ -147,7 +147,8 @@
     RunOrdered = 717,
     /// An agent forwarded a stop order to its worker.
     RunStopped = 718,
-    /// A filler is moved away from tasks that it interferes with.
+    /// A run is moved: a filler away from tasks that it interferes with, or a run out of an evacuated
+    /// failure domain.
     RunMoved = 720,
     /// The learned pressure of a filler's image on a latency-critical image changed.
     PairJudged = 721,
@@ -157,6 +158,16 @@
     FlowWaiting = 723,
     /// An agent refused a start order: its worker is draining or has another incarnation.
     OrderRefused = 719,
+    /// The evacuation of a failure domain was requested.
+    EvacuationRequested = 740,
+    /// The evacuation of a failure domain was ended by the operator.
+    EvacuationEnded = 741,
+    /// An evacuated failure domain has no runs left.
+    DomainEmptied = 742,
+    /// An evacuated failure domain has runs left.
+    DomainNotEmpty = 743,
+    /// A placement was taken back before its start was sent, as its failure domain is evacuated.
+    StartRevoked = 744,
     /// A span ended.
     Span = 900,
 }
--- a/tests/common/flow_fleet.rs
+++ b/tests/common/flow_fleet.rs
@@ -90,8 +90,30 @@
         Self::start_with(entries, agents, set).await
     }
 
+    /// As [`Fleet::start`], with workers in these zones, in turn, and with a bound on evacuations.
+    pub async fn start_in_zones(
+        entries: usize,
+        agents: usize,
+        zones: &[&str],
+        evacuation_bound_ms: u64,
+    ) -> Self {
+        let set = |settings: &mut Value| {
+            settings["policies"]["evacuation_bound_ms"] = evacuation_bound_ms.into();
+        };
+        Self::start_with_zones(entries, agents, zones, set).await
+    }
+
     /// As [`Fleet::start`], with a change to the settings of the entries.
     async fn start_with(entries: usize, agents: usize, change: impl Fn(&mut Value)) -> Self {
+        Self::start_with_zones(entries, agents, &["d1"], change).await
+    }
+
+    async fn start_with_zones(
+        entries: usize,
+        agents: usize,
+        zones: &[&str],
+        change: impl Fn(&mut Value),
+    ) -> Self {
         let folder = TempDir::new().unwrap();
         let store = StoreStandIn::start();
         store.configure(3);
@@ -113,7 +135,10 @@
             .collect();
         let numbered = agents.iter().enumerate();
         let workers = numbered
-            .map(|(number, (addresses, _))| WorkerStandIn::start(&format!("w{number}"), *addresses))
+            .map(|(number, (addresses, _))| {
+                let zone = zones[number % zones.len()];
+                WorkerStandIn::start_in(zone, &format!("w{number}"), *addresses)
+            })
             .collect();
         let fleet = Self {
             store,
