Evacuation: workers that come back cold get one new run after the other

Cause: a domain that returns to service may have workers that are slow after their restart, and a full queue would fill all of them at once. The heartbeat states how long that lasts, but the scheduler does not see it.

Change: when an evacuation ends, the scheduler asks the agents of the domain through a new call at the end of the interface, as heartbeats are encoded by position. A cold worker gets one new run in 500 ms.

--- a/components/flow/src/candidate.rs
+++ b/components/flow/src/candidate.rs
@@ -1,6 +1,7 @@
 //! Scoring of candidate workers for a task by free capacity, placement rules, locality and
 //! interference between fillers and latency-critical tasks. The lowest score wins.
 
+use crate::evacuation::is_warm_enough;
 use crate::scheduler::allocation_for;
 use crate::slack::{CriticalSlack, image_of};
 use crate::suspects::Isolation;
@@ -42,6 +43,8 @@
 pub(crate) struct Candidate {
     /// Agent of the worker.
     pub agent: AgentId,
+    /// Whether the worker is slow after its start, so that it gets one run in a pass.
+    pub is_cold: bool,
     /// Capacity that is not reserved.
     pub free: Resources,
     /// Total capacity.
@@ -90,6 +93,7 @@
         workers
             .filter(|(_, view)| view.is_synced() && now_ms >= view.not_before_ms)
             .filter(|(_, view)| !self.evacuations.includes_worker(view))
+            .filter(|(_, view)| is_warm_enough(now_ms, view))
             .filter_map(|(agent, view)| {
                 let info = view.info.as_ref().filter(|info| !info.draining)?;
                 if !accepts_work(view, &info.service) {
@@ -98,6 +102,7 @@
                 let mut candidate = candidate(agent, view, info.capacity);
                 candidate.spare_milli += self.unused_by_pace_milli(view);
                 candidate.held_for = self.held_for(now_ms, agent);
+                candidate.is_cold = now_ms < view.cold_until_ms;
                 Some((info.service.clone(), candidate))
             })
             .collect()
@@ -284,7 +289,10 @@
 
     /// Takes up the capacity of a run.
     pub(crate) fn take_up(&mut self, allocation: &Allocation) {
-        self.free = self.free.minus(&allocation.reserved);
+        self.free = match self.is_cold {
+            true => Resources::default(),
+            false => self.free.minus(&allocation.reserved),
+        };
         self.spare_milli -= allocation.expected_milli();
         self.has_latency_critical |= allocation.latency_target_ms.is_some();
     }
@@ -320,6 +328,7 @@
     let spare_milli = view.spare_milli(capacity.processors_milli);
     Candidate {
         agent: agent.clone(),
+        is_cold: false,
         free,
         capacity,
         spare_milli,
--- a/components/flow/src/evacuation.rs
+++ b/components/flow/src/evacuation.rs
@@ -10,7 +10,7 @@
 use crate::{
     DecisionKind, LeaseLimit, RunStage, Scheduler, StepSpec, StepState, TaskKey, TaskState,
 };
-use model::{DomainName, ServiceName};
+use model::{AgentId, DomainName, ServiceName};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// Part of the bound that is reserved for the worker to start a run, in milliseconds.
@@ -28,6 +28,8 @@
 const SEARCH_INTERVAL_MS: u64 = 200;
 /// Greatest number of moves in one search, so that the other workers' reports catch up.
 const MAX_MOVES: usize = 8;
+/// Least time between two new runs on a worker that is slow after its start, in milliseconds.
+const COLD_RUN_INTERVAL_MS: u64 = 500;
 /// Progress that a long-running task reports once it does its work, in percent.
 const READY_PERCENT: u32 = 100;
 /// Full pace of a run, in percent.
@@ -57,6 +59,14 @@
     pub runs_left: usize,
 }
 
+/// Whether a worker that may be slow after its start accepts a new run now.
+pub(crate) fn is_warm_enough(now_ms: u64, view: &WorkerView) -> bool {
+    let allocations = view.allocations.values();
+    let newest_ms = allocations.map(|allocation| allocation.since_ms).max();
+    let has_settled = newest_ms.is_none_or(|newest_ms| now_ms >= newest_ms + COLD_RUN_INTERVAL_MS);
+    now_ms >= view.cold_until_ms || has_settled
+}
+
 impl Evacuations {
     fn includes(&self, domain: &DomainName) -> bool {
         self.since_ms.contains_key(domain)
@@ -157,6 +167,27 @@
         self.evacuations.since_ms.iter().map(progress).collect()
     }
 
+    /// Records that a worker whose failure domain returned to service is slow until `until_ms`. It gets one
+    /// new run after the other until then.
+    ///
+    /// ```
+    /// let mut scheduler = flow::Scheduler::default();
+    /// scheduler.set_cold(&"a".into(), 5_000);
+    /// assert_eq!(scheduler.worker(&"a".into()).unwrap().cold_until_ms, 5_000);
+    /// ```
+    pub fn set_cold(&mut self, agent: &AgentId, until_ms: u64) {
+        self.worker_mut(agent).cold_until_ms = until_ms;
+    }
+
+    /// Agents of the workers in these domains.
+    pub fn agents_in(&self, domains: &BTreeSet<DomainName>) -> Vec<AgentId> {
+        let in_domains = self.fleet.workers.iter().filter(|(_, view)| {
+            let info = view.info.as_ref();
+            info.is_some_and(|info| domains.contains(&info.domain))
+        });
+        in_domains.map(|(agent, _)| agent.clone()).collect()
+    }
+
     /// Whether a pool has workers, all of them in evacuated domains.
     pub(crate) fn is_pool_evacuated(&self, service: &ServiceName) -> bool {
         let infos = self.fleet.workers.values();
--- a/components/flow/src/view.rs
+++ b/components/flow/src/view.rs
@@ -117,6 +117,9 @@
     pub health: Health,
     /// Time before which nothing is placed on it, in milliseconds.
     pub not_before_ms: u64,
+    /// Until when it is slow after its start, in milliseconds; known only of workers whose failure domain
+    /// returned to service.
+    pub cold_until_ms: u64,
     /// Latency traces of its latency-critical tasks.
     pub latencies: BTreeMap<TaskKey, LatencyTrace>,
     /// When a filler's run last ended on it, in milliseconds.
--- a/components/flow/tests/evacuation.rs
+++ b/components/flow/tests/evacuation.rs
@@ -248,6 +248,24 @@
     );
 }
 
+/// Guards against a rush to workers that are slow after their start, when their domain returns to
+/// service.
+#[test]
+fn a_cold_worker_gets_one_new_run_after_the_other() {
+    let mut sim = sim(1);
+    let agents: Vec<AgentId> = sim.workers.keys().cloned().collect();
+    let began_ms = sim.now_ms;
+    sim.scheduler.set_cold(&agents[0], began_ms + 3_000);
+    sim.submit("a", vec![step(30, 1_000, 400)]);
+    sim.run_for(2_000);
+    let starts = |sim: &Sim, at: usize| {
+        let starts = sim.started.iter();
+        starts.filter(|(_, agent, _)| *agent == agents[at]).count()
+    };
+    assert!((2..=5).contains(&starts(&sim, 0)), "{}", starts(&sim, 0));
+    assert!(starts(&sim, 1) > 10, "a warm worker gets runs at once");
+}
+
 /// Guards against a run that is lost between its domains when the evacuation ends in the middle of its
 /// move.
 #[test]
--- a/components/flow_agent/src/relay.rs
+++ b/components/flow_agent/src/relay.rs
@@ -20,6 +20,8 @@
     worker: Rc<dyn WorkerClient>,
     /// Content of the worker's newest heartbeat; absent before the first one.
     info: Option<WorkerInfo>,
+    /// Until when the worker is slow after its start, in milliseconds.
+    cold_until_ms: u64,
     /// Decides which heartbeat is the newest.
     order: HeartbeatOrder,
     /// Start time of the newest incarnation that a report of the worker showed.
@@ -38,6 +40,7 @@
             agent,
             worker,
             info: None,
+            cold_until_ms: 0,
             order: HeartbeatOrder::default(),
             reported_born_ms: None,
             fence: 0,
@@ -86,6 +89,8 @@
     pub info: WorkerInfo,
     /// Sequence number; it grows within one incarnation of the worker.
     pub sequence: u64,
+    /// How much longer the worker is slow after its start, in milliseconds.
+    pub cold_remaining_ms: u64,
 }
 
 impl Handler<Heartbeat> for Relay {
@@ -109,6 +114,7 @@
                 sequence = heartbeat.sequence);
         }
         self.info = Some(heartbeat.info);
+        self.cold_until_ms = boot_ms().saturating_add(heartbeat.cold_remaining_ms);
     }
 }
 
@@ -298,3 +304,16 @@
         Box::pin(async move { worker.pace(&order).await })
     }
 }
+
+/// Query for how much longer the worker is slow after its start, in milliseconds.
+#[derive(Message)]
+#[rtype(result = "u64")]
+pub(crate) struct GetColdRemaining;
+
+impl Handler<GetColdRemaining> for Relay {
+    type Result = u64;
+
+    fn handle(&mut self, _: GetColdRemaining, _: &mut Self::Context) -> u64 {
+        self.cold_until_ms.saturating_sub(boot_ms())
+    }
+}
--- a/components/flow_agent/src/rpc.rs
+++ b/components/flow_agent/src/rpc.rs
@@ -1,6 +1,6 @@
 //! Server for calls of the scheduler.
 
-use crate::relay::{Pace, Poll, Relay, Start, Stop};
+use crate::relay::{GetColdRemaining, Pace, Poll, Relay, Start, Stop};
 use actix::Addr;
 use flow::{PaceOrder, PollReply, PollRequest, StartOrder, StartOutcome, StopOrder};
 use tarpc::context::Context;
@@ -25,6 +25,10 @@
         self.0.send(Stop(order)).await.unwrap_or(false)
     }
 
+    async fn get_cold_remaining(self, _: Context) -> u64 {
+        self.0.send(GetColdRemaining).await.unwrap_or(0)
+    }
+
     async fn pace(self, _: Context, order: PaceOrder) -> bool {
         self.0.send(Pace(order)).await.unwrap_or(false)
     }
--- a/components/flow_agent/src/run.rs
+++ b/components/flow_agent/src/run.rs
@@ -27,9 +27,14 @@
 }
 
 impl AgentHandle {
-    /// Records a heartbeat of the worker. `sequence` grows within one incarnation of the worker.
-    pub fn on_heartbeat(&self, info: WorkerInfo, sequence: u64) {
-        self.relay.do_send(Heartbeat { info, sequence });
+    /// Records a heartbeat of the worker. `sequence` grows within one incarnation of the worker;
+    /// `cold_remaining_ms` is how much longer it is slow after its start, in milliseconds.
+    pub fn on_heartbeat(&self, info: WorkerInfo, sequence: u64, cold_remaining_ms: u64) {
+        self.relay.do_send(Heartbeat {
+            info,
+            sequence,
+            cold_remaining_ms,
+        });
     }
 
     /// Records that the worker is shutting down, so that no more runs are started there.
--- a/components/flow_entry/src/evacuations.rs
+++ b/components/flow_entry/src/evacuations.rs
@@ -1,11 +1,12 @@
 //! Requested evacuations as every entry knows them, and their progress in the scheduler.
 
 use crate::coordinator::Coordinator;
-use crate::messages::EvacuationsRead;
-use actix::Handler;
+use crate::messages::{ColdKnown, EvacuationsRead};
+use actix::{AsyncContext, Context, Handler};
 use flow::{EvacuationProgress, Scheduler};
 use model::DomainName;
 use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
 use telemetry::{Event, log_event};
 use utils::boot_ms;
 
@@ -14,6 +15,11 @@
 /// Interval between two log lines about an evacuation with runs left, in milliseconds.
 const LOG_INTERVAL_MS: u64 = 5_000;
 
+/// Timeout of the query whether a worker is slow after its start.
+const COLD_TIMEOUT: Duration = Duration::from_millis(500);
+/// Longest time for which a worker counts as slow after its start, in milliseconds.
+const MAX_COLD_MS: u64 = 60_000;
+
 /// Requested evacuations, as last read by this entry.
 #[derive(Debug, Default)]
 pub(crate) struct KnownEvacuations {
@@ -102,6 +108,46 @@
     }
 }
 
+impl Coordinator {
+    /// Asks the agents in domains that returned to service how long their workers are slow. One that does
+    /// not answer, or does not know the call, counts as warm.
+    fn ask_for_cold(&self, domains: &BTreeSet<DomainName>, context: &mut Context<Self>) {
+        let Some(leadership) = self.leadership.as_ref() else {
+            return;
+        };
+        let epoch = leadership.epoch;
+        for agent in leadership.scheduler.agents_in(domains) {
+            let Some(connection) = leadership.agents.get(&agent) else {
+                continue;
+            };
+            let (link, control) = (connection.link.clone(), context.address());
+            actix_rt::spawn(async move {
+                let call = link.call(COLD_TIMEOUT, |client, context| async move {
+                    client.get_cold_remaining(context).await
+                });
+                let remaining_ms = call.await.unwrap_or(0).min(MAX_COLD_MS);
+                let until_ms = boot_ms() + remaining_ms;
+                control.do_send(ColdKnown {
+                    epoch,
+                    agent,
+                    until_ms,
+                });
+            });
+        }
+    }
+}
+
+impl Handler<ColdKnown> for Coordinator {
+    type Result = ();
+
+    fn handle(&mut self, cold: ColdKnown, _: &mut Self::Context) {
+        let leadership = self.leadership.as_mut();
+        if let Some(leadership) = leadership.filter(|leadership| leadership.epoch == cold.epoch) {
+            leadership.scheduler.set_cold(&cold.agent, cold.until_ms);
+        }
+    }
+}
+
 impl Handler<EvacuationsRead> for Coordinator {
     type Result = ();
 
@@ -118,9 +164,13 @@
             log_event!(info, Event::EvacuationEnded, domain = %domain);
         }
         let has_changed = known.domains != before;
+        let ended: BTreeSet<DomainName> = before.difference(&known.domains).cloned().collect();
         if let Some(leadership) = self.leadership.as_mut() {
             self.evacuations.apply(now_ms, &mut leadership.scheduler);
         }
+        if !ended.is_empty() {
+            self.ask_for_cold(&ended, context);
+        }
         if has_changed {
             self.request_scheduling_pass(context);
         }
--- a/components/flow_entry/src/messages.rs
+++ b/components/flow_entry/src/messages.rs
@@ -327,6 +327,18 @@
     pub run: u32,
 }
 
+/// An agent told how much longer its worker is slow after its start.
+#[derive(Message)]
+#[rtype(result = "()")]
+pub(crate) struct ColdKnown {
+    /// Epoch of the scheduler.
+    pub epoch: u64,
+    /// Agent of the worker.
+    pub agent: AgentId,
+    /// Until when the worker is slow, in milliseconds.
+    pub until_ms: u64,
+}
+
 /// An order of a pace was not confirmed.
 #[derive(Message)]
 #[rtype(result = "()")]
--- a/components/wire/src/worker_control.rs
+++ b/components/wire/src/worker_control.rs
@@ -17,6 +17,8 @@
     /// Changes the percentage of the full pace at which a run works; `true` if the worker confirmed
     /// it.
     async fn pace(order: PaceOrder) -> bool;
+    /// Returns how much longer the worker is slow after its start, in milliseconds; 0 if it is not.
+    async fn get_cold_remaining() -> u64;
 }
 
 /// Prefix of the table key under which an agent stores its address for the scheduler; the agent's
