Flow: order flows by outlook under the policy overload_order

Under overload the pass served flows earliest due first, so that nearly all of them ended a little late. With the policy the pass ranks the flows of a pool by job_order, fillers and ordinary tasks apart, since they compete for different room. The room of fillers counts the paces at which they work, and memory.

Without the policy nothing changes.

--- a/components/flow/src/candidate.rs
+++ b/components/flow/src/candidate.rs
@@ -249,6 +249,12 @@
         }
     }
 
+    /// Whether there is room for a task of a step, regardless of the rules of placement.
+    pub(crate) fn has_room_for(&self, spec: &StepSpec) -> bool {
+        let has_spare = !spec.filler || has_spare_for(self, spec);
+        has_spare && spec.reserved().fits_in(&self.free)
+    }
+
     /// Penalty for the slack that a filler uses up, or `None` if it must not be placed here.
     fn filler_penalty(&self, spec: &StepSpec, filler: &FillerNeed) -> Option<f64> {
         if !has_spare_for(self, spec) {
--- a/components/flow/src/effect.rs
+++ b/components/flow/src/effect.rs
@@ -1,6 +1,6 @@
 //! Effects of the scheduler: orders to workers, reports and decision records.
 
-use crate::{FlowPhase, Incarnation, RecordFault, TaskKey};
+use crate::{FlowPhase, Incarnation, Outlooks, RecordFault, TaskKey};
 use interference::PressureChange;
 use model::{AgentId, JobId};
 
@@ -23,6 +23,13 @@
     StepDown,
     /// Log that the pressure of a pair of images has changed; the report came from this agent.
     PressureLearned(AgentId, PressureChange),
+    /// Log that the order begins to set flows aside so that others end in time.
+    OverloadBegan(Outlooks),
+    /// Log that no flow has been set aside for a while.
+    OverloadEnded {
+        /// Time from the first to the last pass that set flows aside, in milliseconds.
+        lasted_ms: u64,
+    },
     /// Log a decision.
     Decided(Decision),
 }
--- /dev/null
+++ b/components/flow/src/overload.rs
@@ -0,0 +1,173 @@
+//! Order of the flows under overload: by what each can still achieve, for the room of its pool.
+
+use crate::remaining::Remaining;
+use crate::{Effect, Scheduler};
+use job_order::{JobView, Outlook, Ranked, rank};
+use model::{JobId, ServiceName};
+use std::collections::BTreeMap;
+
+/// Time without flows that are set aside after which an overload has ended, in milliseconds. Single
+/// arrivals and ends would otherwise end it and begin it again.
+const ENDED_AFTER_MS: u64 = 3_000;
+
+/// Numbers of flows by what they can still achieve.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Outlooks {
+    /// Flows that can end in time, and long-running ones.
+    pub in_time: usize,
+    /// Flows that can only end late, or are set aside so that others end in time.
+    pub late: usize,
+    /// Flows that can't end before their ends are worth nothing.
+    pub hopeless: usize,
+    /// Flows that could end in time if they were not set aside for others.
+    pub set_aside: usize,
+}
+
+impl Outlooks {
+    fn count(&mut self, outlook: Outlook) {
+        match outlook {
+            Outlook::InTime => self.in_time += 1,
+            Outlook::Late => self.late += 1,
+            Outlook::Hopeless => self.hopeless += 1,
+        }
+    }
+}
+
+/// A time in which flows are set aside.
+#[derive(Debug, Clone, Copy, Default)]
+pub(crate) struct Overload {
+    /// When it began and when a flow was last set aside, in milliseconds; `None` if there is none.
+    times_ms: Option<(u64, u64)>,
+    /// Numbers of flows in the last pass.
+    outlooks: Outlooks,
+}
+
+/// Flows that compete for the same room: those of a pool whose remaining work is mostly that of fillers, or
+/// mostly that of ordinary tasks.
+#[derive(Debug, Default)]
+struct Competitors {
+    flows: Vec<(JobId, Remaining)>,
+    views: Vec<JobView>,
+}
+
+/// Sort key of a flow; the lowest is placed first.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+struct Position {
+    priority: u32,
+    is_limited: bool,
+    outlook: Outlook,
+    /// When it is due, in milliseconds, or its position among the flows that are late.
+    number: u64,
+    job: JobId,
+}
+
+impl Scheduler {
+    /// Numbers of flows by outlook in the last pass; none while the policy is off.
+    ///
+    /// ```
+    /// assert_eq!(flow::Scheduler::default().outlooks(), flow::Outlooks::default());
+    /// ```
+    pub fn outlooks(&self) -> Outlooks {
+        self.overload.outlooks
+    }
+
+    /// Flows with queued tasks in the order in which they are served under the policy
+    /// [`crate::Policies::overload_order`].
+    pub(crate) fn order_by_outlook(&mut self, now_ms: u64, wall_ms: u64) -> Vec<JobId> {
+        let mut order = Vec::new();
+        let mut outlooks = Outlooks::default();
+        for ((pool, is_filler), competitors) in self.competitors(now_ms, wall_ms) {
+            let room = if is_filler {
+                self.filler_room(now_ms, &pool)
+            } else {
+                self.ordinary_room(now_ms, &pool)
+            };
+            let (work, memory_time) = competitors.totals();
+            let cores_milli = room.usable_milli(work, memory_time);
+            let ranked = rank(now_ms, &competitors.views, cores_milli);
+            for (number, ranked) in ranked.iter().enumerate() {
+                let view = &competitors.views[ranked.index];
+                outlooks.count(ranked.outlook);
+                if ranked.outlook != Outlook::InTime && view.can_be_in_time(now_ms) {
+                    outlooks.set_aside += 1;
+                }
+                order.extend(competitors.position(number as u64, ranked));
+            }
+        }
+        self.observe_overload(now_ms, outlooks);
+        order.sort_unstable();
+        order.into_iter().map(|position| position.job).collect()
+    }
+
+    /// Open flows that are not closed, by the room that they compete for.
+    fn competitors(&self, now_ms: u64, wall_ms: u64) -> BTreeMap<(ServiceName, bool), Competitors> {
+        let mut groups: BTreeMap<(ServiceName, bool), Competitors> = BTreeMap::new();
+        for state in self.flows.values().filter(|state| !state.is_closed()) {
+            let Some((view, remaining)) = self.job_view(now_ms, wall_ms, state) else {
+                continue;
+            };
+            let Some(pool) = self.service_of(&state.job.id) else {
+                continue;
+            };
+            let is_filler = remaining.filler_work.saturating_mul(2) > remaining.work;
+            let group = groups.entry((pool.clone(), is_filler)).or_default();
+            group.views.push(view);
+            group.flows.push((state.job.id.clone(), remaining));
+        }
+        groups
+    }
+
+    /// Notes how many flows are set aside, and reports the begin and the end of an overload.
+    fn observe_overload(&mut self, now_ms: u64, outlooks: Outlooks) {
+        self.overload.outlooks = outlooks;
+        let times_ms = &mut self.overload.times_ms;
+        match (*times_ms, outlooks.set_aside) {
+            (None, 0) => {}
+            (None, _) => {
+                *times_ms = Some((now_ms, now_ms));
+                self.effects.push(Effect::OverloadBegan(outlooks));
+            }
+            (Some((began_ms, last_ms)), 0) => {
+                if now_ms >= last_ms + ENDED_AFTER_MS {
+                    *times_ms = None;
+                    let lasted_ms = last_ms.saturating_sub(began_ms);
+                    self.effects.push(Effect::OverloadEnded { lasted_ms });
+                }
+            }
+            (Some((began_ms, _)), _) => *times_ms = Some((began_ms, now_ms)),
+        }
+    }
+}
+
+impl Competitors {
+    /// Remaining work in core-milliseconds and memory over time in megabyte-milliseconds, without
+    /// long-running flows.
+    fn totals(&self) -> (u64, u64) {
+        let flows = self.flows.iter().zip(&self.views);
+        let limited = flows.filter(|(_, view)| !view.is_long_running);
+        limited.fold((0, 0), |(work, memory_time), ((_, remaining), _)| {
+            (
+                remaining.work.saturating_add(work),
+                remaining.memory_time.saturating_add(memory_time),
+            )
+        })
+    }
+
+    /// Sort key of a ranked flow; `None` if it has no queued task.
+    fn position(&self, number: u64, ranked: &Ranked) -> Option<Position> {
+        let (job, remaining) = &self.flows[ranked.index];
+        let view = &self.views[ranked.index];
+        let number = match ranked.outlook {
+            Outlook::InTime if view.is_long_running => 0,
+            Outlook::InTime | Outlook::Hopeless => view.due_ms,
+            Outlook::Late => number,
+        };
+        remaining.has_queued_tasks.then(|| Position {
+            priority: view.priority,
+            is_limited: !view.is_long_running,
+            outlook: ranked.outlook,
+            number,
+            job: job.clone(),
+        })
+    }
+}
--- a/components/flow/src/placement.rs
+++ b/components/flow/src/placement.rs
@@ -49,29 +49,40 @@
             state.release_done_steps();
             state.activate_within(wall_ms, max_open);
         }
-        let mut order: Vec<(Rank, JobId)> = self
-            .flows
-            .values()
-            .filter(|state| !state.is_closed())
-            .filter_map(|state| Some((self.rank(now_ms, state)?, state.job.id.clone())))
-            .collect();
+        let order = if self.policies.overload_order {
+            self.order_by_outlook(now_ms, wall_ms)
+        } else {
+            self.order_by_due_time(now_ms)
+        };
         let starved = self.starved_fillers_if_due(now_ms);
         if order.is_empty() && starved.is_empty() {
             return;
         }
-        order.sort_by(|left, right| left.partial_cmp(right).unwrap_or(std::cmp::Ordering::Equal));
-        for (_, job) in &order {
+        self.filler_failures.expire(now_ms);
+        for job in &order {
             self.fail_exhausted(now_ms, job);
         }
         let mut candidates = self.candidates(now_ms);
         self.place_suspects(now_ms, &mut candidates);
         let mut full = FullPools::default();
-        for (_, job) in order {
+        for job in order {
             self.place_flow(now_ms, &job, &mut candidates, &mut full);
         }
         self.move_fillers(now_ms, starved, &mut candidates);
     }
 
+    /// Flows with queued tasks, earliest due first.
+    fn order_by_due_time(&self, now_ms: u64) -> Vec<JobId> {
+        let mut order: Vec<(Rank, JobId)> = self
+            .flows
+            .values()
+            .filter(|state| !state.is_closed())
+            .filter_map(|state| Some((self.rank(now_ms, state)?, state.job.id.clone())))
+            .collect();
+        order.sort_by(|left, right| left.partial_cmp(right).unwrap_or(std::cmp::Ordering::Equal));
+        order.into_iter().map(|(_, job)| job).collect()
+    }
+
     /// Sort key of a flow, or `None` if it has no queued task.
     fn rank(&self, now_ms: u64, state: &FlowState) -> Option<Rank> {
         let has_queued_tasks = state
@@ -234,7 +245,11 @@
             return;
         };
         let spec = self.step_spec(first).cloned().unwrap_or_default();
-        if spec.filler && !self.is_filler_retry_due(now_ms, first) {
+        let waits = |scheduler: &Self| {
+            let is_known_to_fail = scheduler.filler_failures.includes(service, &spec);
+            !scheduler.is_filler_retry_due(now_ms, first) || (is_known_to_fail && !is_overdue)
+        };
+        if spec.filler && waits(self) {
             return;
         }
         let filler = self.filler_need(now_ms, &spec, MIN_PLACED_PACE, candidates);
@@ -251,6 +266,7 @@
             let tolerated = || is_overdue.then(|| find(&any_pace)).flatten();
             let Some(index) = undisturbed.or_else(tolerated) else {
                 self.delay_filler_retry(now_ms, &key);
+                self.note_filler_failure(now_ms, service, &spec, candidates);
                 return;
             };
             let candidate = &mut candidates[index].1;
@@ -262,6 +278,25 @@
         }
     }
 
+    /// Notes that no worker was found for a filler, so that flows that are served later wait too. A step with
+    /// a limit for each worker may fail where others don't.
+    fn note_filler_failure(
+        &mut self,
+        now_ms: u64,
+        service: &ServiceName,
+        spec: &StepSpec,
+        candidates: &[(ServiceName, Candidate)],
+    ) {
+        if !self.policies.overload_order || !spec.filler || spec.max_per_worker.is_some() {
+            return;
+        }
+        let has_room = candidates
+            .iter()
+            .any(|(pool, candidate)| pool == service && candidate.has_room_for(spec));
+        let until_ms = now_ms + FILLER_RETRY_MS;
+        self.filler_failures.note(service, spec, has_room, until_ms);
+    }
+
     fn is_filler_retry_due(&self, now_ms: u64, key: &TaskKey) -> bool {
         let step = self.flows.get(&key.job).and_then(|state| state.step(key));
         step.is_some_and(|step| now_ms >= step.filler_retry_ms)
--- a/components/flow/src/scheduler.rs
+++ b/components/flow/src/scheduler.rs
@@ -2,6 +2,8 @@
 //! arguments, and actions are returned as effects.
 
 use crate::begun::ProgressLimit;
+use crate::filler_failures::FillerFailures;
+use crate::overload::Overload;
 use crate::suspects::suspects;
 use crate::view::{Allocation, Fleet, WorkerView};
 use crate::{
@@ -46,6 +48,10 @@
     pub(crate) pressures: PressureModel,
     /// When starved fillers were last searched for, in milliseconds.
     pub(crate) starved_searched_ms: u64,
+    /// Fillers for which no worker was found a moment ago.
+    pub(crate) filler_failures: FillerFailures,
+    /// Whether the order sets flows aside, and how many.
+    pub(crate) overload: Overload,
     /// When every lease that former schedulers granted is guaranteed to have expired, in milliseconds.
     pub(crate) former_leases_expired_ms: u64,
     /// Memory for flows in progress.
@@ -76,6 +82,7 @@
     /// ```
     pub fn set_policies(&mut self, policies: Policies) {
         self.policies = policies;
+        self.overload = Overload::default();
     }
 
     /// Version of the configuration in force; 0 before the first.
--- a/components/flow/tests/common/mod.rs
+++ b/components/flow/tests/common/mod.rs
@@ -510,6 +510,8 @@
                 | Effect::StepDown
                 | Effect::SetAside(..)
                 | Effect::PressureLearned(..)
+                | Effect::OverloadBegan(..)
+                | Effect::OverloadEnded { .. }
                 | Effect::Decided(_) => {}
             }
         }
--- a/components/flow_entry/src/effects.rs
+++ b/components/flow_entry/src/effects.rs
@@ -39,6 +39,19 @@
                     log_event!(info, Event::PairJudged, agent = %agent, filler = change.filler,
                         serving = change.critical, pressure = change.pressure);
                 }
+                Effect::OverloadBegan(outlooks) => {
+                    log_event!(
+                        warn,
+                        Event::OverloadBegan,
+                        set_aside = outlooks.set_aside,
+                        in_time = outlooks.in_time,
+                        late = outlooks.late,
+                        hopeless = outlooks.hopeless
+                    );
+                }
+                Effect::OverloadEnded { lasted_ms } => {
+                    log_event!(info, Event::OverloadEnded, lasted_ms = lasted_ms);
+                }
                 Effect::Decided(decision) => self.log_decision(&decision),
             }
         }
