--- a/components/flow/src/gang.rs
+++ b/components/flow/src/gang.rs
@@ -1,7 +1,7 @@
 //! Placement of gangs: all tasks of a step at once, or none.
 
 use crate::candidate::{Candidate, FillerNeed};
-use crate::placement::MIN_PLACED_PACE;
+use crate::pass::MIN_PLACED_PACE;
 use crate::{Scheduler, StepSpec, TaskKey};
 use model::{AgentId, JobId, ServiceName};
 
--- a/components/flow/src/placement.rs
+++ b/components/flow/src/pass.rs
@@ -3,14 +3,11 @@
 use crate::candidate::{Candidate, FillerNeed};
 use crate::full_pool::FullPools;
 use crate::{
-    DecisionKind, FlowState, Placement, Queue, RunStage, Scheduler, StepSpec, StepState, TaskKey,
+    DecisionKind, Placement, RunStage, Scheduler, StepSpec, StepState, TaskKey,
     scheduler::allocation_for,
 };
 use model::{JobId, ServiceName};
 
-/// Multiple of its objective after which a flow is ordered behind those that can still meet theirs.
-const OVERDUE_FACTOR: f64 = 3.0;
-
 /// Longest time for which a flow without placements waits for a worker on which its filler is not
 /// known to disturb anything, in milliseconds.
 const MAX_UNDISTURBED_WAIT_MS: u64 = 3_000;
@@ -22,24 +19,9 @@
 /// Share of its full pace that a filler must be able to keep on the worker where it is placed. It is above 1
 /// because loads grow while the filler runs.
 pub(crate) const MIN_PLACED_PACE: f64 = 1.5;
-/// Time after which a worker is searched again for fillers that none could bear, in milliseconds. Slacks
-/// change with the reports of the workers.
-const FILLER_RETRY_MS: u64 = 100;
-
 /// Most tasks of a step that one pass places, unless the step is a gang; later passes place the others.
 const MAX_STEP_TASKS_PER_PASS: usize = 500;
 
-/// Sort key of a flow in a scheduling pass; the lowest is placed first.
-#[derive(Debug, Clone, Copy, PartialEq, PartialOrd)]
-struct Rank {
-    /// Priority of the queue; 0 is the most urgent.
-    priority: u32,
-    /// Whether the flow has exceeded its objective by [`OVERDUE_FACTOR`].
-    is_overdue: bool,
-    /// When the flow should end, in milliseconds; 0 for long-running flows.
-    due_ms: f64,
-}
-
 impl Scheduler {
     /// Runs one scheduling pass: activates due occurrences and places every task that fits. Starts
     /// are sent only after the records of the placements are durable.
@@ -71,46 +53,6 @@
         self.move_fillers(now_ms, starved, &mut candidates);
     }
 
-    /// Flows with queued tasks, earliest due first.
-    fn order_by_due_time(&self, now_ms: u64) -> Vec<JobId> {
-        let mut order: Vec<(Rank, JobId)> = self
-            .flows
-            .values()
-            .filter(|state| !state.is_closed())
-            .filter_map(|state| Some((self.rank(now_ms, state)?, state.job.id.clone())))
-            .collect();
-        order.sort_by(|left, right| left.partial_cmp(right).unwrap_or(std::cmp::Ordering::Equal));
-        order.into_iter().map(|(_, job)| job).collect()
-    }
-
-    /// Sort key of a flow, or `None` if it has no queued task.
-    fn rank(&self, now_ms: u64, state: &FlowState) -> Option<Rank> {
-        let has_queued_tasks = state
-            .occurrences
-            .iter()
-            .flat_map(|occurrence| &occurrence.steps)
-            .any(StepState::has_queued_tasks);
-        if !has_queued_tasks {
-            return None;
-        }
-        let queue = self.config.queue(&state.job.queue);
-        let priority = queue.map_or(u32::MAX, |queue| queue.priority);
-        let objective_ms = queue.map_or(0.0, |queue| objective_ms(queue, state));
-        let first_seen_ms = state.first_seen_ms as f64;
-        let due_ms = if state.job.spec.is_long_running() {
-            0.0
-        } else {
-            first_seen_ms + objective_ms
-        };
-        let is_overdue =
-            due_ms > 0.0 && (now_ms as f64) > first_seen_ms + OVERDUE_FACTOR * objective_ms;
-        Some(Rank {
-            priority,
-            is_overdue,
-            due_ms,
-        })
-    }
-
     /// Places the queued tasks of every step of a flow whose dependencies are done, unless the flow was
     /// given up earlier in the pass.
     fn place_flow(
@@ -278,37 +220,6 @@
         }
     }
 
-    /// Notes that no worker was found for a filler, so that flows that are served later wait too. A step with
-    /// a limit for each worker may fail where others don't.
-    fn note_filler_failure(
-        &mut self,
-        now_ms: u64,
-        service: &ServiceName,
-        spec: &StepSpec,
-        candidates: &[(ServiceName, Candidate)],
-    ) {
-        if !self.policies.overload_order || !spec.filler || spec.max_per_worker.is_some() {
-            return;
-        }
-        let has_room = candidates
-            .iter()
-            .any(|(pool, candidate)| pool == service && candidate.has_room_for(spec));
-        let until_ms = now_ms + FILLER_RETRY_MS;
-        self.filler_failures.note(service, spec, has_room, until_ms);
-    }
-
-    fn is_filler_retry_due(&self, now_ms: u64, key: &TaskKey) -> bool {
-        let step = self.flows.get(&key.job).and_then(|state| state.step(key));
-        step.is_some_and(|step| now_ms >= step.filler_retry_ms)
-    }
-
-    fn delay_filler_retry(&mut self, now_ms: u64, key: &TaskKey) {
-        let state = self.flows.get_mut(&key.job);
-        if let Some(step) = state.and_then(|state| state.step_mut(key)) {
-            step.filler_retry_ms = now_ms + FILLER_RETRY_MS;
-        }
-    }
-
     /// Updates and returns how long tasks of a step have been queued, in milliseconds. `is_empty`
     /// means that none is queued now, which resets the time.
     fn update_queued_ms(
@@ -399,11 +310,6 @@
     }
 }
 
-/// Time after acceptance within which a flow should end, in milliseconds.
-fn objective_ms(queue: &Queue, state: &FlowState) -> f64 {
-    queue.stretch * state.job.spec.chain_ms() as f64 + queue.latency_target_ms as f64
-}
-
 /// Whether most processors of a pool's candidates are not reserved.
 fn is_mostly_free(service: &ServiceName, candidates: &[(ServiceName, Candidate)]) -> bool {
     let pool = candidates.iter().filter(|(pool, _)| pool == service);
