--- a/components/flow/src/candidate.rs
+++ b/components/flow/src/candidate.rs
@@ -1,10 +1,11 @@
 //! Scoring of candidate workers for a task by free capacity, placement rules, locality and
 //! interference between fillers and latency-critical tasks. The lowest score wins.
 
-use crate::scheduler::allocation_for;
+use crate::crashes::Isolation;
+use crate::placed_runs::allocation_for;
 use crate::slack::{CriticalSlack, image_of};
-use crate::suspects::Isolation;
 use crate::view::{Allocation, WorkerView};
+use crate::worker_rules::may_run;
 use crate::{Scheduler, StepSpec, TaskKey, WorkerInfo, has_form};
 use model::{AgentId, Resources, ServiceName};
 
@@ -26,6 +27,10 @@
 /// Least share of a filler's declared processors that must be spare on a worker to place it there.
 const MIN_FILLER_SPARE_SHARE: f64 = 0.5;
 
+/// Share of its full pace that a filler must be able to keep on the worker where it is placed. It is above 1
+/// because loads grow while the filler runs.
+pub(crate) const MIN_PLACED_PACE: f64 = 1.5;
+
 /// What a filler needs of the worker that it is placed on.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub(crate) struct FillerNeed {
@@ -335,37 +340,6 @@
     }
 }
 
-/// Whether label, rack and `max_per_worker` allow a task on a worker, regardless of its capacity. The
-/// tasks that it is `chosen_for` count as placed.
-pub(crate) fn may_run(
-    view: &WorkerView,
-    key: &TaskKey,
-    spec: &StepSpec,
-    rack: Option<&str>,
-    chosen_for: &[TaskKey],
-) -> bool {
-    let Some(info) = &view.info else {
-        return false;
-    };
-    let is_in_rack = rack.is_none_or(|rack| info.rack() == Some(rack));
-    let chosen = chosen_for.iter().filter(|other| other.is_of_step_of(key));
-    let is_below_limit = spec.max_per_worker.is_none_or(|limit| {
-        let placed = view.count_step_runs(&key.job, key.occurrence, key.step);
-        placed + (chosen.count() as u32) < limit
-    });
-    has_label(view, spec) && is_in_rack && is_below_limit
-}
-
-/// Whether a worker has the label that a step's tasks need, if they need one.
-pub(crate) fn has_label(view: &WorkerView, spec: &StepSpec) -> bool {
-    let labels = view.info.as_ref().map(|info| &info.labels);
-    let has = |label| {
-        let mut labels = labels.into_iter().flatten();
-        labels.any(|own| has_form(own, label))
-    };
-    spec.label.as_deref().is_none_or(has)
-}
-
 /// Whether enough processors are spare for a filler.
 fn has_spare_for(candidate: &Candidate, spec: &StepSpec) -> bool {
     candidate.spare_milli as f64 >= f64::from(spec.need.processors_milli) * MIN_FILLER_SPARE_SHARE
--- a/components/flow/src/commit.rs
+++ b/components/flow/src/commit.rs
@@ -45,6 +45,11 @@
         record
     }
 
+    /// Marks a flow's record to be written again, although it has not changed.
+    pub fn request_rewrite(&mut self, job: &JobId) {
+        self.mark_dirty(job);
+    }
+
     /// Marks records that were taken and not committed as changed, so that they are taken again.
     pub fn put_back(&mut self, records: &[RecordRows]) {
         let jobs = records.iter().map(|record| &record.job);
--- a/components/flow/src/full_pool.rs
+++ b/components/flow/src/full_pool.rs
@@ -1,6 +1,7 @@
 //! Steps for which no worker of a pool has room, so that a pass over many waiting flows is short.
 
-use crate::candidate::{Candidate, has_label};
+use crate::candidate::Candidate;
+use crate::worker_rules::has_label;
 use crate::{Scheduler, StepSpec};
 use model::{JobId, Resources, ServiceName};
 
--- a/components/flow/src/gang.rs
+++ b/components/flow/src/gang.rs
@@ -1,7 +1,6 @@
 //! Placement of gangs: all tasks of a step at once, or none.
 
-use crate::candidate::{Candidate, FillerNeed};
-use crate::pass::MIN_PLACED_PACE;
+use crate::candidate::{Candidate, FillerNeed, MIN_PLACED_PACE};
 use crate::{Scheduler, StepSpec, TaskKey};
 use model::{AgentId, JobId, ServiceName};
 
--- a/components/flow/src/holds.rs
+++ b/components/flow/src/holds.rs
@@ -4,9 +4,10 @@
 //! half of a pool's workers are kept free at a time, and a worker that was accepts other tasks for a
 //! moment before it is again, so that suspects and other tasks take turns wherever they compete.
 
-use crate::candidate::{Candidate, may_run};
-use crate::suspects::{RunAge, run_age};
+use crate::candidate::Candidate;
+use crate::crashes::{RunAge, run_age};
 use crate::view::Hold;
+use crate::worker_rules::may_run;
 use crate::{Scheduler, TaskKey};
 use model::{AgentId, ServiceName};
 
--- a/components/flow/src/interference.rs
+++ b/components/flow/src/interference.rs
@@ -3,7 +3,7 @@
 use crate::progress::READY_PERCENT;
 use crate::slack::image_of;
 use crate::{Effect, RunningTask, Scheduler, TaskKey};
-use interference::{ActiveFiller, ImageId, MarginTrend};
+use interference::{ActiveFiller, ImageId, MarginTrend, PressureModel};
 use model::AgentId;
 use utils::Map;
 
@@ -72,6 +72,18 @@
 }
 
 impl Scheduler {
+    /// Learned pressures of pairs as JSON, or `None` if they have not changed since the last call.
+    pub fn take_learned(&mut self) -> Option<String> {
+        self.pressures
+            .take_changed()
+            .then(|| self.pressures.to_json())
+    }
+
+    /// Sets the pressures of pairs that a former scheduler learned.
+    pub fn set_learned(&mut self, pressures: PressureModel) {
+        self.pressures = pressures;
+    }
+
     /// Learns from a worker's report, then sets the paces of its fillers.
     pub(crate) fn limit_interference(
         &mut self,
--- a/components/flow/src/pacing.rs
+++ b/components/flow/src/pacing.rs
@@ -1,6 +1,6 @@
 //! Paces of fillers: how fast they work beside latency-critical tasks.
 
-use crate::scheduler::run_ref;
+use crate::placed_runs::run_ref;
 use crate::slack::PlacedFiller;
 use crate::view::WorkerView;
 use crate::{Effect, RunStage, Scheduler, TaskKey};
--- a/components/flow/src/pass.rs
+++ b/components/flow/src/pass.rs
@@ -1,11 +1,9 @@
 //! Scheduling pass: orders the flows and places their queued tasks on candidate workers.
 
-use crate::candidate::{Candidate, FillerNeed};
+use crate::candidate::{Candidate, FillerNeed, MIN_PLACED_PACE};
 use crate::full_pool::FullPools;
-use crate::{
-    DecisionKind, Placement, RunStage, Scheduler, StepSpec, StepState, TaskKey,
-    scheduler::allocation_for,
-};
+use crate::placed_runs::allocation_for;
+use crate::{DecisionKind, Placement, RunStage, Scheduler, StepSpec, StepState, TaskKey};
 use model::{JobId, ServiceName};
 
 /// Longest time for which a flow without placements waits for a worker on which its filler is not
@@ -16,9 +14,6 @@
 
 /// Greatest reserved share of a pool's processors at which it counts as mostly free, in percent.
 const MOSTLY_FREE_MAX_USED_PERCENT: u64 = 60;
-/// Share of its full pace that a filler must be able to keep on the worker where it is placed. It is above 1
-/// because loads grow while the filler runs.
-pub(crate) const MIN_PLACED_PACE: f64 = 1.5;
 /// Most tasks of a step that one pass places, unless the step is a gang; later passes place the others.
 const MAX_STEP_TASKS_PER_PASS: usize = 500;
 
--- a/components/flow/src/scheduler.rs
+++ b/components/flow/src/scheduler.rs
@@ -4,12 +4,12 @@
 use crate::begun::ProgressLimit;
 use crate::filler_failures::FillerFailures;
 use crate::overload::Overload;
+use crate::placed_runs::{allocation_for, placements, run_ref};
 use crate::suspects::suspects;
-use crate::view::{Allocation, Fleet, WorkerView};
+use crate::view::{Fleet, WorkerView};
 use crate::{
     Decision, DecisionKind, Effect, FlowConfig, FlowJob, FlowLimits, FlowPhase, FlowRecord,
-    FlowState, LimitExceeded, Placement, Policies, QueueKey, RunRef, RunStage, StartInput,
-    StepSpec, TaskKey,
+    FlowState, LimitExceeded, Placement, Policies, QueueKey, RunStage, StartInput, TaskKey,
 };
 use interference::PressureModel;
 use model::{AgentId, JobId};
@@ -301,23 +301,6 @@
         self.effects.push(Effect::Ended(job.clone(), end));
     }
 
-    /// Marks a flow's record to be written again, although it has not changed.
-    pub fn request_rewrite(&mut self, job: &JobId) {
-        self.mark_dirty(job);
-    }
-
-    /// Learned pressures of pairs as JSON, or `None` if they have not changed since the last call.
-    pub fn take_learned(&mut self) -> Option<String> {
-        self.pressures
-            .take_changed()
-            .then(|| self.pressures.to_json())
-    }
-
-    /// Sets the pressures of pairs that a former scheduler learned.
-    pub fn set_learned(&mut self, pressures: PressureModel) {
-        self.pressures = pressures;
-    }
-
     /// Removes a flow that has ended; its phase is no longer known afterwards.
     pub fn evict_ended(&mut self, job: &JobId) {
         self.ended.remove(job);
@@ -412,34 +395,3 @@
         }));
     }
 }
-
-/// Placed tasks of a flow, each with the number of its run.
-pub(crate) fn placements(state: &FlowState) -> impl Iterator<Item = (TaskKey, u32, &Placement)> {
-    state.tasks().filter_map(|(key, task)| {
-        let placement = task.placement.as_ref()?;
-        Some((key, task.run, placement))
-    })
-}
-
-/// Reference to a placed run, for orders.
-pub(crate) fn run_ref(key: &TaskKey, run: u32, placement: &Placement) -> RunRef {
-    RunRef {
-        agent: placement.agent.clone(),
-        incarnation: placement.incarnation.clone(),
-        task: key.clone(),
-        run,
-    }
-}
-
-/// Allocation of a run of a step.
-pub(crate) fn allocation_for(now_ms: u64, spec: &StepSpec, run: u32) -> Allocation {
-    Allocation {
-        run,
-        since_ms: now_ms,
-        reserved: spec.reserved(),
-        processors_milli: spec.need.processors_milli,
-        filler: spec.filler,
-        latency_target_ms: spec.latency_target_ms,
-        image: spec.image.clone(),
-    }
-}
--- a/components/flow/src/starved.rs
+++ b/components/flow/src/starved.rs
@@ -1,7 +1,6 @@
 //! Moves fillers that are slowed down for long to workers on which they can work.
 
-use crate::candidate::Candidate;
-use crate::pass::MIN_PLACED_PACE;
+use crate::candidate::{Candidate, MIN_PLACED_PACE};
 use crate::{DecisionKind, RunStage, Scheduler, TaskKey};
 use model::ServiceName;
 
