--- a/components/flow/src/moves.rs
+++ b/components/flow/src/moves.rs
@@ -1,7 +1,7 @@
 //! Moves of runs: a run is stopped so that its task is placed on another worker with its checkpoint.
 
 use crate::candidate::Candidate;
-use crate::placement::MIN_PLACED_PACE;
+use crate::candidate::MIN_PLACED_PACE;
 use crate::{DecisionKind, Scheduler, TaskKey};
 use model::ServiceName;
 
--- a/components/flow/src/scheduler.rs
+++ b/components/flow/src/scheduler.rs
@@ -3,12 +3,14 @@
 
 use crate::begun::ProgressLimit;
 use crate::evacuation::Evacuations;
+use crate::filler_failures::FillerFailures;
+use crate::overload::Overload;
+use crate::placed_runs::{allocation_for, placements, run_ref};
 use crate::suspects::suspects;
-use crate::view::{Allocation, Fleet, WorkerView};
+use crate::view::{Fleet, WorkerView};
 use crate::{
     Decision, DecisionKind, Effect, FlowConfig, FlowJob, FlowLimits, FlowPhase, FlowRecord,
-    FlowState, LimitExceeded, Placement, Policies, QueueKey, RunRef, RunStage, StartInput,
-    StepSpec, TaskKey,
+    FlowState, LimitExceeded, Placement, Policies, QueueKey, RunStage, StartInput, TaskKey,
 };
 use interference::PressureModel;
 use model::{AgentId, JobId};
@@ -49,6 +51,10 @@
     pub(crate) pressures: PressureModel,
     /// When starved fillers were last searched for, in milliseconds.
     pub(crate) starved_searched_ms: u64,
+    /// Fillers for which no worker was found a moment ago.
+    pub(crate) filler_failures: FillerFailures,
+    /// Whether the order sets flows aside, and how many.
+    pub(crate) overload: Overload,
     /// When every lease that former schedulers granted is guaranteed to have expired, in milliseconds.
     pub(crate) former_leases_expired_ms: u64,
     /// Memory for flows in progress.
@@ -79,6 +85,7 @@
     /// ```
     pub fn set_policies(&mut self, policies: Policies) {
         self.policies = policies;
+        self.overload = Overload::default();
     }
 
     /// Version of the configuration in force; 0 before the first.
@@ -297,23 +304,6 @@
         self.effects.push(Effect::Ended(job.clone(), end));
     }
 
-    /// Marks a flow's record to be written again, although it has not changed.
-    pub fn request_rewrite(&mut self, job: &JobId) {
-        self.mark_dirty(job);
-    }
-
-    /// Learned pressures of pairs as JSON, or `None` if they have not changed since the last call.
-    pub fn take_learned(&mut self) -> Option<String> {
-        self.pressures
-            .take_changed()
-            .then(|| self.pressures.to_json())
-    }
-
-    /// Sets the pressures of pairs that a former scheduler learned.
-    pub fn set_learned(&mut self, pressures: PressureModel) {
-        self.pressures = pressures;
-    }
-
     /// Removes a flow that has ended; its phase is no longer known afterwards.
     pub fn evict_ended(&mut self, job: &JobId) {
         self.ended.remove(job);
@@ -408,34 +398,3 @@
         }));
     }
 }
-
-/// Placed tasks of a flow, each with the number of its run.
-pub(crate) fn placements(state: &FlowState) -> impl Iterator<Item = (TaskKey, u32, &Placement)> {
-    state.tasks().filter_map(|(key, task)| {
-        let placement = task.placement.as_ref()?;
-        Some((key, task.run, placement))
-    })
-}
-
-/// Reference to a placed run, for orders.
-pub(crate) fn run_ref(key: &TaskKey, run: u32, placement: &Placement) -> RunRef {
-    RunRef {
-        agent: placement.agent.clone(),
-        incarnation: placement.incarnation.clone(),
-        task: key.clone(),
-        run,
-    }
-}
-
-/// Allocation of a run of a step.
-pub(crate) fn allocation_for(now_ms: u64, spec: &StepSpec, run: u32) -> Allocation {
-    Allocation {
-        run,
-        since_ms: now_ms,
-        reserved: spec.reserved(),
-        processors_milli: spec.need.processors_milli,
-        filler: spec.filler,
-        latency_target_ms: spec.latency_target_ms,
-        image: spec.image.clone(),
-    }
-}
--- a/components/flow/tests/common/mod.rs
+++ b/components/flow/tests/common/mod.rs
@@ -540,6 +540,8 @@
                 | Effect::StepDown
                 | Effect::SetAside(..)
                 | Effect::PressureLearned(..)
+                | Effect::OverloadBegan(..)
+                | Effect::OverloadEnded { .. }
                 | Effect::Decided(_) => {}
             }
         }
