Flow: a scheduling pass is one explicit sequence

place() names its steps: prepare, order, filter the workers, and score and commit task by task; the module's page says where each is. Behaviour is unchanged.

--- a/components/flow/src/pass.rs
+++ b/components/flow/src/pass.rs
@@ -1,4 +1,16 @@
-//! Scheduling pass: orders the flows and places their queued tasks on candidate workers.
+//! Scheduling pass. [`Scheduler::place`] is its sequence:
+//!
+//! 1. **Filter:** which flows have queued tasks (`prepare_flows`, `order_flows`), and which workers accept
+//!    runs now (`candidates`). Capacity and the rules of a step filter the workers again for each task
+//!    (`best_candidate`, `may_run`).
+//! 2. **Order:** the flows, by what they can still achieve (overload.rs) or by their due times
+//!    (due_order.rs). Suspects come first, as they are isolated.
+//! 3. **Score:** the best candidate of each queued task (`best_candidate`, candidate.rs). A gang chooses
+//!    one for each member, or none at all (gang.rs).
+//! 4. **Commit:** the placement (`assign`). It takes capacity from the candidate, and its start is sent once
+//!    the flow's record is durable.
+//!
+//! Steps 3 and 4 alternate: each placement changes what the next task finds.
 
 use crate::candidate::{Candidate, FillerNeed, MIN_PLACED_PACE};
 use crate::full_pool::FullPools;
@@ -21,21 +33,12 @@
     /// Runs one scheduling pass: activates due occurrences and places every task that fits. Starts
     /// are sent only after the records of the placements are durable.
     pub fn place(&mut self, now_ms: u64, wall_ms: u64) {
-        let max_open = self.measure_progress();
-        for state in self.flows.values_mut().filter(|state| !state.is_closed()) {
-            state.release_done_steps();
-            state.activate_within(wall_ms, max_open);
-        }
-        let order = if self.policies.overload_order {
-            self.order_by_outlook(now_ms, wall_ms)
-        } else {
-            self.order_by_due_time(now_ms)
-        };
+        self.prepare_flows(wall_ms);
+        let order = self.order_flows(now_ms, wall_ms);
         let starved = self.starved_fillers_if_due(now_ms);
         if order.is_empty() && starved.is_empty() {
             return;
         }
-        self.filler_failures.expire(now_ms);
         for job in &order {
             self.fail_exhausted(now_ms, job);
         }
@@ -48,6 +51,25 @@
         self.move_fillers(now_ms, starved, &mut candidates);
     }
 
+    /// Activates due occurrences, and drops states that the last pass left behind.
+    fn prepare_flows(&mut self, wall_ms: u64) {
+        let max_open = self.measure_progress();
+        for state in self.flows.values_mut().filter(|state| !state.is_closed()) {
+            state.release_done_steps();
+            state.activate_within(wall_ms, max_open);
+        }
+    }
+
+    /// Flows with queued tasks, in the order in which they are served.
+    fn order_flows(&mut self, now_ms: u64, wall_ms: u64) -> Vec<JobId> {
+        self.filler_failures.expire(now_ms);
+        if self.policies.overload_order {
+            self.order_by_outlook(now_ms, wall_ms)
+        } else {
+            self.order_by_due_time(now_ms)
+        }
+    }
+
     /// Places the queued tasks of every step of a flow whose dependencies are done, unless the flow was
     /// given up earlier in the pass.
     fn place_flow(
@@ -168,25 +190,13 @@
         let mut queued = self.queued_tasks(now_ms, job, occurrence, step);
         queued.retain(|key| !self.suspects.contains_key(key));
         let queued_ms = self.update_queued_ms(now_ms, job, occurrence, step, queued.is_empty());
-        let is_idle = self
-            .flows
-            .get(job)
-            .is_some_and(|state| !state.has_placements());
-        let max_wait_ms = if is_mostly_free(service, candidates) {
-            MAX_UNDISTURBED_WAIT_FREE_POOL_MS
-        } else {
-            MAX_UNDISTURBED_WAIT_MS
-        };
-        let is_overdue = is_idle && queued_ms >= max_wait_ms;
+        let is_overdue = self.is_idle_for_long(job, queued_ms, service, candidates);
         let Some(first) = queued.first() else {
             return;
         };
         let spec = self.step_spec(first).cloned().unwrap_or_default();
-        let waits = |scheduler: &Self| {
-            let is_known_to_fail = scheduler.filler_failures.includes(service, &spec);
-            !scheduler.is_filler_retry_due(now_ms, first) || (is_known_to_fail && !is_overdue)
-        };
-        if spec.filler && waits(self) {
+        let is_known_to_fail = !is_overdue && self.filler_failures.includes(service, &spec);
+        if spec.filler && (is_known_to_fail || !self.is_filler_retry_due(now_ms, first)) {
             return;
         }
         let filler = self.filler_need(now_ms, &spec, MIN_PLACED_PACE, candidates);
@@ -215,6 +225,23 @@
         }
     }
 
+    /// Whether a flow without placements has waited for so long that its fillers may disturb others.
+    fn is_idle_for_long(
+        &self,
+        job: &JobId,
+        queued_ms: u64,
+        service: &ServiceName,
+        candidates: &[(ServiceName, Candidate)],
+    ) -> bool {
+        let max_wait_ms = if is_mostly_free(service, candidates) {
+            MAX_UNDISTURBED_WAIT_FREE_POOL_MS
+        } else {
+            MAX_UNDISTURBED_WAIT_MS
+        };
+        let state = self.flows.get(job);
+        queued_ms >= max_wait_ms && state.is_some_and(|state| !state.has_placements())
+    }
+
     /// Updates and returns how long tasks of a step have been queued, in milliseconds. `is_empty`
     /// means that none is queued now, which resets the time.
     fn update_queued_ms(
