--- a/components/bench/src/deciding.rs
+++ b/components/bench/src/deciding.rs
@@ -3,8 +3,8 @@
 use crate::bounds::bound;
 use crate::results::{Bound, Results};
 use flow::{
-    CommitLimits, FlowConfig, FlowJob, FlowSpec, Incarnation, Pool, Queue, QueueKey, ReportTimes,
-    Scheduler, StepSpec, WorkerInfo, WorkerReport,
+    CommitLimits, FlowConfig, FlowJob, FlowSpec, Incarnation, Policies, Pool, Queue, QueueKey,
+    ReportTimes, Scheduler, StepSpec, WorkerInfo, WorkerReport,
 };
 use model::Resources;
 use std::time::Instant;
@@ -155,8 +155,9 @@
 
 /// Mean time of a start with this number of workers, in microseconds: placement, commit of the
 /// rows and start order.
-fn measure(workers: usize) -> f64 {
+fn measure(workers: usize, policies: Policies) -> f64 {
     let mut scheduler = loaded_scheduler(workers);
+    scheduler.set_policies(policies);
     let (mut starts, mut spent_us) = (0, 0.0);
     for number in 0..FLOWS {
         let now_ms = 1_100 + number as u64 * PASS_INTERVAL_MS;
@@ -185,16 +186,28 @@
     spent_us / starts.max(1) as f64
 }
 
+/// Policies with the order under overload.
+pub(crate) fn by_outlook() -> Policies {
+    Policies {
+        overload_order: true,
+        ..Policies::default()
+    }
+}
+
 /// Measures each number of workers.
 pub fn run(results: &mut Results) {
     let mut points = Vec::new();
     for workers in WORKERS {
-        let took_us = measure(workers);
+        let took_us = measure(workers, Policies::default());
         let most = Bound::AtMost(bound("deciding", "start_us_at_620"));
         let most = (workers == PLANNED_WORKERS).then_some(most);
         let subject = format!("{workers} workers");
         results.add("deciding", &subject, "a start, us", took_us, most);
         points.push((workers as f64, took_us));
     }
+    let took_us = measure(PLANNED_WORKERS, by_outlook());
+    let most = Bound::AtMost(bound("deciding", "start_us_at_620"));
+    let subject = format!("{PLANNED_WORKERS} workers, by outlook");
+    results.add("deciding", &subject, "a start, us", took_us, Some(most));
     results.plot("a start of a flow's task, us, by workers", "ours", points);
 }
--- a/components/bench/src/waiting.rs
+++ b/components/bench/src/waiting.rs
@@ -1,9 +1,9 @@
 //! Case `waiting`: time of a scheduling pass beside many flows that wait for room.
 
 use crate::bounds::bound;
-use crate::deciding::{PASS_INTERVAL_MS, add, loaded_scheduler, step};
+use crate::deciding::{PASS_INTERVAL_MS, add, by_outlook, loaded_scheduler, step};
 use crate::results::{Bound, Results};
-use flow::FlowSpec;
+use flow::{FlowSpec, Policies};
 use std::time::Instant;
 
 /// Measured numbers of waiting flows.
@@ -21,8 +21,9 @@
 const BEGIN_MS: u64 = 2_000;
 
 /// Mean time of a pass beside this number of waiting flows, in milliseconds.
-fn measure(flows: usize) -> f64 {
+fn measure(flows: usize, policies: Policies) -> f64 {
     let mut scheduler = loaded_scheduler(WORKERS);
+    scheduler.set_policies(policies);
     // No worker has so many processors.
     let waiting = step(1, u32::MAX);
     for number in 0..flows {
@@ -45,12 +46,16 @@
 pub fn run(results: &mut Results) {
     let mut points = Vec::new();
     for flows in FLOWS {
-        let took_ms = measure(flows);
+        let took_ms = measure(flows, Policies::default());
         let most = Bound::AtMost(bound("waiting", "pass_ms_at_7000"));
         let most = (flows == BOUND_FLOWS).then_some(most);
         let subject = format!("{flows} waiting flows");
         results.add("waiting", &subject, "a pass, ms", took_ms, most);
         points.push((flows as f64, took_ms));
     }
+    let took_ms = measure(BOUND_FLOWS, by_outlook());
+    let most = Bound::AtMost(bound("waiting", "pass_ms_at_7000"));
+    let subject = format!("{BOUND_FLOWS} waiting flows, by outlook");
+    results.add("waiting", &subject, "a pass, ms", took_ms, Some(most));
     results.plot("a pass, ms, by waiting flows", "ours", points);
 }
--- a/components/flow/src/effect.rs
+++ b/components/flow/src/effect.rs
@@ -23,11 +23,11 @@
     StepDown,
     /// Log that the pressure of a pair of images has changed; the report came from this agent.
     PressureLearned(AgentId, PressureChange),
-    /// Log that the order begins to set flows aside so that others end in time.
+    /// Log that the order begins to defer flows so that others end in time.
     OverloadBegan(Outlooks),
-    /// Log that no flow has been set aside for a while.
+    /// Log that no flow has been deferred for a while.
     OverloadEnded {
-        /// Time from the first to the last pass that set flows aside, in milliseconds.
+        /// Time from the first to the last pass that deferred flows, in milliseconds.
         lasted_ms: u64,
     },
     /// Log a decision.
--- a/components/flow/src/overload.rs
+++ b/components/flow/src/overload.rs
@@ -6,7 +6,7 @@
 use model::{JobId, ServiceName};
 use std::collections::BTreeMap;
 
-/// Time without flows that are set aside after which an overload has ended, in milliseconds. Single
+/// Time without flows that are deferred after which an overload has ended, in milliseconds. Single
 /// arrivals and ends would otherwise end it and begin it again.
 const ENDED_AFTER_MS: u64 = 3_000;
 
@@ -15,15 +15,29 @@
 pub struct Outlooks {
     /// Flows that can end in time, and long-running ones.
     pub in_time: usize,
-    /// Flows that can only end late, or are set aside so that others end in time.
+    /// Flows that can only end late, or are deferred so that others end in time.
     pub late: usize,
     /// Flows that can't end before their ends are worth nothing.
     pub hopeless: usize,
-    /// Flows that could end in time if they were not set aside for others.
-    pub set_aside: usize,
+    /// Flows that could end in time if they were not deferred for others.
+    pub deferred: usize,
 }
 
 impl Outlooks {
+    /// Number of flows for each outlook, by its name.
+    ///
+    /// ```
+    /// let outlooks = flow::Outlooks { late: 2, ..Default::default() };
+    /// assert_eq!(outlooks.by_name(), [("in-time", 0), ("late", 2), ("hopeless", 0)]);
+    /// ```
+    pub fn by_name(&self) -> [(&'static str, usize); 3] {
+        [
+            (Outlook::InTime.into(), self.in_time),
+            (Outlook::Late.into(), self.late),
+            (Outlook::Hopeless.into(), self.hopeless),
+        ]
+    }
+
     fn count(&mut self, outlook: Outlook) {
         match outlook {
             Outlook::InTime => self.in_time += 1,
@@ -33,10 +47,10 @@
     }
 }
 
-/// A time in which flows are set aside.
+/// A time in which flows are deferred.
 #[derive(Debug, Clone, Copy, Default)]
 pub(crate) struct Overload {
-    /// When it began and when a flow was last set aside, in milliseconds; `None` if there is none.
+    /// When it began and when a flow was last deferred, in milliseconds; `None` if there is none.
     times_ms: Option<(u64, u64)>,
     /// Numbers of flows in the last pass.
     outlooks: Outlooks,
@@ -89,7 +103,7 @@
                 let view = &competitors.views[ranked.index];
                 outlooks.count(ranked.outlook);
                 if ranked.outlook != Outlook::InTime && view.can_be_in_time(now_ms) {
-                    outlooks.set_aside += 1;
+                    outlooks.deferred += 1;
                 }
                 order.extend(competitors.position(number as u64, ranked));
             }
@@ -117,11 +131,11 @@
         groups
     }
 
-    /// Notes how many flows are set aside, and reports the begin and the end of an overload.
+    /// Notes how many flows are deferred, and reports the begin and the end of an overload.
     fn observe_overload(&mut self, now_ms: u64, outlooks: Outlooks) {
         self.overload.outlooks = outlooks;
         let times_ms = &mut self.overload.times_ms;
-        match (*times_ms, outlooks.set_aside) {
+        match (*times_ms, outlooks.deferred) {
             (None, 0) => {}
             (None, _) => {
                 *times_ms = Some((now_ms, now_ms));
--- a/components/flow/src/scheduler.rs
+++ b/components/flow/src/scheduler.rs
@@ -50,7 +50,7 @@
     pub(crate) starved_searched_ms: u64,
     /// Fillers for which no worker was found a moment ago.
     pub(crate) filler_failures: FillerFailures,
-    /// Whether the order sets flows aside, and how many.
+    /// Whether the order defers flows, and how many.
     pub(crate) overload: Overload,
     /// When every lease that former schedulers granted is guaranteed to have expired, in milliseconds.
     pub(crate) former_leases_expired_ms: u64,
--- a/components/flow/tests/overload_order.rs
+++ b/components/flow/tests/overload_order.rs
@@ -124,7 +124,7 @@
         in_time: 1,
         late: 1,
         hopeless: 1,
-        set_aside: 0,
+        deferred: 0,
     };
     assert_eq!(sim.scheduler.outlooks(), expected);
 }
--- a/components/flow_entry/src/commits.rs
+++ b/components/flow_entry/src/commits.rs
@@ -74,6 +74,7 @@
         leadership.waits_searched_ms = now_ms;
         let waiting = leadership.wait_watch.observe(now_ms, &leadership.scheduler);
         self.metrics.flows_waiting.set(waiting.len() as i64);
+        self.metrics.set_outlooks(leadership.scheduler.outlooks());
         for flow in waiting {
             let agent = flow.agent.as_ref().map_or("", |agent| agent.as_str());
             log_event!(warn, Event::FlowWaiting, job = %flow.task.job, task = %flow.task,
--- a/components/flow_entry/src/effects.rs
+++ b/components/flow_entry/src/effects.rs
@@ -43,7 +43,7 @@
                     log_event!(
                         warn,
                         Event::OverloadBegan,
-                        set_aside = outlooks.set_aside,
+                        deferred = outlooks.deferred,
                         in_time = outlooks.in_time,
                         late = outlooks.late,
                         hopeless = outlooks.hopeless
--- a/components/flow_entry/src/leadership.rs
+++ b/components/flow_entry/src/leadership.rs
@@ -288,6 +288,7 @@
         log_event!(warn, Event::SchedulerLost, entry = %self.settings.id, epoch = leadership.epoch,
             reason);
         self.metrics.is_scheduler.set(0);
+        self.metrics.set_outlooks(flow::Outlooks::default());
         for kind in [MemoryUse::Flows, MemoryUse::Tasks, MemoryUse::Ended] {
             self.metrics.set_memory(kind, 0);
         }
--- a/components/flow_entry/src/metrics.rs
+++ b/components/flow_entry/src/metrics.rs
@@ -1,6 +1,7 @@
 //! Metrics of an entry for flows.
 
 use crate::memory::MemoryShares;
+use flow::Outlooks;
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
@@ -36,6 +37,13 @@
     pub kind: &'static str,
 }
 
+/// Label by which open flows are counted.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct OutlookLabel {
+    /// What the flows can still achieve.
+    pub outlook: &'static str,
+}
+
 /// Metrics of an entry for flows; clones share their values.
 #[derive(Debug, Clone)]
 pub struct Metrics {
@@ -55,6 +63,9 @@
     pub(crate) flows: Gauge,
     /// Flows of which nothing runs although a task could, by the scheduler.
     pub(crate) flows_waiting: Gauge,
+    /// Flows that have not ended by what they can still achieve, by the scheduler; 0 while the order under
+    /// overload is off.
+    pub(crate) jobs_by_outlook: Family<OutlookLabel, Gauge>,
     /// Memory that callers set, by kind of use, in bytes.
     pub(crate) memory_bytes: Family<MemoryLabel, Gauge>,
     /// Limits of this memory, by kind of use, in bytes; that of `flows` holds for all of the scheduler.
@@ -87,6 +98,7 @@
             terms_started: Counter::default(),
             flows: Gauge::default(),
             flows_waiting: Gauge::default(),
+            jobs_by_outlook: Family::default(),
             memory_bytes: Family::default(),
             memory_limit_bytes: Family::default(),
             connections: Gauge::default(),
@@ -113,6 +125,15 @@
         self.memory_bytes.get_or_create(&label).set(bytes as i64);
     }
 
+    /// Sets the numbers of flows by what they can still achieve.
+    pub(crate) fn set_outlooks(&self, outlooks: Outlooks) {
+        for (outlook, flows) in outlooks.by_name() {
+            self.jobs_by_outlook
+                .get_or_create(&OutlookLabel { outlook })
+                .set(flows as i64);
+        }
+    }
+
     /// Updates the metrics of connections, of the memory for requests, and of the limits.
     pub(crate) fn observe_memory(&self, shares: &MemoryShares) {
         self.connections.set(shares.counters.open() as i64);
@@ -162,6 +183,11 @@
             "Flows of which nothing has run for a while although a task could",
             self.flows_waiting.clone(),
         );
+        registry.register(
+            "flow_jobs_by_outlook",
+            "Flows that are not over, by what they can still achieve",
+            self.jobs_by_outlook.clone(),
+        );
         registry.register(
             "flow_memory_bytes",
             "Memory that callers set, by kind of use",
--- a/components/job_order/src/large_jobs.rs
+++ b/components/job_order/src/large_jobs.rs
@@ -1,4 +1,4 @@
-//! Protection of large jobs, which would always be set aside first.
+//! Protection of large jobs, which would always be deferred first.
 
 use crate::JobView;
 use crate::selection::{Contender, Room};
--- a/components/job_order/src/rank.rs
+++ b/components/job_order/src/rank.rs
@@ -1,14 +1,14 @@
 //! The order of all jobs.
 
 use crate::large_jobs::{interleave, protect};
-use crate::selection::{Contender, Room, set_aside};
+use crate::selection::{Contender, Room, defer};
 use crate::{JobView, Outlook, Ranked};
 
 /// Order in which jobs are served, for `cores_milli` of room: more urgent priorities first; within a
 /// priority long-running jobs, then those that can be in time, earliest due first, then those that can
 /// only be late, smallest first, and last those whose end is worth nothing any more.
 ///
-/// Where the work exceeds the room, jobs are set aside by the rule of Moore and Hodgson, adapted to the
+/// Where the work exceeds the room, jobs are deferred by the rule of Moore and Hodgson, adapted to the
 /// utilities of jobs. Below the room the order is earliest due first. Of the largest 10 % of the
 /// jobs of a priority and of the next 20 %, at least half as many are kept as of all.
 ///
@@ -53,12 +53,12 @@
     let (timely, delayed): (Vec<usize>, Vec<usize>) = group
         .iter()
         .partition(|index| jobs[**index].can_be_in_time(room.now_ms));
-    let mut aside = select(room, jobs, &timely, mean_work(jobs, group));
-    aside.sort_unstable();
+    let mut deferred = select(room, jobs, &timely, mean_work(jobs, group));
+    deferred.sort_unstable();
     let kept = timely
         .iter()
-        .filter(|index| aside.binary_search(index).is_err());
-    let rest = aside.iter().chain(&delayed);
+        .filter(|index| deferred.binary_search(index).is_err());
+    let rest = deferred.iter().chain(&delayed);
     let (mut late, mut hopeless): (Vec<usize>, Vec<usize>) =
         rest.partition(|index| jobs[**index].can_be_late(room.now_ms));
     late.sort_by_key(|index| (jobs[*index].remaining_work, *index));
@@ -75,19 +75,19 @@
     order.extend(hopeless.iter().map(ranked(Outlook::Hopeless)));
 }
 
-/// Jobs that are set aside of those that could be in time, which are in the order of their due times.
+/// Jobs that are deferred of those that could be in time, which are in the order of their due times.
 fn select(room: &Room, jobs: &[JobView], timely: &[usize], mean_work: f64) -> Vec<usize> {
     let mut contenders: Vec<Contender> = timely
         .iter()
         .map(|index| Contender::new(*index, &jobs[*index], mean_work))
         .collect();
-    let aside = set_aside(room, jobs, &contenders);
-    if aside.is_empty() {
-        return aside;
+    let deferred = defer(room, jobs, &contenders);
+    if deferred.is_empty() {
+        return deferred;
     }
-    let kept = timely.len() - aside.len();
+    let kept = timely.len() - deferred.len();
     protect(room, jobs, &mut contenders, kept);
-    set_aside(room, jobs, &contenders)
+    defer(room, jobs, &contenders)
 }
 
 fn mean_work(jobs: &[JobView], group: &[usize]) -> f64 {
--- a/components/job_order/src/selection.rs
+++ b/components/job_order/src/selection.rs
@@ -5,7 +5,7 @@
 use std::collections::BinaryHeap;
 
 /// Factor of the utility of a job that has begun. Its tasks are not preempted, so that the room they
-/// take is lost if the job is set aside afterwards.
+/// take is lost if the job is deferred afterwards.
 const BEGUN_FACTOR: f64 = 1.5;
 
 /// Share of the room that is expected to be used, in percent; the rest is lost to tasks that don't fit into
@@ -18,7 +18,7 @@
 pub(crate) struct Contender {
     /// Its index in the list of jobs.
     pub index: usize,
-    /// Work that is left for each unit of utility; the greatest is set aside first.
+    /// Work that is left for each unit of utility; the greatest is deferred first.
     pub cost: f64,
     /// Whether it is kept so that large jobs don't starve.
     pub is_protected: bool,
@@ -80,17 +80,17 @@
     }
 }
 
-/// Contenders that are set aside so that all others fit into the room, by the rule of Moore and Hodgson
+/// Contenders that are deferred so that all others fit into the room, by the rule of Moore and Hodgson
 /// (J. M. Moore, "An n job, one machine sequencing algorithm for minimizing the number of late jobs",
 /// Management Science 15(1), 1968): in the order of their due times, whenever the work exceeds the room, the
-/// costliest job so far is set aside. The rule is exact for equal utilities on one machine. It is adapted
+/// costliest job so far is deferred. The rule is exact for equal utilities on one machine. It is adapted
 /// here: the cost is the remaining work for each unit of utility instead of the run time, and the pool
 /// counts as one machine that divides its processors freely.
 ///
 /// `contenders` are in the order of their due times.
-pub(crate) fn set_aside(room: &Room, jobs: &[JobView], contenders: &[Contender]) -> Vec<usize> {
+pub(crate) fn defer(room: &Room, jobs: &[JobView], contenders: &[Contender]) -> Vec<usize> {
     let mut kept: BinaryHeap<Contender> = BinaryHeap::new();
-    let mut aside = Vec::new();
+    let mut deferred = Vec::new();
     let mut work: u128 = 0;
     for contender in contenders {
         let job = &jobs[contender.index];
@@ -102,8 +102,8 @@
                 break;
             };
             work -= u128::from(jobs[costliest.index].remaining_work);
-            aside.push(costliest.index);
+            deferred.push(costliest.index);
         }
     }
-    aside
+    deferred
 }
--- a/components/telemetry/src/event.rs
+++ b/components/telemetry/src/event.rs
@@ -155,9 +155,9 @@
     RunSuspected = 722,
     /// Nothing of a flow has run for a while although a task of it could.
     FlowWaiting = 723,
-    /// The order of flows begins to set some aside so that others end in time.
+    /// The order of flows begins to defer some so that others end in time.
     OverloadBegan = 726,
-    /// No flow has been set aside for a while.
+    /// No flow has been deferred for a while.
     OverloadEnded = 727,
     /// An agent refused a start order: its worker is draining or has another incarnation.
     OrderRefused = 719,
