--- a/components/flow/tests/common/mod.rs
+++ b/components/flow/tests/common/mod.rs
@@ -11,8 +11,9 @@
 use flow::record_rows::join;
 use flow::{
     AwayWorker, Delivery, Effect, EndedRun, FlowConfig, FlowJob, FlowPhase, FlowRecord, FlowSpec,
-    Incarnation, LeaseTerms, Pool, Queue, QueueKey, RecordRows, ReportTimes, RunEnd, RunRef,
-    RunningTask, Schedule, Scheduler, StartOutcome, StepSpec, TaskKey, WorkerInfo, WorkerReport,
+    Incarnation, LeaseTerms, Policies, Pool, Queue, QueueKey, RecordRows, ReportTimes, RunEnd,
+    RunRef, RunningTask, Schedule, Scheduler, StartOutcome, StepSpec, TaskKey, WorkerInfo,
+    WorkerReport,
 };
 use model::{AgentId, JobId, Resources};
 use std::collections::{BTreeMap, BTreeSet};
@@ -68,6 +69,8 @@
     pub now_ms: u64,
     /// Scheduler under test; replaced by [`Sim::take_over`].
     pub scheduler: Scheduler,
+    /// Policies of this scheduler and of those that take over.
+    pub policies: Policies,
     /// Workers, by their agents.
     pub workers: BTreeMap<AgentId, ModelWorker>,
     /// Accepted flows.
@@ -197,6 +200,7 @@
         Self {
             now_ms: 1_000,
             scheduler,
+            policies: Policies::default(),
             workers: workers.collect(),
             jobs: BTreeMap::new(),
             records: BTreeMap::new(),
@@ -226,6 +230,12 @@
         }
     }
 
+    /// Puts policies in force.
+    pub fn set_policies(&mut self, policies: Policies) {
+        self.policies = policies;
+        self.scheduler.set_policies(policies);
+    }
+
     /// Accepts a flow.
     pub fn submit(&mut self, id: &str, steps: Vec<StepSpec>) -> JobId {
         self.submit_scheduled(id, steps, None)
@@ -264,6 +274,7 @@
         self.commit = None;
         let mut scheduler = Scheduler::default();
         scheduler.set_config(config());
+        scheduler.set_policies(self.policies);
         let former_leases_expired_ms = self.now_ms + LEASE_TERMS.longest_ms();
         scheduler.set_former_leases_expired_ms(former_leases_expired_ms);
         for (agent, expired_ms) in &self.away {
--- a/components/flow/tests/interleavings.rs
+++ b/components/flow/tests/interleavings.rs
@@ -5,7 +5,7 @@
 mod common;
 
 use common::{Mode, Sim, step};
-use flow::{FlowPhase, StepSpec};
+use flow::{FlowPhase, Policies, StepSpec};
 use model::AgentId;
 use proptest::prelude::*;
 
@@ -115,8 +115,9 @@
 
 /// Applies events and then lets the flows end, with the last `gone` workers unreachable for good: the
 /// last one gets polls that it can't answer, the others get none.
-fn assert_all_flows_end(events: &[Event], gone: usize) {
+fn assert_all_flows_end(events: &[Event], gone: usize, policies: Policies) {
     let mut sim = Sim::new(4);
+    sim.set_policies(policies);
     for event in events {
         apply(&mut sim, event);
     }
@@ -153,7 +154,7 @@
     /// takeovers, lost answers and table outages come in any order.
     #[test]
     fn nothing_runs_twice_and_no_flow_is_lost(events in prop::collection::vec(event(), 1..60)) {
-        assert_all_flows_end(&events, 0);
+        assert_all_flows_end(&events, 0, Policies::default());
     }
 
     /// Guards against flows that wait for ever for workers that are gone for good.
@@ -162,6 +163,16 @@
         events in prop::collection::vec(event(), 1..40),
         gone in 1_usize..3,
     ) {
-        assert_all_flows_end(&events, gone);
+        assert_all_flows_end(&events, gone, Policies::default());
+    }
+
+    /// Guards against flows that the order by outlook leaves behind for ever.
+    #[test]
+    fn no_flow_is_lost_in_the_order_by_outlook(
+        events in prop::collection::vec(event(), 1..60),
+        gone in 0_usize..3,
+    ) {
+        let policies = Policies { overload_order: true, ..Policies::default() };
+        assert_all_flows_end(&events, gone, policies);
     }
 }
--- a/components/flow/tests/overload_order.rs
+++ b/components/flow/tests/overload_order.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::{Sim, queue, step};
-use flow::{Effect, FlowJob, FlowSpec, Outlooks, Policies, StepSpec};
+use flow::{Effect, FlowJob, FlowSpec, Outlooks, Policies, Schedule, StepSpec};
 use std::collections::BTreeMap;
 
 /// Objective of flows in the simulation: twice the run time and 500 ms, from the submission.
@@ -13,7 +13,7 @@
 
 fn sim_with(workers: usize, overload_order: bool) -> Sim {
     let mut sim = Sim::new(workers);
-    sim.scheduler.set_policies(Policies {
+    sim.set_policies(Policies {
         overload_order,
         ..Policies::default()
     });
@@ -129,6 +129,51 @@
     assert_eq!(sim.scheduler.outlooks(), expected);
 }
 
+/// Guards against a recurring flow that counts as hopeless once its first occurrence is long over: an
+/// occurrence arrives when it is due.
+#[test]
+fn an_occurrence_arrives_when_it_is_due() {
+    let mut sim = sim_with(1, true);
+    let (now_ms, wall_ms) = (sim.now_ms + 100_000, 1_000_000);
+    let schedule = Schedule {
+        first_wall_ms: wall_ms - 100,
+        interval_ms: 1_000,
+        occurrences: 5,
+    };
+    let job = FlowJob {
+        id: "recurring".into(),
+        queue: queue(),
+        spec: FlowSpec {
+            steps: vec![step(1, 1_000, 1_000)],
+            schedule: Some(schedule),
+            ..FlowSpec::default()
+        },
+        accepted_wall_ms: wall_ms - 90_000,
+    };
+    sim.scheduler.add(now_ms, wall_ms, job);
+    sim.scheduler.place(now_ms, wall_ms);
+    assert_eq!(sim.scheduler.outlooks().in_time, 1);
+}
+
+/// Guards against a room that counts processors for which there is no memory.
+#[test]
+fn the_room_is_limited_by_memory() {
+    for (memory_mb, deferred) in [(1_000, 0), (16_000, 2)] {
+        let mut sim = sim_with(1, true);
+        for id in ["first", "second"] {
+            let mut fillers = filler(8, 1_000, 1_000);
+            fillers.need.memory_mb = memory_mb;
+            sim.submit(id, vec![fillers]);
+        }
+        sim.scheduler.place(sim.now_ms, 0);
+        assert_eq!(
+            sim.scheduler.outlooks().deferred,
+            deferred,
+            "{memory_mb} MB"
+        );
+    }
+}
+
 /// Guards against an overload that begins or ends without a line in the log.
 #[test]
 fn the_begin_and_the_end_of_an_overload_are_reported() {
