--- a/components/flow_entry/src/leadership.rs
+++ b/components/flow_entry/src/leadership.rs
@@ -295,6 +295,7 @@
         self.metrics.is_scheduler.set(0);
         self.metrics.evacuations.set(0);
         self.metrics.evacuation_runs_left.set(0);
+        self.metrics.set_outlooks(flow::Outlooks::default());
         for kind in [MemoryUse::Flows, MemoryUse::Tasks, MemoryUse::Ended] {
             self.metrics.set_memory(kind, 0);
         }
