--- a/components/flow/tests/common/mod.rs
+++ b/components/flow/tests/common/mod.rs
@@ -69,6 +69,8 @@
     pub now_ms: u64,
     /// Scheduler under test; replaced by [`Sim::take_over`].
     pub scheduler: Scheduler,
+    /// Policies of this scheduler and of those that take over.
+    pub policies: Policies,
     /// Workers, by their agents.
     pub workers: BTreeMap<AgentId, ModelWorker>,
     /// Accepted flows.
@@ -207,6 +209,7 @@
         Self {
             now_ms: 1_000,
             scheduler,
+            policies: Policies::default(),
             workers: workers.collect(),
             jobs: BTreeMap::new(),
             records: BTreeMap::new(),
@@ -240,6 +243,12 @@
         }
     }
 
+    /// Puts policies in force.
+    pub fn set_policies(&mut self, policies: Policies) {
+        self.policies = policies;
+        self.scheduler.set_policies(policies);
+    }
+
     /// Accepts a flow.
     pub fn submit(&mut self, id: &str, steps: Vec<StepSpec>) -> JobId {
         self.submit_scheduled(id, steps, None)
--- a/components/flow_entry/src/metrics.rs
+++ b/components/flow_entry/src/metrics.rs
@@ -1,6 +1,7 @@
 //! Metrics of an entry for flows.
 
 use crate::memory::MemoryShares;
+use flow::Outlooks;
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
@@ -36,6 +37,13 @@
     pub kind: &'static str,
 }
 
+/// Label by which open flows are counted.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct OutlookLabel {
+    /// What the flows can still achieve.
+    pub outlook: &'static str,
+}
+
 /// Metrics of an entry for flows; clones share their values.
 #[derive(Debug, Clone)]
 pub struct Metrics {
@@ -61,6 +69,9 @@
     pub(crate) evacuation_runs_left: Gauge,
     /// Time from the request for an evacuation until the domain has no runs, in seconds.
     pub(crate) evacuation_seconds: Histogram,
+    /// Flows that have not ended by what they can still achieve, by the scheduler; 0 while the order under
+    /// overload is off.
+    pub(crate) jobs_by_outlook: Family<OutlookLabel, Gauge>,
     /// Memory that callers set, by kind of use, in bytes.
     pub(crate) memory_bytes: Family<MemoryLabel, Gauge>,
     /// Limits of this memory, by kind of use, in bytes; that of `flows` holds for all of the scheduler.
@@ -96,6 +107,7 @@
             evacuations: Gauge::default(),
             evacuation_runs_left: Gauge::default(),
             evacuation_seconds: Histogram::new(exponential_buckets(0.1, 2.0, 14)),
+            jobs_by_outlook: Family::default(),
             memory_bytes: Family::default(),
             memory_limit_bytes: Family::default(),
             connections: Gauge::default(),
@@ -122,6 +134,15 @@
         self.memory_bytes.get_or_create(&label).set(bytes as i64);
     }
 
+    /// Sets the numbers of flows by what they can still achieve.
+    pub(crate) fn set_outlooks(&self, outlooks: Outlooks) {
+        for (outlook, flows) in outlooks.by_name() {
+            self.jobs_by_outlook
+                .get_or_create(&OutlookLabel { outlook })
+                .set(flows as i64);
+        }
+    }
+
     /// Updates the metrics of connections, of the memory for requests, and of the limits.
     pub(crate) fn observe_memory(&self, shares: &MemoryShares) {
         self.connections.set(shares.counters.open() as i64);
@@ -186,6 +207,11 @@
             "Time until an evacuated failure domain has no runs",
             self.evacuation_seconds.clone(),
         );
+        registry.register(
+            "flow_jobs_by_outlook",
+            "Flows that are not over, by what they can still achieve",
+            self.jobs_by_outlook.clone(),
+        );
         registry.register(
             "flow_memory_bytes",
             "Memory that callers set, by kind of use",
