Measure the backlog of the scheduler by pool, kind and priority

Scheduler::backlog adds up the work of queued and running tasks and the processors for it, apart for ordinary tasks and fillers. Left out is what is placed behind a new flow.

--- a/components/flow/src/lib.rs
+++ b/components/flow/src/lib.rs
@@ -3,6 +3,7 @@
 //! the network.
 
 mod away;
+mod backlog;
 mod begun;
 mod candidate;
 mod commit;
