Refuse flows that can't end in time, where the settings say so

The entry that the caller reached decides before the flow is relayed or stored, and only once the table has answered that the flow is not stored. Metrics flow_refusals and flow_backlog_seconds, events 728 and 729.

--- a/components/flow_entry/src/coordinator.rs
+++ b/components/flow_entry/src/coordinator.rs
@@ -14,6 +14,7 @@
     ConfigConfirmed, Drain, GetReadiness, LeaseRead, NewConfig, PeerProbe, ProbeDone, StoreObserved,
 };
 use crate::metrics::Metrics;
+use crate::overload::Overload;
 use crate::reads::read_row;
 use crate::room::Room;
 use crate::rows::LEASE_KEY;
@@ -57,6 +58,8 @@
     pub(crate) flow_bytes: usize,
     /// Room for the flows that this entry accepts.
     pub(crate) room: Room,
+    /// What this entry knows of the scheduler's backlog, and its refusals.
+    pub(crate) overload: Overload,
     /// Limits the calls of the table that are in flight for callers; each takes memory and a
     /// descriptor.
     pub(crate) caller_calls: Rc<CallLimit>,
@@ -121,6 +124,7 @@
             incarnation,
             table: dependencies.table,
             room: Room::default(),
+            overload: Overload::default(),
             caller_calls: Rc::new(CallLimit::new(MAX_CALLER_CALLS)),
             feed: dependencies.feed,
             configs: dependencies.configs,
@@ -166,6 +170,7 @@
     fn tick(&mut self, context: &mut Context<Self>) {
         let now_ms = boot_ms();
         self.request_room(now_ms, context);
+        self.follow_backlog(now_ms, context);
         if self.leadership.is_some() {
             self.tick_as_scheduler(now_ms, context);
             return;
--- a/components/flow_entry/src/handle.rs
+++ b/components/flow_entry/src/handle.rs
@@ -4,8 +4,9 @@
 use crate::coordinator::Coordinator;
 use crate::limits::{FlowTooLarge, check_size};
 use crate::memory::MemoryShares;
-use crate::messages::{Cancel, CountQueued, GetPhase, GetReadiness, Submit};
+use crate::messages::{Admit, Cancel, CountQueued, GetPhase, GetReadiness, Submit};
 use crate::metrics::Metrics;
+use crate::overload::Overloaded;
 use actix::Addr;
 use flow::{FlowConfig, FlowJob, FlowLimits, FlowPhase, QueueKey, SpecFault};
 use model::JobId;
@@ -39,6 +40,8 @@
     pub(crate) row_bytes: usize,
     /// Shares of the process's memory.
     pub(crate) memory: MemoryShares,
+    /// Whether flows that can't end in time are refused.
+    pub(crate) has_admission: bool,
 }
 
 impl EntryHandle {
@@ -85,6 +88,27 @@
         sent.unwrap_or(SubmitOutcome::Refused)
     }
 
+    /// Submits a flow as [`EntryHandle::submit`] does, unless it is new and can't end in time.
+    ///
+    /// # Errors
+    /// It can't; nothing of it is stored.
+    pub async fn submit_if_admitted(
+        &self,
+        job: FlowJob,
+        limit_ms: u64,
+    ) -> Result<SubmitOutcome, Overloaded> {
+        let until_ms = boot_ms() + limit_ms;
+        let job = match self.has_admission {
+            true => match self.control.send(Admit { job, until_ms }).await {
+                Ok(admitted) => admitted?,
+                Err(_) => return Ok(SubmitOutcome::Refused),
+            },
+            false => job,
+        };
+        let sent = self.control.send(Submit { job, until_ms }).await;
+        Ok(sent.unwrap_or(SubmitOutcome::Refused))
+    }
+
     /// Cancels a flow. While the table's answer is ambiguous, retries for up to `limit_ms`.
     pub async fn cancel(&self, job: JobId, limit_ms: u64) -> CancelOutcome {
         let until_ms = boot_ms() + limit_ms;
--- a/components/flow_entry/src/leadership.rs
+++ b/components/flow_entry/src/leadership.rs
@@ -14,6 +14,7 @@
 use crate::record_reads::{group_records, parse_record};
 use crate::rows::{FlowKey, LEARNED_KEY, LEASE_KEY, LeaseRow, RECORD_PREFIX, flow_key, record_key};
 use actix::{Addr, AsyncContext, Context, Handler};
+use admission::Backlog;
 use backing::{Row, StoreError, TableStore, Transaction};
 use flow::{
     AwayWorker, FlowEnd, FlowJob, FlowPhase, FlowRow, LeaseLimit, LeaseTerms, Policies,
@@ -61,6 +62,8 @@
     pub early_cancels: Vec<ChangedFlow>,
     /// Memory that flows take.
     pub memory: FlowMemory,
+    /// Last measured backlog; `None` before the first measurement.
+    pub backlog: Option<Backlog>,
     /// When this entry became the scheduler.
     pub acquired_ms: u64,
     /// When a part of the stored state last arrived, from `acquired_ms` on.
@@ -247,6 +250,7 @@
             is_loaded: false,
             early_cancels: Vec::new(),
             memory: FlowMemory::default(),
+            backlog: None,
             acquired_ms: now_ms,
             load_progress_ms: now_ms,
             in_flight: None,
--- a/components/flow_entry/src/messages.rs
+++ b/components/flow_entry/src/messages.rs
@@ -2,6 +2,7 @@
 
 use crate::config_origin::ConfigOrigin;
 use crate::handle::PhaseAnswer;
+use crate::overload::Overloaded;
 use crate::room::Taken;
 use actix::Message;
 use backing::{Row, StoreError};
@@ -11,8 +12,8 @@
 };
 use model::{AgentId, JobId};
 use wire::{
-    CancelOutcome, LinkError, PhaseReply, QueuedCountReply, RoomReply, SchedulerProbe,
-    SchedulerProbeReply, SubmitOutcome,
+    BacklogReply, CancelOutcome, LinkError, PhaseReply, QueuedCountReply, RoomReply,
+    SchedulerProbe, SchedulerProbeReply, SubmitOutcome,
 };
 
 /// Submission of a flow, by a caller of this entry or forwarded by another entry.
@@ -116,6 +117,31 @@
 #[rtype(result = "RoomReply")]
 pub(crate) struct PeerGrantRoom;
 
+/// Asks whether a flow of a caller of this entry is accepted. Returns the flow, or when to retry.
+#[derive(Message)]
+#[rtype(result = "Result<FlowJob, Overloaded>")]
+pub(crate) struct Admit {
+    /// The flow.
+    pub job: FlowJob,
+    /// Deadline of the caller.
+    pub until_ms: u64,
+}
+
+/// Answer to this entry's request for the scheduler's backlog.
+#[derive(Message)]
+#[rtype(result = "()")]
+pub(crate) struct BacklogFetched {
+    /// When the request was sent.
+    pub requested_ms: u64,
+    /// The answer; `None` if there was none.
+    pub reply: Option<BacklogReply>,
+}
+
+/// Request of another entry to the scheduler for its backlog.
+#[derive(Message)]
+#[rtype(result = "BacklogReply")]
+pub(crate) struct PeerGetBacklog;
+
 /// Configuration read from its source or received from the scheduler, new or not.
 #[derive(Message)]
 #[rtype(result = "()")]
--- a/components/flow_entry/src/metrics.rs
+++ b/components/flow_entry/src/metrics.rs
@@ -1,12 +1,14 @@
 //! Metrics of an entry for flows.
 
 use crate::memory::MemoryShares;
+use admission::Backlog;
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
 use prometheus_client::registry::Registry;
+use std::sync::atomic::AtomicU64;
 
 /// Label by which submissions, decisions and ends are counted.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
@@ -29,18 +31,29 @@
     Ended,
 }
 
-/// Label by which memory is measured.
+/// Label by which memory and work are measured.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
-pub(crate) struct MemoryLabel {
+pub(crate) struct KindLabel {
     /// Kind of use, as its `Display` text.
     pub kind: &'static str,
 }
 
+/// Label by which refusals are counted.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct PriorityLabel {
+    /// Priority of the queue, as the operator configured it.
+    pub priority: u32,
+}
+
 /// Metrics of an entry for flows; clones share their values.
 #[derive(Debug, Clone)]
 pub struct Metrics {
     /// Submissions by outcome.
     pub(crate) submissions: Family<OutcomeLabel, Counter>,
+    /// Flows that were refused because they could not end in time, by priority.
+    pub(crate) refusals: Family<PriorityLabel, Counter>,
+    /// Time in which the fullest pool does all work that is known, by kind of work, in seconds.
+    pub(crate) backlog_seconds: Family<KindLabel, Gauge<f64, AtomicU64>>,
     /// Decisions of the scheduler by kind.
     pub(crate) decisions: Family<OutcomeLabel, Counter>,
     /// Flows that ended, by state.
@@ -56,9 +69,9 @@
     /// Flows of which nothing runs although a task could, by the scheduler.
     pub(crate) flows_waiting: Gauge,
     /// Memory that callers set, by kind of use, in bytes.
-    pub(crate) memory_bytes: Family<MemoryLabel, Gauge>,
+    pub(crate) memory_bytes: Family<KindLabel, Gauge>,
     /// Limits of this memory, by kind of use, in bytes; that of `flows` holds for all of the scheduler.
-    pub(crate) memory_limit_bytes: Family<MemoryLabel, Gauge>,
+    pub(crate) memory_limit_bytes: Family<KindLabel, Gauge>,
     /// Open connections of callers.
     pub(crate) connections: Gauge,
     /// Connections whose answers wait for their callers.
@@ -80,6 +93,8 @@
         let buckets = || Histogram::new(exponential_buckets(0.001, 2.0, 16));
         Self {
             submissions: Family::default(),
+            refusals: Family::default(),
+            backlog_seconds: Family::default(),
             decisions: Family::default(),
             ends: Family::default(),
             commits: Counter::default(),
@@ -109,10 +124,32 @@
 
     /// Sets the memory in use for one kind, in bytes.
     pub(crate) fn set_memory(&self, kind: MemoryUse, bytes: usize) {
-        let label = MemoryLabel { kind: kind.into() };
+        let label = KindLabel { kind: kind.into() };
         self.memory_bytes.get_or_create(&label).set(bytes as i64);
     }
 
+    /// Counts a flow that was refused because it could not end in time.
+    pub(crate) fn count_refusal(&self, priority: u32) {
+        let label = PriorityLabel { priority };
+        self.refusals.get_or_create(&label).inc();
+    }
+
+    /// Sets the backlog; removes it if it is not known.
+    pub(crate) fn set_backlog(&self, backlog: Option<&Backlog>) {
+        let Some(backlog) = backlog else {
+            self.backlog_seconds.clear();
+            return;
+        };
+        let pools = || backlog.pools.iter();
+        let ordinary_ms = pools().filter_map(|pool| pool.ordinary.total_ms()).max();
+        let fillers_ms = pools().filter_map(|pool| pool.fillers.total_ms()).max();
+        for (kind, time_ms) in [("ordinary", ordinary_ms), ("fillers", fillers_ms)] {
+            let seconds = time_ms.unwrap_or(0) as f64 / 1_000.0;
+            let label = KindLabel { kind };
+            self.backlog_seconds.get_or_create(&label).set(seconds);
+        }
+    }
+
     /// Updates the metrics of connections, of the memory for requests, and of the limits.
     pub(crate) fn observe_memory(&self, shares: &MemoryShares) {
         self.connections.set(shares.counters.open() as i64);
@@ -124,7 +161,7 @@
             (MemoryUse::Flows, shares.flow_bytes),
         ];
         for (kind, bytes) in limits {
-            let label = MemoryLabel { kind: kind.into() };
+            let label = KindLabel { kind: kind.into() };
             self.memory_limit_bytes
                 .get_or_create(&label)
                 .set(bytes as i64);
@@ -139,6 +176,16 @@
             "Submissions by outcome",
             self.submissions.clone(),
         );
+        registry.register(
+            "flow_refusals",
+            "Flows that were refused because they could not end in time, by priority",
+            self.refusals.clone(),
+        );
+        registry.register(
+            "flow_backlog_seconds",
+            "Time in which the fullest pool does all known work, by kind of work",
+            self.backlog_seconds.clone(),
+        );
         registry.register(
             "flow_decisions",
             "Decisions by kind",
--- a/components/flow_entry/src/requests.rs
+++ b/components/flow_entry/src/requests.rs
@@ -164,6 +164,7 @@
         context: &mut Self::Context,
     ) -> Self::Result {
         let started_ms = boot_ms();
+        self.note_submitted(&job.id);
         let is_unavailable = self.store_health.is_unavailable(started_ms);
         let link = self.scheduler_link();
         let (table, control, metrics) =
--- a/components/flow_entry/src/rpc.rs
+++ b/components/flow_entry/src/rpc.rs
@@ -2,8 +2,8 @@
 
 use crate::coordinator::Coordinator;
 use crate::messages::{
-    Cancel, NotifyAccepted, NotifyCancelled, PeerCountQueued, PeerGetPhase, PeerGrantRoom,
-    PeerProbe, Submit,
+    Cancel, NotifyAccepted, NotifyCancelled, PeerCountQueued, PeerGetBacklog, PeerGetPhase,
+    PeerGrantRoom, PeerProbe, Submit,
 };
 use actix::Addr;
 use flow::{FlowJob, QueueKey};
@@ -11,8 +11,8 @@
 use tarpc::context::Context;
 use utils::boot_ms;
 use wire::{
-    CancelOutcome, PhaseReply, QueuedCountReply, RoomReply, SchedulerControl, SchedulerProbe,
-    SchedulerProbeReply, SubmitOutcome,
+    BacklogReply, CancelOutcome, PhaseReply, QueuedCountReply, RoomReply, SchedulerControl,
+    SchedulerProbe, SchedulerProbeReply, SubmitOutcome,
 };
 
 /// Time limit of a submission or cancellation that another entry forwards, in milliseconds.
@@ -74,4 +74,9 @@
         let sent = self.0.send(PeerGrantRoom).await;
         sent.unwrap_or(RoomReply::NotScheduler)
     }
+
+    async fn get_backlog(self, _: Context) -> BacklogReply {
+        let sent = self.0.send(PeerGetBacklog).await;
+        sent.unwrap_or(BacklogReply::NotMeasured)
+    }
 }
--- a/components/flow_entry/src/run.rs
+++ b/components/flow_entry/src/run.rs
@@ -47,6 +47,7 @@
         metrics,
         row_bytes: settings.store.row_bytes,
         memory: MemoryShares::new(settings.memory_mb),
+        has_admission: settings.policies.admission,
     })
 }
 
--- a/components/telemetry/src/event.rs
+++ b/components/telemetry/src/event.rs
@@ -155,6 +155,10 @@
     RunSuspected = 722,
     /// Nothing of a flow has run for a while although a task of it could.
     FlowWaiting = 723,
+    /// This entry starts to refuse flows that can't end in time to be worth anything.
+    RefusingStarted = 728,
+    /// This entry has refused no such flow for a while.
+    RefusingEnded = 729,
     /// An agent refused a start order: its worker is draining or has another incarnation.
     OrderRefused = 719,
     /// A span ended.
--- a/components/utils/src/recent_set.rs
+++ b/components/utils/src/recent_set.rs
@@ -32,6 +32,17 @@
         }
     }
 
+    /// Whether the set holds a text.
+    ///
+    /// ```
+    /// let mut seen = utils::RecentSet::new(2);
+    /// seen.insert("a");
+    /// assert!(seen.contains("a") && !seen.contains("b"));
+    /// ```
+    pub fn contains(&self, text: &str) -> bool {
+        self.hashes.contains(&hash64(text))
+    }
+
     /// Inserts a text and returns true if the set did not hold it. Drops the oldest one if there
     /// are too many.
     pub fn insert(&mut self, text: &str) -> bool {
--- a/components/wire/src/scheduler_control.rs
+++ b/components/wire/src/scheduler_control.rs
@@ -1,5 +1,6 @@
 //! RPC interface between entries about flows.
 
+use admission::Backlog;
 use flow::{FlowConfig, FlowJob, FlowPhase, QueueKey};
 use model::JobId;
 use serde::{Deserialize, Serialize};
@@ -77,6 +78,20 @@
     NotScheduler,
 }
 
+/// Answer to a request for the scheduler's backlog.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum BacklogReply {
+    /// The process has measured its backlog.
+    Measured {
+        /// Time since the measurement, in milliseconds.
+        age_ms: u64,
+        /// The backlog; the time in it is of the sender's clock and means nothing to the receiver.
+        backlog: Backlog,
+    },
+    /// The process is not the scheduler, or does not know its workers yet.
+    NotMeasured,
+}
+
 /// RPC interface between entries about flows.
 ///
 /// Calls are encoded by position: the order of methods and of their arguments must not change.
@@ -98,4 +113,6 @@
     async fn cancel(job: JobId) -> CancelOutcome;
     /// Grants an entry room for flows that it accepts.
     async fn grant_room() -> RoomReply;
+    /// Returns the scheduler's backlog. Earlier versions don't know this call and close the connection.
+    async fn get_backlog() -> BacklogReply;
 }
