--- /dev/null
+++ b/components/flow_entry/tests/admission.rs
@@ -0,0 +1,273 @@
+//! Refusals of flows that can't end in time, by an entry beside a stand-in for the scheduler.
+
+mod common;
+
+use admission::Backlog;
+use backing::Transaction;
+use common::scheduler::{Answers, StandIn, serve_earlier_version};
+use common::{Entry, SlowTable, lease, pause};
+use flow::{FlowConfig, FlowJob, FlowSpec, Queue, QueueKey, Schedule, StepSpec};
+use flow_entry::Overloaded;
+use model::Resources;
+use serde_json::json;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+use wire::SubmitOutcome;
+
+/// Time limit of each call, in milliseconds.
+const LIMIT_MS: u64 = 1_000;
+/// Longest wait for an entry, with room for a busy machine.
+const WAIT_LIMIT: Duration = Duration::from_secs(10);
+
+/// A configuration with one queue, in which a flow of a second has an objective of 1.75 s.
+fn config() -> FlowConfig {
+    let queue = Queue {
+        key: QueueKey::default(),
+        service: "pool".into(),
+        priority: 0,
+        max_attempts: 3,
+        stretch: 1.5,
+        latency_target_ms: 250,
+    };
+    FlowConfig {
+        version: 1,
+        queues: vec![queue],
+        ..FlowConfig::default()
+    }
+}
+
+/// A backlog of a full pool that takes `wait_ms`.
+fn backlog(wait_ms: u64) -> Backlog {
+    let mut backlog = Backlog::default();
+    let kind = &mut backlog.pool_mut("pool").unwrap().ordinary;
+    kind.cores_milli = 10_000;
+    kind.add_running(0, wait_ms * 10);
+    backlog
+}
+
+fn flow(id: &str) -> FlowJob {
+    let step = StepSpec {
+        tasks: 2,
+        need: Resources::new(500, 64, 0),
+        estimate_ms: 1_000,
+        ..StepSpec::default()
+    };
+    FlowJob {
+        id: id.into(),
+        queue: QueueKey::default(),
+        spec: FlowSpec {
+            steps: vec![step],
+            ..FlowSpec::default()
+        },
+        accepted_wall_ms: 0,
+    }
+}
+
+/// Table whose lease belongs to a scheduler at this address.
+fn table_with_scheduler(control: SocketAddr) -> Rc<SlowTable> {
+    slow_table_with_scheduler(control, 5)
+}
+
+/// The same with commits that take effect after `commit_ms`.
+fn slow_table_with_scheduler(control: SocketAddr, commit_ms: u64) -> Rc<SlowTable> {
+    let table = common::table(commit_ms);
+    let row = json!({ "owner": "stand-in", "incarnation": 1, "control": control, "epoch": 1,
+        "sequence": 1, "released": false, "longest_lease_ms": 6_000, "away": [] });
+    let txn = Transaction::default().put("lease/scheduler/owner", row.to_string());
+    table.rows.commit_now(&txn).unwrap();
+    table
+}
+
+async fn start(table: &Rc<SlowTable>) -> Entry {
+    let is_on = |settings: &mut settings::FlowEntrySettings| settings.policies.admission = true;
+    Entry::start_with("a", table, config(), is_on).await
+}
+
+async fn submit(entry: &Entry, id: &str) -> Result<SubmitOutcome, Overloaded> {
+    entry.handle.submit_if_admitted(flow(id), LIMIT_MS).await
+}
+
+fn is_stored(table: &SlowTable, id: &str) -> bool {
+    let rows = table.rows.rows("flows/");
+    rows.iter().any(|row| row.key.ends_with(id))
+}
+
+/// Submits flows with new identifiers until one is refused, and returns its identifier.
+async fn wait_for_refusal(entry: &Entry) -> (String, Overloaded) {
+    let started = Instant::now();
+    for number in 0.. {
+        let id = format!("{number:016x}");
+        if let Err(overloaded) = submit(entry, &id).await {
+            return (id, overloaded);
+        }
+        assert!(started.elapsed() < WAIT_LIMIT, "nothing is refused");
+        pause(50).await;
+    }
+    unreachable!("the loop ends by a refusal or by the limit");
+}
+
+/// Guards against a refusal that is not true, one without a bounded time for a retry, and against stored,
+/// recurring or long-running flows that are refused.
+#[actix_rt::test]
+async fn a_new_flow_that_is_too_late_is_refused_and_not_stored() {
+    let scheduler = StandIn::start(Answers::Backlog(backlog(60_000))).await;
+    let table = table_with_scheduler(scheduler.address);
+    let entry = start(&table).await;
+    let (refused, overloaded) = wait_for_refusal(&entry).await;
+    assert!((1..=30).contains(&overloaded.retry_after_s), "{overloaded}");
+    assert!(!is_stored(&table, &refused));
+    let stored = entry
+        .handle
+        .submit(flow("00000000000000aa"), LIMIT_MS)
+        .await;
+    assert_eq!(stored, SubmitOutcome::Accepted);
+    for entry in [&entry, &start_other(&table).await] {
+        wait_for_refusal(entry).await;
+        let again = submit(entry, "00000000000000aa").await;
+        assert_eq!(again, Ok(SubmitOutcome::Accepted), "it is stored");
+    }
+    let mut recurring = flow("00000000000000bb");
+    recurring.spec.schedule = Some(Schedule {
+        first_wall_ms: 0,
+        interval_ms: 1_000,
+        occurrences: 2,
+    });
+    let mut lasting = flow("00000000000000cc");
+    lasting.spec.steps[0].long_running = true;
+    for job in [recurring, lasting] {
+        let outcome = entry.handle.submit_if_admitted(job, LIMIT_MS).await;
+        assert_eq!(outcome, Ok(SubmitOutcome::Accepted));
+    }
+    let metrics = entry.handle.metrics();
+    assert!(
+        metrics.contains("parsleythread_flow_refusals_total{priority=\"0\"}"),
+        "{metrics}"
+    );
+    let seconds = "parsleythread_flow_backlog_seconds{kind=\"ordinary\"} 60.0";
+    assert!(metrics.contains(seconds), "{metrics}");
+}
+
+/// A second entry beside the first.
+async fn start_other(table: &Rc<SlowTable>) -> Entry {
+    let is_on = |settings: &mut settings::FlowEntrySettings| settings.policies.admission = true;
+    Entry::start_with("b", table, config(), is_on).await
+}
+
+/// Guards against refusals by what a scheduler said before it was paused.
+#[actix_rt::test]
+async fn a_paused_scheduler_means_that_flows_are_accepted() {
+    let scheduler = StandIn::start(Answers::Backlog(backlog(60_000))).await;
+    let table = table_with_scheduler(scheduler.address);
+    let entry = start(&table).await;
+    wait_for_refusal(&entry).await;
+    scheduler.set(Answers::Nothing);
+    pause(2_700).await;
+    for number in 0..20 {
+        let id = format!("{number:015x}f");
+        assert_eq!(submit(&entry, &id).await, Ok(SubmitOutcome::Accepted));
+        assert!(is_stored(&table, &id));
+    }
+    let metrics = entry.handle.metrics();
+    let name = "parsleythread_flow_backlog_seconds{";
+    assert!(
+        !metrics.contains(name),
+        "an old backlog is shown: {metrics}"
+    );
+}
+
+/// Guards against refusals while there is no scheduler or the one that there is knows no backlog.
+#[actix_rt::test]
+async fn without_a_scheduler_or_a_backlog_flows_are_accepted() {
+    let absent = table_with_scheduler("127.0.0.1:9".parse().unwrap());
+    let scheduler = StandIn::start(Answers::NotMeasured).await;
+    let loading = table_with_scheduler(scheduler.address);
+    for table in [absent, loading] {
+        let entry = start(&table).await;
+        for number in 0..20 {
+            let id = format!("{number:016x}");
+            assert_eq!(submit(&entry, &id).await, Ok(SubmitOutcome::Accepted));
+            pause(50).await;
+        }
+    }
+}
+
+/// Guards against an earlier version of the scheduler that makes entries refuse flows, or that loses its lease
+/// as the unknown call closes the connection of the probes.
+#[actix_rt::test]
+async fn an_earlier_version_of_the_scheduler_counts_as_unknown_and_keeps_its_lease() {
+    let control = serve_earlier_version().await;
+    let table = table_with_scheduler(control);
+    let entry = start(&table).await;
+    for number in 0..80 {
+        let id = format!("{number:016x}");
+        assert_eq!(submit(&entry, &id).await, Ok(SubmitOutcome::Accepted));
+        pause(50).await;
+    }
+    assert_eq!(lease(&table).await.owner, "stand-in");
+}
+
+/// Guards against refusals, or calls that earlier versions don't know, where the settings don't ask for them.
+#[actix_rt::test]
+async fn without_the_setting_nothing_is_refused_or_fetched() {
+    let scheduler = StandIn::start(Answers::Backlog(backlog(60_000))).await;
+    let table = table_with_scheduler(scheduler.address);
+    let entry = Entry::start_with("a", &table, config(), |_| {}).await;
+    for number in 0..30 {
+        let id = format!("{number:016x}");
+        assert_eq!(submit(&entry, &id).await, Ok(SubmitOutcome::Accepted));
+        pause(50).await;
+    }
+    assert_eq!(scheduler.fetches(), 0);
+}
+
+/// Guards against a refusal where the table is not asked whether the flow is stored, as the caller's time is up.
+#[actix_rt::test]
+async fn a_submission_whose_time_is_up_is_answered_as_without_admission() {
+    let scheduler = StandIn::start(Answers::Backlog(backlog(60_000))).await;
+    let table = table_with_scheduler(scheduler.address);
+    let entry = start(&table).await;
+    wait_for_refusal(&entry).await;
+    let late = entry
+        .handle
+        .submit_if_admitted(flow("00000000000000dd"), 0)
+        .await;
+    let plain = entry.handle.submit(flow("00000000000000ee"), 0).await;
+    assert_eq!(late, Ok(plain));
+}
+
+/// Guards against a refusal that is not known to be true, as the table does not answer whether the flow is stored.
+#[actix_rt::test]
+async fn without_an_answer_of_the_table_the_submission_goes_on() {
+    let scheduler = StandIn::start(Answers::Backlog(backlog(60_000))).await;
+    let table = table_with_scheduler(scheduler.address);
+    let entry = start(&table).await;
+    wait_for_refusal(&entry).await;
+    table.fail_reads();
+    let id = "00000000000000aa";
+    assert_eq!(submit(&entry, id).await, Ok(SubmitOutcome::Accepted));
+    assert!(is_stored(&table, id));
+}
+
+/// Guards against a refusal of a flow whose row is still on its way to the table, which then runs.
+#[actix_rt::test]
+async fn a_repetition_of_a_submission_in_progress_is_not_refused() {
+    let scheduler = StandIn::start(Answers::NotMeasured).await;
+    let table = slow_table_with_scheduler(scheduler.address, 3_000);
+    let entry = start(&table).await;
+    pause(300).await;
+    let handle = entry.handle.clone();
+    let first = actix_rt::spawn(async move {
+        let job = flow("00000000000000aa");
+        handle.submit_if_admitted(job, 5_000).await
+    });
+    pause(200).await;
+    scheduler.set(Answers::Backlog(backlog(60_000)));
+    pause(1_000).await;
+    assert!(submit(&entry, "00000000000000bb").await.is_err());
+    let again = entry
+        .handle
+        .submit_if_admitted(flow("00000000000000aa"), 5_000);
+    assert_eq!(again.await, Ok(SubmitOutcome::Accepted));
+    assert_eq!(first.await.unwrap(), Ok(SubmitOutcome::Accepted));
+}
--- a/components/flow_entry/tests/common/mod.rs
+++ b/components/flow_entry/tests/common/mod.rs
@@ -1,6 +1,8 @@
 //! Entries in the test's process that share an in-memory table with configurable delays.
 #![allow(dead_code)]
 
+pub mod scheduler;
+
 use async_trait::async_trait;
 use backing::{
     ChangedRow, Changes, Row, ScanRange, StoreError, TableFeed, TableStore, Transaction,
@@ -28,6 +30,8 @@
     pub answer_ms: u64,
     /// Delay after which the answers to commits are lost, in milliseconds; `None` if they arrive.
     lost_after_ms: Cell<Option<u64>>,
+    /// Whether reads of single rows fail.
+    reads_fail: Cell<bool>,
     /// Names of entries whose commits of the lease are refused.
     refused: RefCell<Vec<String>>,
     /// Keys of rows that can't be written: a transaction that does is invalid.
@@ -40,6 +44,11 @@
         self.lost_after_ms.set(Some(lost_ms));
     }
 
+    /// Lets every read of single rows fail from now on.
+    pub fn fail_reads(&self) {
+        self.reads_fail.set(true);
+    }
+
     /// Refuses every commit of the lease by the entry with this name from now on.
     pub fn refuse_commits_of(&self, entry: &str) {
         self.refused.borrow_mut().push(entry.to_owned());
@@ -85,6 +94,7 @@
         commit_ms,
         answer_ms,
         lost_after_ms: Cell::default(),
+        reads_fail: Cell::default(),
         refused: RefCell::default(),
         invalid: RefCell::default(),
     })
@@ -112,6 +122,9 @@
     }
 
     async fn read(&self, keys: &[String]) -> Result<Vec<Row>, StoreError> {
+        if self.reads_fail.get() {
+            return Err(StoreError::Unavailable("reads fail".to_owned()));
+        }
         self.rows.read(keys).await
     }
 
@@ -168,7 +181,24 @@
         table: &Rc<SlowTable>,
         longest_ms: u64,
     ) -> Self {
-        let settings = FlowEntrySettings {
+        let config = FlowConfig {
+            version: 1,
+            ..FlowConfig::default()
+        };
+        Self::start_with(id, table, config, |settings| {
+            settings.leases.longest_ms = longest_ms;
+        })
+        .await
+    }
+
+    /// As [`Entry::start`], with this configuration and a change to the settings.
+    pub async fn start_with(
+        id: &str,
+        table: &Rc<SlowTable>,
+        config: FlowConfig,
+        change: impl FnOnce(&mut FlowEntrySettings),
+    ) -> Self {
+        let mut settings = FlowEntrySettings {
             id: id.into(),
             domain: "d1".into(),
             listen: free_address(),
@@ -182,7 +212,7 @@
                 row_bytes: ROW_BYTES,
             },
             leases: LeaseSettings {
-                longest_ms,
+                longest_ms: 6_000,
                 slack_ms: 300,
             },
             limits: FlowLimitSettings::default(),
@@ -191,10 +221,7 @@
             grace_ms: 1_000,
             policies: settings::PolicySettings::default(),
         };
-        let config = FlowConfig {
-            version: 1,
-            ..FlowConfig::default()
-        };
+        change(&mut settings);
         let dependencies = Dependencies {
             table: table.clone(),
             feed: table.clone(),
--- a/tests/common/flow_fleet.rs
+++ b/tests/common/flow_fleet.rs
@@ -90,6 +90,12 @@
         Self::start_with(entries, agents, set).await
     }
 
+    /// As [`Fleet::start`], with entries that refuse jobs that can't end in time.
+    pub async fn start_with_admission(entries: usize, agents: usize) -> Self {
+        let set = |settings: &mut Value| settings["policies"]["admission"] = true.into();
+        Self::start_with(entries, agents, set).await
+    }
+
     /// As [`Fleet::start`], with a change to the settings of the entries.
     async fn start_with(entries: usize, agents: usize, change: impl Fn(&mut Value)) -> Self {
         let folder = TempDir::new().unwrap();
