--- a/components/admission/src/backlog.rs
+++ b/components/admission/src/backlog.rs
@@ -6,6 +6,9 @@
 pub const DUE_CLASSES: usize = 12;
 /// Upper end of the first of these classes, in milliseconds; each further one ends at twice the time.
 const FIRST_DUE_MS: u64 = 500;
+/// Time over which the processors for fillers are averaged, in milliseconds; several run times of the tasks that
+/// take them.
+const SPARE_MEAN_MS: f64 = 10_000.0;
 /// Most priorities of one kind of work that are told apart. Work beyond them is left out, which can only
 /// lead to acceptance.
 const MAX_PRIORITIES: usize = 64;
@@ -78,6 +81,31 @@
         self.pools.get_mut(index)
     }
 
+    /// Replaces the processors for fillers by their mean over the last [`SPARE_MEAN_MS`], given the backlog
+    /// before. What is spare varies within seconds with the ordinary tasks that run, and a filler that
+    /// waits gets the mean.
+    ///
+    /// ```
+    /// let mut before = admission::Backlog::default();
+    /// before.pool_mut("a").unwrap().fillers.cores_milli = 4_000;
+    /// let mut now = admission::Backlog { measured_ms: 250, ..Default::default() };
+    /// now.pool_mut("a").unwrap().fillers.cores_milli = 0;
+    /// now.average_spare(&before);
+    /// assert!((3_890..3_910).contains(&now.pool("a").unwrap().fillers.cores_milli));
+    /// ```
+    pub fn average_spare(&mut self, before: &Self) {
+        let passed_ms = self.measured_ms.saturating_sub(before.measured_ms) as f64;
+        let weight = (-passed_ms / SPARE_MEAN_MS).exp();
+        for pool in &mut self.pools {
+            let known = before.pool(&pool.pool).map(|old| old.fillers.cores_milli);
+            if let Some(old) = known.filter(|old| *old > 0) {
+                let now = pool.fillers.cores_milli as f64;
+                let mean = now + (old as f64 - now) * weight;
+                pool.fillers.cores_milli = mean as u64;
+            }
+        }
+    }
+
     /// Work of a pool, or `None` if it is not known.
     ///
     /// ```
--- a/components/admission/tests/decisions.rs
+++ b/components/admission/tests/decisions.rs
@@ -170,6 +170,27 @@
     assert!(!state.is_refusing(later_ms + 2_000));
 }
 
+/// Guards against fillers that are refused since ordinary tasks take all processors for a moment, and against a
+/// lasting lack of processors that goes unnoticed.
+#[test]
+fn spare_processors_count_by_their_mean() {
+    let mut before = backlog(full(0), full(4_000));
+    let mut refused_after_ms = None;
+    for passed_ms in (250..=60_000).step_by(250) {
+        let mut now = backlog(full(0), full(4_000));
+        now.measured_ms = MEASURED_MS + passed_ms;
+        now.pool_mut("pool").unwrap().fillers.cores_milli = 1_000;
+        now.average_spare(&before);
+        if !accepts(now.measured_ms, Some(&now), &filler(1_000)) {
+            refused_after_ms = refused_after_ms.or(Some(passed_ms));
+        }
+        before = now;
+    }
+    let after_ms = refused_after_ms.expect("a lasting lack counts");
+    assert!((2_000..20_000).contains(&after_ms), "{after_ms}");
+    assert!((1_000..1_100).contains(&before.pool("pool").unwrap().fillers.cores_milli));
+}
+
 /// Guards against large jobs that are refused each time, as a few small ones always fit before them.
 #[test]
 fn a_large_job_gets_in_at_some_time() {
--- a/components/flow_entry/src/overload.rs
+++ b/components/flow_entry/src/overload.rs
@@ -87,7 +87,11 @@
         }
         let measured_ms = self.backlog.as_ref().map(|backlog| backlog.measured_ms);
         if measured_ms.is_none_or(|measured_ms| now_ms >= measured_ms + MEASURE_INTERVAL_MS) {
-            self.backlog = Some(self.scheduler.backlog(now_ms));
+            let mut backlog = self.scheduler.backlog(now_ms);
+            if let Some(before) = &self.backlog {
+                backlog.average_spare(before);
+            }
+            self.backlog = Some(backlog);
         }
         self.backlog.as_ref()
     }
