Build the job of the admission test with the stand-in of the platform

The test no_platform_name_appears_outside_the_adapter failed on the former body. It passes now, and the three process tests of admission do too.

--- a/tests/admission.rs
+++ b/tests/admission.rs
@@ -4,20 +4,17 @@
 
 use common::flow_fleet::{Fleet, WAIT_LIMIT};
 use common::sleep_ms;
-use platform_standin::one_step_job;
-use serde_json::{Value, json};
+use platform_standin::{job, one_step_job};
+use serde_json::Value;
 use std::time::Instant;
 
 /// Time after which an entry no longer uses what a scheduler said, with room for a busy machine, in
 /// milliseconds.
 const FORGOTTEN_MS: u64 = 2_300;
 
-/// A job of tasks that each take half a processor for a minute, as many as one worker has room for, twice.
+/// A job that fills a worker of 16 processors for a minute, with as many tasks left over.
 fn filling_job() -> Value {
-    json!({
-        "taskSpec": "60000",
-        "steps": [{ "count": 64, "cpu": 500, "requestedMemoryMb": 16, "estimatedMs": 60000 }]
-    })
+    job(64, 60_000)
 }
 
 /// Starts two entries and a worker, fills the worker, and submits small jobs to the entry that is not the
