Bound the read of a flow's row before a refusal

A silent table took the caller's whole time, so that the answer to the submission came late. Test admission of flow_entry: 8 passed, three times.

--- a/components/flow_entry/src/overload.rs
+++ b/components/flow_entry/src/overload.rs
@@ -31,6 +31,8 @@
 /// Age of the last confirmation of leadership, and of a backlog, from which the backlog is not known, in
 /// milliseconds.
 const MAX_AGE_MS: u64 = 2_000;
+/// Longest time for the read of a flow's row before a refusal; a table that is slower decides nothing.
+const MAX_READ: Duration = Duration::from_millis(500);
 /// Most submitted flows of which it is known that their rows may still be on the way to the table.
 const MAX_SUBMITTED: usize = 20_000;
 
@@ -217,8 +219,12 @@
         };
         let (table, caller_calls) = (self.table.clone(), self.caller_calls.clone());
         let is_known_absent = async move {
-            let turn = caller_calls.turn(until_ms).await;
-            let is_absent = turn.is_some() && is_absent(table.as_ref(), &job.id).await;
+            // The other half of the caller's time is left for the submission.
+            let read_until_ms = now_ms + until_ms.saturating_sub(now_ms) / 2;
+            let turn = caller_calls.turn(read_until_ms).await;
+            let left_ms = read_until_ms.saturating_sub(boot_ms());
+            let limit = MAX_READ.min(Duration::from_millis(left_ms));
+            let is_absent = turn.is_some() && is_absent(table.as_ref(), &job.id, limit).await;
             (job, is_absent)
         };
         Box::pin(
@@ -235,11 +241,14 @@
     }
 }
 
-/// Whether the table answers that it has no row of a flow. A flow that is stored must be accepted, and
-/// without an answer its submission goes on.
-async fn is_absent(table: &dyn TableStore, job: &JobId) -> bool {
-    let rows = table.read(&[flow_key(job)]).await;
-    rows.is_ok_and(|rows| rows.is_empty())
+/// Whether the table answers within `limit` that it has no row of a flow. A flow that is stored must be
+/// accepted, and without an answer its submission goes on.
+async fn is_absent(table: &dyn TableStore, job: &JobId, limit: Duration) -> bool {
+    let keys = [flow_key(job)];
+    match tokio::time::timeout(limit, table.read(&keys)).await {
+        Ok(Ok(rows)) => rows.is_empty(),
+        Ok(Err(_)) | Err(_) => false,
+    }
 }
 
 impl Handler<BacklogFetched> for Coordinator {
--- a/components/flow_entry/tests/admission.rs
+++ b/components/flow_entry/tests/admission.rs
@@ -5,7 +5,7 @@
 use admission::Backlog;
 use backing::Transaction;
 use common::scheduler::{Answers, StandIn, serve_earlier_version};
-use common::{Entry, SlowTable, lease, pause};
+use common::{Entry, Reads, SlowTable, lease, pause};
 use flow::{FlowConfig, FlowJob, FlowSpec, Queue, QueueKey, Schedule, StepSpec};
 use flow_entry::Overloaded;
 use model::Resources;
@@ -243,10 +243,17 @@
     let table = table_with_scheduler(scheduler.address);
     let entry = start(&table).await;
     wait_for_refusal(&entry).await;
-    table.fail_reads();
-    let id = "00000000000000aa";
-    assert_eq!(submit(&entry, id).await, Ok(SubmitOutcome::Accepted));
-    assert!(is_stored(&table, id));
+    let cases = [
+        (Reads::Failed, "00000000000000aa"),
+        (Reads::Silent, "00000000000000bb"),
+    ];
+    for (reads, id) in cases {
+        table.set_reads(reads);
+        let began = Instant::now();
+        assert_eq!(submit(&entry, id).await, Ok(SubmitOutcome::Accepted));
+        assert!(began.elapsed() < Duration::from_millis(LIMIT_MS));
+        assert!(is_stored(&table, id));
+    }
 }
 
 /// Guards against a refusal of a flow whose row is still on its way to the table, which then runs.
--- a/components/flow_entry/tests/common/mod.rs
+++ b/components/flow_entry/tests/common/mod.rs
@@ -20,6 +20,18 @@
 /// Most bytes of a value in the table, by the entries' settings.
 pub const ROW_BYTES: usize = 1_024;
 
+/// How reads of single rows are answered.
+#[derive(Debug, Clone, Copy, Default)]
+pub enum Reads {
+    /// With the rows.
+    #[default]
+    Whole,
+    /// With an error.
+    Failed,
+    /// Not at all.
+    Silent,
+}
+
 /// In-memory table with delayed commits and answers, which can refuse the commits of an entry.
 pub struct SlowTable {
     /// Rows of the table.
@@ -30,8 +42,8 @@
     pub answer_ms: u64,
     /// Delay after which the answers to commits are lost, in milliseconds; `None` if they arrive.
     lost_after_ms: Cell<Option<u64>>,
-    /// Whether reads of single rows fail.
-    reads_fail: Cell<bool>,
+    /// How reads of single rows are answered.
+    reads: Cell<Reads>,
     /// Names of entries whose commits of the lease are refused.
     refused: RefCell<Vec<String>>,
     /// Keys of rows that can't be written: a transaction that does is invalid.
@@ -44,9 +56,9 @@
         self.lost_after_ms.set(Some(lost_ms));
     }
 
-    /// Lets every read of single rows fail from now on.
-    pub fn fail_reads(&self) {
-        self.reads_fail.set(true);
+    /// Sets how reads of single rows are answered from now on.
+    pub fn set_reads(&self, reads: Reads) {
+        self.reads.set(reads);
     }
 
     /// Refuses every commit of the lease by the entry with this name from now on.
@@ -94,7 +106,7 @@
         commit_ms,
         answer_ms,
         lost_after_ms: Cell::default(),
-        reads_fail: Cell::default(),
+        reads: Cell::default(),
         refused: RefCell::default(),
         invalid: RefCell::default(),
     })
@@ -122,10 +134,11 @@
     }
 
     async fn read(&self, keys: &[String]) -> Result<Vec<Row>, StoreError> {
-        if self.reads_fail.get() {
-            return Err(StoreError::Unavailable("reads fail".to_owned()));
+        match self.reads.get() {
+            Reads::Whole => self.rows.read(keys).await,
+            Reads::Failed => Err(StoreError::Unavailable("reads fail".to_owned())),
+            Reads::Silent => std::future::pending().await,
         }
-        self.rows.read(keys).await
     }
 
     async fn scan(&self, range: &ScanRange) -> Result<Vec<Row>, StoreError> {
