--- a/components/admission/tests/decisions.rs
+++ b/components/admission/tests/decisions.rs
@@ -139,7 +139,7 @@
     assert!(accepts(MEASURED_MS, Some(&backlog), &arrival(1_000)));
 }
 
-/// Guards against refusals that start and end with each measurement around the limit.
+/// Guards against refusing that starts and ends again and again while the backlog is around the limit.
 #[test]
 fn a_backlog_around_the_limit_does_not_flap() {
     let job = arrival(1_000);
@@ -150,7 +150,8 @@
     let mut before = false;
     for number in 0..200u64 {
         let now_ms = MEASURED_MS + number * 250;
-        let swing = if number % 2 == 0 { 158 } else { 145 };
+        // Three seconds above the limit at which refusing starts, and three below it.
+        let swing = if number % 24 < 12 { 158 } else { 145 };
         let mut backlog = backlog(full(limit_ms * swing / 100), full(0));
         backlog.measured_ms = now_ms;
         admit(now_ms, Some(&backlog), &job, &mut state, 0.5);
--- a/components/flow_entry/tests/admission.rs
+++ b/components/flow_entry/tests/admission.rs
@@ -192,11 +192,11 @@
     }
 }
 
-/// Guards against an earlier version of the scheduler that makes entries refuse flows, or that loses its lease
-/// as the unknown call closes the connection of the probes.
+/// Guards against an earlier version of the scheduler that makes entries refuse flows, or that answers probes late
+/// as the unknown call closes their connection.
 #[actix_rt::test]
-async fn an_earlier_version_of_the_scheduler_counts_as_unknown_and_keeps_its_lease() {
-    let control = serve_earlier_version().await;
+async fn an_earlier_version_of_the_scheduler_counts_as_unknown_and_stays_connected() {
+    let (control, connections) = serve_earlier_version().await;
     let table = table_with_scheduler(control);
     let entry = start(&table).await;
     for number in 0..80 {
@@ -205,6 +205,9 @@
         pause(50).await;
     }
     assert_eq!(lease(&table).await.owner, "stand-in");
+    let connections = connections.lock().unwrap();
+    assert_eq!(connections.probed.len(), 1, "{connections:?}");
+    assert!(connections.opened >= 3, "{connections:?}");
 }
 
 /// Guards against refusals, or calls that earlier versions don't know, where the settings don't ask for them.
--- a/components/flow_entry/tests/common/scheduler.rs
+++ b/components/flow_entry/tests/common/scheduler.rs
@@ -4,6 +4,7 @@
 use flow::{FlowConfig, FlowJob, FlowPhase, QueueKey};
 use futures::StreamExt;
 use model::JobId;
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Mutex};
@@ -143,12 +144,25 @@
     async fn grant_room() -> RoomReply;
 }
 
-/// Stand-in for a scheduler of an earlier version.
+/// Connections of a stand-in for a scheduler of an earlier version.
+#[derive(Debug, Default)]
+pub struct Connections {
+    /// Number of connections that were opened.
+    pub opened: usize,
+    /// Numbers of those on which probes arrived.
+    pub probed: BTreeSet<usize>,
+}
+
+/// Stand-in for a scheduler of an earlier version, at one connection.
 #[derive(Clone)]
-struct Earlier;
+struct Earlier {
+    connections: Arc<Mutex<Connections>>,
+    number: usize,
+}
 
 impl EarlierControl for Earlier {
     async fn probe(self, _: Context, _: SchedulerProbe) -> SchedulerProbeReply {
+        self.connections.lock().unwrap().probed.insert(self.number);
         probe_reply()
     }
 
@@ -181,22 +195,33 @@
     }
 }
 
-/// Starts a stand-in for a scheduler of an earlier version; returns its address.
-pub async fn serve_earlier_version() -> SocketAddr {
+/// Starts a stand-in for a scheduler of an earlier version; returns its address and its connections.
+pub async fn serve_earlier_version() -> (SocketAddr, Arc<Mutex<Connections>>) {
     let address = cluster::free_ports(1).unwrap()[0];
     let incoming = tcp::listen(address, Bincode::default).await.unwrap();
+    let connections: Arc<Mutex<Connections>> = Arc::default();
+    let shared = connections.clone();
     actix_rt::spawn(async move {
         let channels = incoming
             .filter_map(|accepted| futures::future::ready(accepted.ok()))
             .map(BaseChannel::with_defaults);
         channels
             .for_each_concurrent(100, |channel| async {
-                let calls = channel.execute(Earlier.serve());
+                let number = {
+                    let mut connections = shared.lock().unwrap();
+                    connections.opened += 1;
+                    connections.opened
+                };
+                let server = Earlier {
+                    connections: shared.clone(),
+                    number,
+                };
+                let calls = channel.execute(server.serve());
                 calls
                     .for_each(|call| async { drop(actix_rt::spawn(call)) })
                     .await;
             })
             .await;
     });
-    address
+    (address, connections)
 }
