--- a/components/flow/tests/common/mod.rs
+++ b/components/flow/tests/common/mod.rs
@@ -123,8 +123,6 @@
     interference_ms: BTreeMap<TaskKey, u64>,
     /// Longest such time, in milliseconds.
     pub longest_interference_ms: u64,
-    /// Policies of the scheduler.
-    pub policies: Policies,
     /// Failure domains that the operator has evacuated.
     pub evacuated: BTreeSet<DomainName>,
     /// Whether the scheduler's reads of the evacuations are answered.
@@ -235,7 +233,6 @@
             over_target_ms: 0,
             interference_ms: BTreeMap::new(),
             longest_interference_ms: 0,
-            policies: Policies::default(),
             evacuated: BTreeSet::new(),
             evacuations_are_read: true,
             started: Vec::new(),
@@ -405,12 +402,6 @@
         self.ended_ms.len() == self.jobs.len()
     }
 
-    /// Puts policies in force, also for later schedulers.
-    pub fn set_policies(&mut self, policies: Policies) {
-        self.policies = policies;
-        self.scheduler.set_policies(policies);
-    }
-
     /// Lets the scheduler read the evacuations.
     fn read_evacuations(&mut self) {
         if self.evacuations_are_read {
--- a/components/telemetry/src/event.rs
+++ b/components/telemetry/src/event.rs
@@ -160,6 +160,10 @@
     OverloadBegan = 726,
     /// No flow has been deferred for a while.
     OverloadEnded = 727,
+    /// This entry starts to refuse flows that can't end in time to be worth anything.
+    RefusingStarted = 728,
+    /// This entry has refused no such flow for a while.
+    RefusingEnded = 729,
     /// An agent refused a start order: its worker is draining or has another incarnation.
     OrderRefused = 719,
     /// The evacuation of a failure domain was requested.
