Start duplicates of slow runs where deployment and step allow them

A placement has its run's number, and a task may have a second placement on another worker. All functions that handle a placed run find it by its number or its worker, so that starts, reports, ends, losses, stops, cancellations and takeovers treat a duplicate as any other run. The first success finishes the task; the other run is stopped and stays allocated until its end is known. A duplicate whose first run fails or is lost takes its place. Only the first run of a task gets one, so that a task has one at most and no earlier run is left.

--- a/components/flow/src/effect.rs
+++ b/components/flow/src/effect.rs
@@ -23,10 +23,31 @@
     StepDown,
     /// Log that the pressure of a pair of images has changed; the report came from this agent.
     PressureLearned(AgentId, PressureChange),
+    /// Count what became of a duplicate.
+    Duplicate(DuplicateOutcome),
     /// Log a decision.
     Decided(Decision),
 }
 
+/// What became of a duplicate. Each that started has exactly one of the other outcomes, unless the
+/// scheduler changes in between.
+///
+/// ```
+/// assert_eq!(flow::DuplicateOutcome::Won.to_string(), "won");
+/// ```
+#[derive(Debug, Clone, Copy, PartialEq, Eq, strum::Display, strum::IntoStaticStr)]
+#[strum(serialize_all = "kebab-case")]
+pub enum DuplicateOutcome {
+    /// It was placed.
+    Started,
+    /// It succeeded first, or took the place of the first run, which failed or was lost.
+    Won,
+    /// The first run succeeded before it.
+    Lost,
+    /// It failed, was lost, refused or stopped without its task having succeeded in the first run.
+    Stopped,
+}
+
 /// Reference to a run on a worker.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct RunRef {
@@ -95,4 +116,6 @@
     Suspected,
     /// A filler is moved away from latency-critical tasks beside which it makes little progress.
     Moved,
+    /// A slow run gets a duplicate, which is placed.
+    Duplicated,
 }
--- a/components/flow/src/ends.rs
+++ b/components/flow/src/ends.rs
@@ -1,7 +1,7 @@
 //! Applies the ends of runs to their flow and to the health of their worker.
 
 use crate::view::PendingAck;
-use crate::{DecisionKind, EndedRun, RunEnd, Scheduler, TaskKey, TaskState};
+use crate::{DecisionKind, EndedRun, Placement, RunEnd, Scheduler, TaskKey, TaskState};
 use model::{AgentId, JobId};
 
 /// Backoff before a failed long-running task is placed again, in milliseconds.
@@ -48,18 +48,22 @@
         let Some(task) = state.task_mut(key) else {
             return;
         };
-        let placement = task.placement.as_ref();
+        let placement = task.placement_of(end.run);
         let is_current = placement.is_some_and(|placement| placement.agent == *agent);
-        let is_current = is_current && task.run == end.run;
+        let removed = match is_current {
+            true => task.remove_placement(end.run),
+            false => None,
+        };
         if is_current {
-            task.placement = None;
             self.fleet.release(now_ms, agent, key);
         } else if end.outcome != RunEnd::Done {
             return;
         }
-        if end.checkpoint.is_some() {
+        let percent = removed.as_ref().map_or(0, |run| run.placement().percent);
+        if end.checkpoint.is_some() && (!is_current || task.is_furthest(percent)) {
             task.checkpoint.clone_from(&end.checkpoint);
         }
+        let was_done = task.done;
         match end.outcome {
             RunEnd::Done if !is_long_running => task.finish(),
             RunEnd::Failed => {
@@ -95,7 +99,10 @@
         if end.outcome == RunEnd::Failed && !is_long_running && failures >= limit {
             self.fail_flow(now_ms, key, agent, format!("{failures} runs failed"));
         }
-        if !is_current {
+        if let Some(removed) = removed {
+            self.count_ended(now_ms, key, end, was_done, &removed);
+        }
+        if !is_current || (end.outcome == RunEnd::Done && !is_long_running) {
             self.stop_duplicate(now_ms, key);
         }
         self.finish_if_ended(key);
@@ -196,12 +203,12 @@
         self.stop_flow(now_ms, &key.job);
     }
 
-    /// Stops the placed run of a task that has succeeded in another run.
+    /// Stops the placed runs of a task that has succeeded in another run.
     fn stop_duplicate(&mut self, now_ms: u64, key: &TaskKey) {
-        let task = self.task(key);
-        let copy = task.and_then(|task| Some((task.run, task.placement.clone()?)));
-        if let Some((run, placement)) = copy {
-            self.stop_run(now_ms, key, run, &placement);
+        let placements = self.task(key).into_iter().flat_map(TaskState::placements);
+        let placements: Vec<Placement> = placements.cloned().collect();
+        for placement in placements {
+            self.stop_run(now_ms, key, placement.run, &placement);
         }
     }
 
--- a/components/flow/src/footprint.rs
+++ b/components/flow/src/footprint.rs
@@ -1,7 +1,8 @@
 //! Estimates of the memory that flows take in the scheduler.
 
 use crate::{
-    FlowJob, FlowSpec, FlowState, OccurrenceState, Scheduler, StepSpec, StepState, TaskState,
+    FlowJob, FlowSpec, FlowState, OccurrenceState, Placement, Scheduler, StepSpec, StepState,
+    TaskState,
 };
 use std::mem::size_of;
 
@@ -87,15 +88,14 @@
     size_of::<StepSpec>() + after_bytes + text_bytes.sum::<usize>()
 }
 
-/// Memory of a task's checkpoint and run, in bytes.
+/// Memory of a task's checkpoint and runs, in bytes.
 fn task_bytes(task: &TaskState) -> usize {
     let checkpoint = task.checkpoint.as_ref().map_or(0, String::len);
-    let run = if task.placement.is_some() {
-        RUN_BYTES
-    } else {
-        0
-    };
-    checkpoint + run
+    let duplicate = task
+        .duplicate
+        .as_ref()
+        .map_or(0, |_| size_of::<Placement>());
+    checkpoint + task.placements().count() * RUN_BYTES + duplicate
 }
 
 impl StepState {
--- a/components/flow/src/holds.rs
+++ b/components/flow/src/holds.rs
@@ -102,8 +102,7 @@
     /// Whether a run is placed on a worker and no report shows that a crash would not count against
     /// its task any more.
     fn is_new_run(&self, now_ms: u64, key: &TaskKey, agent: &AgentId) -> bool {
-        let placement = self.placement(key);
-        let Some(placement) = placement.filter(|placement| placement.agent == *agent) else {
+        let Some(placement) = self.placement_on(key, agent) else {
             return false;
         };
         let seen_ms = self.worker(agent).map_or(0, |view| view.last_seen_ms);
--- a/components/flow/src/lookup.rs
+++ b/components/flow/src/lookup.rs
@@ -1,7 +1,7 @@
 //! Look-up of a task, its step and its placement.
 
 use crate::{Placement, Scheduler, StepSpec, TaskKey, TaskState};
-use model::{JobId, ServiceName};
+use model::{AgentId, JobId, ServiceName};
 
 impl Scheduler {
     /// State of a task, or `None` if its flow is not known or has finished.
@@ -24,6 +24,11 @@
         self.task(key)?.placement.as_ref()
     }
 
+    /// Placement of a task's run on a worker, or `None` if none is placed there.
+    pub(crate) fn placement_on(&self, key: &TaskKey, agent: &AgentId) -> Option<&Placement> {
+        self.task(key)?.placement_on(agent)
+    }
+
     /// Pool that runs a flow's tasks, or `None` if the flow or its queue is not known.
     pub(crate) fn service_of(&self, job: &JobId) -> Option<&ServiceName> {
         let state = self.flows.get(job)?;
--- a/components/flow/src/orders.rs
+++ b/components/flow/src/orders.rs
@@ -22,12 +22,11 @@
         let Some(state) = self.flows.get_mut(&key.job) else {
             return;
         };
-        let Some(task) = state.task_mut(key).filter(|task| task.run == run) else {
+        let Some(task) = state.task_mut(key) else {
             return;
         };
         let Some(placement) = task
-            .placement
-            .as_mut()
+            .placement_of_mut(run)
             .filter(|placement| placement.agent == *agent)
         else {
             return;
@@ -78,7 +77,7 @@
         } else {
             0
         };
-        self.requeue(now_ms, key, now_ms + backoff_ms);
+        self.requeue(now_ms, key, run, now_ms + backoff_ms);
         if matches!(outcome, StartOutcome::NoRoom | StartOutcome::Unavailable) {
             let view = self.worker_mut(agent);
             view.not_before_ms = now_ms + REFUSED_BACKOFF_MS;
@@ -90,8 +89,7 @@
     pub fn on_stopped(&mut self, now_ms: u64, agent: &AgentId, key: &TaskKey, run: u32) {
         let task = self.task_mut(key);
         let Some(placement) = task
-            .filter(|task| task.run == run)
-            .and_then(|task| task.placement.as_mut())
+            .and_then(|task| task.placement_of_mut(run))
             .filter(|placement| placement.agent == *agent)
         else {
             return;
@@ -103,8 +101,8 @@
 
     /// Records that an order of a pace may not have been carried out, so that it is given again.
     pub fn on_pace_lost(&mut self, key: &TaskKey, run: u32) {
-        let task = self.task_mut(key).filter(|task| task.run == run);
-        if let Some(placement) = task.and_then(|task| task.placement.as_mut()) {
+        let task = self.task_mut(key);
+        if let Some(placement) = task.and_then(|task| task.placement_of_mut(run)) {
             placement.is_pace_known = false;
         }
     }
--- a/components/flow/src/pacing.rs
+++ b/components/flow/src/pacing.rs
@@ -114,15 +114,11 @@
     /// Records a new pace for a placed run and orders it.
     fn set_pace(&mut self, now_ms: u64, key: &TaskKey, pace: u32) {
         let task = self.task_mut(key);
-        let Some(task) = task else {
-            return;
-        };
-        let run = task.run;
-        if let Some(placement) = task.placement.as_mut() {
+        if let Some(placement) = task.and_then(|task| task.placement.as_mut()) {
             placement.pace = pace;
             placement.is_pace_known = true;
             placement.pace_changed_ms = now_ms;
-            let run = run_ref(key, run, placement);
+            let run = run_ref(key, placement.run, placement);
             self.effects.push(Effect::Pace(run, pace));
         }
     }
--- a/components/flow/src/placement.rs
+++ b/components/flow/src/placement.rs
@@ -56,7 +56,8 @@
             .filter_map(|state| Some((self.rank(now_ms, state)?, state.job.id.clone())))
             .collect();
         let starved = self.starved_fillers_if_due(now_ms);
-        if order.is_empty() && starved.is_empty() {
+        let slow = self.slow_runs_if_due(now_ms);
+        if order.is_empty() && starved.is_empty() && slow.is_empty() {
             return;
         }
         order.sort_by(|left, right| left.partial_cmp(right).unwrap_or(std::cmp::Ordering::Equal));
@@ -70,6 +71,7 @@
             self.place_flow(now_ms, &job, &mut candidates, &mut full);
         }
         self.move_fillers(now_ms, starved, &mut candidates);
+        self.place_duplicates(now_ms, slow, &mut candidates);
     }
 
     /// Sort key of a flow, or `None` if it has no queued task.
@@ -331,7 +333,9 @@
         if let Some(checkpoint) = checkpoint {
             task.checkpoint = checkpoint;
         }
-        task.placement = Some(Placement {
+        let run = task.run;
+        task.place(Placement {
+            run,
             agent: candidate.agent.clone(),
             incarnation,
             stage: RunStage::Uncommitted,
@@ -342,7 +346,6 @@
             is_pace_known: true,
             pace_changed_ms: 0,
         });
-        let run = task.run;
         self.uncommitted.insert(key.job.clone());
         let allocation = allocation_for(now_ms, &spec, run);
         candidate.take_up(&allocation);
@@ -365,7 +368,7 @@
 }
 
 /// Time after acceptance within which a flow should end, in milliseconds.
-fn objective_ms(queue: &Queue, state: &FlowState) -> f64 {
+pub(crate) fn objective_ms(queue: &Queue, state: &FlowState) -> f64 {
     queue.stretch * state.job.spec.chain_ms() as f64 + queue.latency_target_ms as f64
 }
 
--- a/components/flow/src/progress.rs
+++ b/components/flow/src/progress.rs
@@ -40,10 +40,10 @@
                 continue;
             };
             task.avoided_agent = Some(agent.clone());
-            let run = task.run;
-            let Some(placement) = task.placement.clone() else {
+            let Some(placement) = task.placement_on(agent).cloned() else {
                 continue;
             };
+            let run = placement.run;
             let stalled_ms = now_ms.saturating_sub(placement.progress_ms);
             let detail = format!("progress {}% for {stalled_ms} ms", placement.percent);
             self.log_decision(DecisionKind::Stalled, &key, run, agent, detail);
@@ -85,11 +85,7 @@
         let (Some(spec), Some(task)) = (state.step_spec(key.step), state.task(key)) else {
             return false;
         };
-        let Some(placement) = task
-            .placement
-            .as_ref()
-            .filter(|placement| placement.agent == *agent)
-        else {
+        let Some(placement) = task.placement_on(agent) else {
             return false;
         };
         if !matches!(placement.stage, RunStage::Running { .. }) || spec.filler || spec.gang {
--- a/components/flow/src/record.rs
+++ b/components/flow/src/record.rs
@@ -38,6 +38,9 @@
     /// Tasks under which workers have crashed.
     #[serde(rename = "c", default, skip_serializing_if = "Vec::is_empty")]
     crashes: Vec<CrashRecord>,
+    /// Runs of tasks that have, or had, a duplicate. Versions without duplicates don't read them.
+    #[serde(rename = "p", default, skip_serializing_if = "Vec::is_empty")]
+    duplicates: Vec<RunsRecord>,
     /// Tasks as former versions recorded them; read, and never written.
     #[serde(rename = "o", default, skip_serializing)]
     former: FormerTasks,
@@ -61,7 +64,7 @@
 struct TaskRecord(
     /// Index of the task.
     u32,
-    /// Number of the newest run.
+    /// Number of the newest placed run, or of the newest one if none is placed.
     u32,
     /// Number of failed runs.
     u32,
@@ -69,10 +72,27 @@
     bool,
     /// Newest checkpoint; `None` also once a run succeeded.
     Option<String>,
-    /// Index into `workers` of the worker that has the newest run; `None` unless it is placed.
+    /// Index into `workers` of the worker that has the newest placed run; `None` unless one is placed.
     Option<u32>,
 );
 
+/// Runs of a task that has, or had, a duplicate, beyond what its [`TaskRecord`] holds. That is about the
+/// duplicate, so that a version without duplicates starts no further run while it may run.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+struct RunsRecord(
+    /// Occurrence of the task.
+    u32,
+    /// Step of the task.
+    u32,
+    /// Index of the task.
+    u32,
+    /// Number of the newest run, whether it is placed or not.
+    u32,
+    /// Number of the first run, and the index into `workers` of its worker; `None` unless the task has
+    /// a duplicate now.
+    Option<(u32, u32)>,
+);
+
 /// Crashes of workers under one task.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 struct CrashRecord(
@@ -125,6 +145,7 @@
             let tasks: Vec<TaskRecord> = open
                 .map(|(index, task)| self.task_record(index as u32, task))
                 .collect();
+            self.add_runs(occurrence, number as u32, step);
             if !done.is_empty() || !tasks.is_empty() {
                 let record = StepRecord(occurrence, number as u32, done, tasks);
                 self.steps.push(record);
@@ -132,16 +153,30 @@
         }
     }
 
+    /// Adds the runs of a step's tasks that a [`TaskRecord`] does not hold.
+    fn add_runs(&mut self, occurrence: u32, number: u32, step: &StepState) {
+        for (index, task) in step.tasks.iter().enumerate() {
+            let Some(first) = &task.placement else {
+                continue;
+            };
+            let has_duplicate = task.duplicate.is_some();
+            if !has_duplicate && first.run == task.run {
+                continue;
+            }
+            let first = has_duplicate.then(|| (first.run, self.worker_of(first)));
+            let record = RunsRecord(occurrence, number, index as u32, task.run, first);
+            self.duplicates.push(record);
+        }
+    }
+
     /// Record of a task that was placed.
     fn task_record(&mut self, index: u32, task: &TaskState) -> TaskRecord {
-        let worker = task.placement.as_ref().map(|placement| {
-            let Incarnation { worker, born_ms } = &placement.incarnation;
-            self.worker_index(&placement.agent, worker, *born_ms)
-        });
+        let newest = task.placements().last();
+        let worker = newest.map(|placement| self.worker_of(placement));
         let checkpoint = task.checkpoint.clone().filter(|_| !task.done);
         TaskRecord(
             index,
-            task.run,
+            newest.map_or(task.run, |placement| placement.run),
             task.failures,
             task.done,
             checkpoint,
@@ -149,6 +184,12 @@
         )
     }
 
+    /// Index of a placement's worker in `workers`, to which it is added if it is new.
+    fn worker_of(&mut self, placement: &Placement) -> u32 {
+        let Incarnation { worker, born_ms } = &placement.incarnation;
+        self.worker_index(&placement.agent, worker, *born_ms)
+    }
+
     /// Index of a worker's incarnation in `workers`; adds the incarnation if it is new.
     fn worker_index(&mut self, agent: &AgentId, worker: &str, born_ms: u64) -> u32 {
         let is_same = |known: &(AgentId, String, u64)| {
@@ -181,6 +222,7 @@
             self.restore_step(state, now_ms, step);
         }
         self.restore_former(state, now_ms);
+        self.restore_duplicates(state, now_ms);
         state.release_done_steps();
         self.restore_crashes(state);
     }
@@ -208,7 +250,7 @@
                 failures: *failures,
                 done: *done,
                 checkpoint: checkpoint.clone(),
-                placement: self.restored_placement(*worker, now_ms),
+                placement: self.restored_placement(*worker, *run, now_ms),
                 ..TaskState::default()
             };
         }
@@ -220,13 +262,35 @@
             let occurrence = state.occurrences.get_mut(occurrence);
             let step = occurrence.and_then(|occurrence| occurrence.steps.get_mut(step));
             if let Some(task) = step.and_then(|step| step.task_mut(index as u32)) {
-                let placement = self.restored_placement(former.worker(), now_ms);
+                let placement = self.restored_placement(former.worker(), former.run(), now_ms);
                 *task = former.restored(placement);
                 state.started = true;
             }
         }
     }
 
+    /// Applies the runs of tasks that have, or had, a duplicate.
+    fn restore_duplicates(&self, state: &mut FlowState, now_ms: u64) {
+        for RunsRecord(occurrence, step, index, newest_run, first) in &self.duplicates {
+            let key = TaskKey {
+                job: state.job.id.clone(),
+                occurrence: *occurrence,
+                step: *step,
+                index: *index,
+            };
+            let Some(task) = state.task_mut(&key) else {
+                continue;
+            };
+            task.run = task.run.max(*newest_run);
+            let first = first
+                .and_then(|(run, worker)| self.restored_placement(Some(worker), run, now_ms))
+                .filter(|first| task.placement_on(&first.agent).is_none());
+            if let Some(first) = first {
+                task.duplicate = task.placement.replace(first).map(Box::new);
+            }
+        }
+    }
+
     /// Applies the crashes under tasks.
     fn restore_crashes(&self, state: &mut FlowState) {
         for CrashRecord(occurrence, step, index, soon, alone, total) in &self.crashes {
@@ -246,10 +310,12 @@
         }
     }
 
-    /// Unconfirmed placement on the worker with this index; `None` for a task without a placement.
-    fn restored_placement(&self, worker: Option<u32>, now_ms: u64) -> Option<Placement> {
+    /// Unconfirmed placement of a run on the worker with this index; `None` for a task without a
+    /// placement.
+    fn restored_placement(&self, worker: Option<u32>, run: u32, now_ms: u64) -> Option<Placement> {
         let worker = worker.and_then(|index| self.workers.get(index as usize));
         worker.map(|(agent, worker, born_ms)| Placement {
+            run,
             agent: agent.clone(),
             incarnation: Incarnation {
                 worker: worker.clone(),
--- a/components/flow/src/record_former.rs
+++ b/components/flow/src/record_former.rs
@@ -49,6 +49,11 @@
         self.4
     }
 
+    /// Number of the newest run.
+    pub fn run(&self) -> u32 {
+        self.0
+    }
+
     /// State of the task with this placement.
     pub fn restored(&self, placement: Option<Placement>) -> TaskState {
         let Self(run, failures, done, checkpoint, _) = self;
--- a/components/flow/src/reports.rs
+++ b/components/flow/src/reports.rs
@@ -104,7 +104,7 @@
                 .keys()
                 .filter_map(|key| self.flows.get(&key.job)?.task(key));
             let mut incarnations =
-                flows.filter_map(|task| Some(task.placement.as_ref()?.incarnation.clone()));
+                flows.filter_map(|task| Some(task.placement_on(agent)?.incarnation.clone()));
             incarnations.find(|incarnation| incarnation.born_ms == report.born_ms)
         })
     }
@@ -164,16 +164,12 @@
             None => return,
         };
         for key in keys {
-            let task = self.task(&key);
-            let Some((run, placement)) =
-                task.and_then(|task| Some((task.run, task.placement.as_ref()?)))
-            else {
+            let Some(placement) = self.placement_on(&key, agent) else {
                 self.fleet.release(now_ms, agent, &key);
                 continue;
             };
-            if placement.agent != *agent {
-                self.fleet.release(now_ms, agent, &key);
-            } else if is_lost(&placement.incarnation) {
+            let run = placement.run;
+            if is_lost(&placement.incarnation) {
                 if loss.is_crash {
                     self.count_crash(now_ms, &key, agent);
                 }
@@ -202,24 +198,21 @@
                 self.fleet.release(times.now_ms, agent, &key);
                 continue;
             };
-            let run = task.run;
-            let Some(placement) = task.placement.as_mut() else {
+            let Some(placement) = task.placement_on_mut(agent) else {
                 self.fleet.release(times.now_ms, agent, &key);
                 continue;
             };
-            if placement.agent != *agent {
-                self.fleet.release(times.now_ms, agent, &key);
-                continue;
-            }
+            let run = placement.run;
             if let Some(found) = found.filter(|found| found.run == run) {
-                if found.checkpoint.is_some() {
-                    task.checkpoint.clone_from(&found.checkpoint);
-                }
                 if found.percent > placement.percent {
                     placement.percent = found.percent;
                     placement.progress_ms = times.now_ms;
                 }
-                self.confirm_run(times.now_ms, &key);
+                let percent = placement.percent;
+                if found.checkpoint.is_some() && task.is_furthest(percent) {
+                    task.checkpoint.clone_from(&found.checkpoint);
+                }
+                self.confirm_run(times.now_ms, &key, run);
             } else if !has_more_ends {
                 self.handle_missing_run(times, &key, run);
             }
@@ -228,7 +221,7 @@
 
     /// Handles a placed run that the worker reports: marks it as running, and stops it if its task
     /// is done, its flow was cancelled or has failed, or an earlier stop had no effect.
-    fn confirm_run(&mut self, now_ms: u64, key: &TaskKey) {
+    fn confirm_run(&mut self, now_ms: u64, key: &TaskKey, run: u32) {
         let Some(state) = self.flows.get_mut(&key.job) else {
             return;
         };
@@ -236,8 +229,8 @@
         let Some(task) = state.task_mut(key) else {
             return;
         };
-        let (run, is_done) = (task.run, task.done);
-        let Some(placement) = task.placement.as_mut() else {
+        let is_done = task.done;
+        let Some(placement) = task.placement_of_mut(run) else {
             return;
         };
         let mut retry = None;
@@ -256,7 +249,7 @@
         }
         let unneeded = state
             .task(key)
-            .and_then(|task| task.placement.clone())
+            .and_then(|task| task.placement_of(run).cloned())
             .filter(|placement| matches!(placement.stage, RunStage::Running { .. }))
             .filter(|_| is_closed || is_done);
         if let Some(placement) = retry.or(unneeded) {
@@ -270,7 +263,7 @@
     /// its start has not been answered, nothing is done.
     fn handle_missing_run(&mut self, times: ReportTimes, key: &TaskKey, run: u32) {
         let task = self.task(key);
-        let Some(placement) = task.and_then(|task| task.placement.clone()) else {
+        let Some(placement) = task.and_then(|task| task.placement_of(run).cloned()) else {
             return;
         };
         let now_ms = times.now_ms;
@@ -306,10 +299,10 @@
     }
 
     /// Releases the placement of a run that is known not to exist, so that its task is queued
-    /// again.
+    /// again unless it has another run.
     fn release_run(&mut self, now_ms: u64, key: &TaskKey, run: u32, agent: &AgentId, reason: &str) {
         self.log_decision(DecisionKind::Lost, key, run, agent, reason);
-        self.requeue(now_ms, key, now_ms);
+        self.requeue(now_ms, key, run, now_ms);
     }
 
     /// Stops the runs that a worker reports although they are not placed on it.
--- a/components/flow/src/scheduler.rs
+++ b/components/flow/src/scheduler.rs
@@ -3,6 +3,7 @@
 
 use crate::begun::ProgressLimit;
 use crate::suspects::suspects;
+use crate::task_runs::Removed;
 use crate::view::{Allocation, Fleet, WorkerView};
 use crate::{
     Decision, DecisionKind, Effect, FlowConfig, FlowJob, FlowLimits, FlowPhase, FlowRecord,
@@ -42,6 +43,8 @@
     /// Agents of workers that were kept free for suspects a moment ago, each with the time until which
     /// they isolate none, in milliseconds.
     pub(crate) open_until_ms: BTreeMap<AgentId, u64>,
+    /// When slow runs were last searched for, in milliseconds.
+    pub(crate) slow_searched_ms: u64,
     /// Learned pressures of fillers on latency-critical tasks.
     pub(crate) pressures: PressureModel,
     /// When starved fillers were last searched for, in milliseconds.
@@ -221,17 +224,17 @@
         };
         let durable = state.durable_revision;
         let payload = state.job.spec.payload.clone();
-        let keys: Vec<TaskKey> = placements(state)
+        let runs: Vec<(TaskKey, u32)> = placements(state)
             .filter(|(_, _, placement)| placement.stage == RunStage::Uncommitted)
-            .map(|(key, _, _)| key)
+            .map(|(key, run, _)| (key, run))
             .collect();
         let mut not_durable = 0;
-        for key in keys {
+        for (key, run) in runs {
             let Some(task) = state.task_mut(&key) else {
                 continue;
             };
-            let (run, checkpoint) = (task.run, task.checkpoint.clone());
-            let Some(placement) = task.placement.as_mut() else {
+            let checkpoint = task.checkpoint.clone();
+            let Some(placement) = task.placement_of_mut(run) else {
                 continue;
             };
             if placement.revision > durable {
@@ -339,17 +342,20 @@
     }
 
     /// Removes the placement of a run that is known not to exist, so that its task is queued again
-    /// from `not_before_ms` on.
-    pub(crate) fn requeue(&mut self, now_ms: u64, key: &TaskKey, not_before_ms: u64) {
+    /// from `not_before_ms` on, unless it has another run.
+    pub(crate) fn requeue(&mut self, now_ms: u64, key: &TaskKey, run: u32, not_before_ms: u64) {
         let Some(task) = self.task_mut(key) else {
             return;
         };
-        let Some(placement) = task.placement.take() else {
+        let Some(removed) = task.remove_placement(run) else {
             return;
         };
-        task.not_before_ms = not_before_ms;
-        self.fleet.release(now_ms, &placement.agent, key);
+        if let Removed::Only(_) = removed {
+            task.not_before_ms = not_before_ms;
+        }
+        self.fleet.release(now_ms, &removed.placement().agent, key);
         self.mark_dirty(&key.job);
+        self.count_removed(key, &removed);
     }
 
     /// Stops all runs of a cancelled or failed flow, and removes the placements that were not
@@ -364,7 +370,7 @@
             .collect();
         for (key, run, placement) in placed {
             match placement.stage {
-                RunStage::Uncommitted => self.requeue(now_ms, &key, now_ms),
+                RunStage::Uncommitted => self.requeue(now_ms, &key, run, now_ms),
                 RunStage::Stopping { .. } => {}
                 RunStage::Ordered | RunStage::Unconfirmed | RunStage::Running { .. } => {
                     self.stop_run(now_ms, &key, run, &placement);
@@ -379,7 +385,7 @@
         self.effects
             .push(Effect::Stop(run_ref(key, run, placement)));
         let task = self.task_mut(key);
-        if let Some(placement) = task.and_then(|task| task.placement.as_mut()) {
+        if let Some(placement) = task.and_then(|task| task.placement_of_mut(run)) {
             placement.stage = RunStage::Stopping {
                 ordered_ms: now_ms,
                 answered_ms: None,
@@ -406,11 +412,11 @@
     }
 }
 
-/// Placed tasks of a flow, each with the number of its run.
+/// Placed runs of a flow, duplicates included, each with its task and its number.
 pub(crate) fn placements(state: &FlowState) -> impl Iterator<Item = (TaskKey, u32, &Placement)> {
-    state.tasks().filter_map(|(key, task)| {
-        let placement = task.placement.as_ref()?;
-        Some((key, task.run, placement))
+    state.tasks().flat_map(|(key, task)| {
+        let placements = task.placements();
+        placements.map(move |placement| (key.clone(), placement.run, placement))
     })
 }
 
--- a/components/flow/src/starved.rs
+++ b/components/flow/src/starved.rs
@@ -91,9 +91,10 @@
         let (Some(spec), Some(task)) = (state.step_spec(key.step).cloned(), state.task(key)) else {
             return false;
         };
-        let (run, Some(placement)) = (task.run, task.placement.clone()) else {
+        let Some(placement) = task.placement.clone() else {
             return false;
         };
+        let run = placement.run;
         let filler = self.filler_need(now_ms, &spec, MIN_PLACED_PACE, candidates);
         let found = self.best_candidate(key, &service, candidates, None, &filler);
         let Some(candidate) = found.map(|index| &mut candidates[index].1) else {
--- a/components/flow/src/state.rs
+++ b/components/flow/src/state.rs
@@ -33,9 +33,11 @@
     },
 }
 
-/// Placement of a task's newest run on a worker.
+/// Placement of a run of a task on a worker.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Placement {
+    /// Number of the run; lower than that of the task's newest run if a duplicate was started later.
+    pub run: u32,
     /// Agent of the worker.
     pub agent: AgentId,
     /// Incarnation of the worker.
--- a/components/flow/src/step_state.rs
+++ b/components/flow/src/step_state.rs
@@ -15,8 +15,10 @@
         total: 0,
     },
     done: false,
+    run_ms: 0,
     checkpoint: None,
     placement: None,
+    duplicate: None,
     avoided_agent: None,
     not_before_ms: 0,
 };
@@ -24,7 +26,7 @@
 /// State of a task.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct TaskState {
-    /// Number of the newest run; 0 before the first.
+    /// Number of the newest run, which may be that of a duplicate; 0 before the first.
     pub run: u32,
     /// Number of failed runs.
     pub failures: u32,
@@ -32,10 +34,16 @@
     pub crashes: CrashCount,
     /// Whether a run succeeded; never set for long-running tasks.
     pub done: bool,
+    /// Time that its first run took to succeed, in milliseconds; 0 if it has not, or if its step allows no
+    /// duplicates.
+    pub run_ms: u32,
     /// Newest checkpoint, if there is one.
     pub checkpoint: Option<String>,
-    /// Placement of the newest run; `None` once the run is known to have ended.
+    /// Placement of its run; `None` once the run is known to have ended.
     pub placement: Option<Placement>,
+    /// Placement of a second run, on another worker; `None` if the task is not placed. In a box, as few
+    /// tasks have one.
+    pub duplicate: Option<Box<Placement>>,
     /// Agent of the worker on which the task last failed or stalled; placement prefers others.
     pub avoided_agent: Option<AgentId>,
     /// Time before which the task is not placed again, in milliseconds.
--- a/components/flow/src/suspects.rs
+++ b/components/flow/src/suspects.rs
@@ -104,10 +104,10 @@
         let Some(task) = self.task_mut(key) else {
             return;
         };
-        let run = task.run;
-        let Some(placement) = &task.placement else {
+        let Some(placement) = task.placement_on(agent) else {
             return;
         };
+        let run = placement.run;
         let age = run_age(now_ms, placement, placed_ms);
         let is_confirmed = !matches!(placement.stage, RunStage::Ordered | RunStage::Unconfirmed);
         match age {
--- a/components/flow/src/waiting.rs
+++ b/components/flow/src/waiting.rs
@@ -120,7 +120,7 @@
 
     /// Whether a run of the task is confirmed on a worker that can be reached.
     fn is_at_work(&self, task: &TaskState) -> bool {
-        task.placement.as_ref().is_some_and(|placement| {
+        task.placements().any(|placement| {
             let view = self.worker(&placement.agent);
             matches!(placement.stage, RunStage::Running { .. })
                 && view.is_some_and(WorkerView::is_synced)
--- a/components/flow/tests/common/worker.rs
+++ b/components/flow/tests/common/worker.rs
@@ -73,6 +73,11 @@
 }
 
 impl ModelWorker {
+    /// Whether a run of the task is in progress.
+    pub fn has_run(&self, task: &TaskKey) -> bool {
+        self.running.contains_key(task)
+    }
+
     /// Its clock, in milliseconds.
     pub(super) fn clock_ms(&self, now_ms: u64) -> u64 {
         CLOCK_ORIGIN_MS + now_ms * self.clock_rate_milli / 1_000
--- a/components/flow_entry/src/effects.rs
+++ b/components/flow_entry/src/effects.rs
@@ -39,6 +39,7 @@
                     log_event!(info, Event::PairJudged, agent = %agent, filler = change.filler,
                         serving = change.critical, pressure = change.pressure);
                 }
+                Effect::Duplicate(outcome) => Metrics::count(&self.metrics.duplicates, &outcome),
                 Effect::Decided(decision) => self.log_decision(&decision),
             }
         }
@@ -73,6 +74,7 @@
             DecisionKind::Failed => Event::FlowFailed,
             DecisionKind::Suspected => Event::RunSuspected,
             DecisionKind::Moved => Event::RunMoved,
+            DecisionKind::Duplicated => Event::RunDuplicated,
         };
         log_event!(info, event, job = %decision.task.job, task = %decision.task, run = decision.run,
             agent = %decision.agent, detail = %decision.detail);
