Limit duplicates to one at a time while hardly any wins

Where tasks are slow by nature a second run is as slow as the first. Of the last 16 duplicates a quarter must have won; otherwise one at a time shows whether that has changed. Where runs are slow by chance nothing changes.

--- a/components/duplicates/tests/simulation.rs
+++ b/components/duplicates/tests/simulation.rs
@@ -1,7 +1,7 @@
 //! What duplicates gain and cost where some runs are slow, in a small deterministic simulation of a pool
 //! that is partly or more than fully used.
 
-use duplicates::{Room, RunView, Verdict, decide};
+use duplicates::{History, Room, RunView, Verdict, decide};
 use std::collections::{BTreeMap, VecDeque};
 use std::fmt::Write;
 
@@ -57,6 +57,7 @@
     duplicate_ms: u64,
     started: u32,
     won: u32,
+    history: History,
 }
 
 /// Number that looks random and depends on its argument only (finalizer of SplitMix64).
@@ -80,6 +81,7 @@
             duplicate_ms: 0,
             started: 0,
             won: 0,
+            history: History::default(),
         }
     }
 
@@ -107,7 +109,11 @@
             .map(|run| (run.task, run.number))
             .collect();
         for (task, number) in &ends {
-            self.won += u32::from(*number > 1);
+            let has_duplicate = self.running.iter().filter(|run| run.task == *task).count() > 1;
+            if has_duplicate {
+                self.history.observe(*number > 1);
+                self.won += u32::from(*number > 1);
+            }
             let (arrived_ms, open) = &mut self.steps[task.0];
             *open -= 1;
             if *open == 0 {
@@ -149,7 +155,11 @@
             };
             let due_ms = self.steps[task.0].0 + OBJECTIVE_MS;
             let slack_ms = due_ms as i64 - self.now_ms as i64;
-            if let Verdict::Start(_) = decide(&view, NEED_MILLI, slack_ms, &self.room()) {
+            let room = self.room();
+            if room.duplicates >= self.history.limit() {
+                return;
+            }
+            if let Verdict::Start(_) = decide(&view, NEED_MILLI, slack_ms, &room) {
                 self.started += 1;
                 self.start(task, 2);
             }
@@ -228,6 +238,17 @@
     insta::assert_snapshot!(table);
 }
 
+/// Guards against duplicates that go on to take capacity where none ever wins.
+#[test]
+fn duplicates_that_never_win_take_little_capacity() {
+    for load_percent in [50, 80, 95, 120] {
+        let pool = simulated(Slowness::OfTask, load_percent, true);
+        let percent = pool.duplicate_ms * 100 / pool.used_ms;
+        // One in a hundred places, and those that run until the first results are known.
+        assert!(percent <= 4, "{percent}% at a load of {load_percent}%");
+    }
+}
+
 /// Guards against duplicates that delay other tasks: under overload none starts, and below it the steps
 /// as a whole end no later than without.
 #[test]
--- a/components/flow/src/duplicates.rs
+++ b/components/flow/src/duplicates.rs
@@ -42,7 +42,8 @@
         let mut demand = self.demand();
         let mut starts = 0;
         for run in slow {
-            if starts == MAX_STARTS {
+            let running: u32 = demand.duplicates.values().sum();
+            if starts == MAX_STARTS || running >= self.duplicate_history.limit() {
                 return;
             }
             if self.place_duplicate(now_ms, &run, &demand, candidates) {
@@ -164,12 +165,19 @@
         }
         match removed {
             Removed::Only(_) => {}
-            Removed::First(_) => self.effects.push(Effect::Duplicate(DuplicateOutcome::Lost)),
-            Removed::Duplicate(_) => self.effects.push(Effect::Duplicate(DuplicateOutcome::Won)),
+            Removed::First(_) => self.on_duplicate_result(DuplicateOutcome::Lost),
+            Removed::Duplicate(_) => self.on_duplicate_result(DuplicateOutcome::Won),
         }
         self.observe_run_ms(now_ms, key, removed.placement());
     }
 
+    /// Counts a duplicate of a task that succeeded in either run.
+    fn on_duplicate_result(&mut self, outcome: DuplicateOutcome) {
+        let won = outcome == DuplicateOutcome::Won;
+        self.duplicate_history.observe(won);
+        self.effects.push(Effect::Duplicate(outcome));
+    }
+
     /// Takes note of the run time of a task that succeeded, for the duplicates of its step.
     fn observe_run_ms(&mut self, now_ms: u64, key: &TaskKey, placement: &Placement) {
         let is_needed =
--- a/components/flow/src/scheduler.rs
+++ b/components/flow/src/scheduler.rs
@@ -10,6 +10,7 @@
     FlowState, LimitExceeded, Placement, Policies, QueueKey, RunRef, RunStage, StartInput,
     StepSpec, TaskKey,
 };
+use duplicates::History;
 use interference::PressureModel;
 use model::{AgentId, JobId};
 use std::collections::{BTreeMap, BTreeSet};
@@ -43,6 +44,8 @@
     /// Agents of workers that were kept free for suspects a moment ago, each with the time until which
     /// they isolate none, in milliseconds.
     pub(crate) open_until_ms: BTreeMap<AgentId, u64>,
+    /// Results of the newest duplicates.
+    pub(crate) duplicate_history: History,
     /// When slow runs were last searched for, in milliseconds.
     pub(crate) slow_searched_ms: u64,
     /// Learned pressures of fillers on latency-critical tasks.
--- a/components/flow/tests/common/advance.rs
+++ b/components/flow/tests/common/advance.rs
@@ -33,6 +33,7 @@
                     .get(&image)
                     .unwrap_or(&spec.estimate_ms.max(100));
                 let slowness = self.slow_workers.get(&agent).copied().unwrap_or(1);
+                let slowness = slowness * self.slow_tasks.get(&key).copied().unwrap_or(1);
                 self.advance_run(&agent, &key, &spec, run_ms * slowness);
             }
         }
--- a/components/flow/tests/common/mod.rs
+++ b/components/flow/tests/common/mod.rs
@@ -84,6 +84,8 @@
     pub run_ms: BTreeMap<String, u64>,
     /// Whether duplicates may start, in this scheduler and in those that take over.
     pub duplicates: bool,
+    /// Tasks that are slow by nature: each of their runs takes longer by this factor.
+    pub slow_tasks: BTreeMap<TaskKey, u64>,
     /// Factor by which each run on a worker takes longer.
     pub slow_workers: BTreeMap<AgentId, u64>,
     /// Number of duplicates by what became of them.
@@ -211,6 +213,7 @@
             away: Vec::new(),
             run_ms: BTreeMap::new(),
             duplicates: false,
+            slow_tasks: BTreeMap::new(),
             slow_workers: BTreeMap::new(),
             duplicate_outcomes: BTreeMap::new(),
             always_failing: BTreeSet::new(),
--- a/components/flow/tests/duplicates.rs
+++ b/components/flow/tests/duplicates.rs
@@ -438,6 +438,31 @@
     assert_nothing_is_left(&sim);
 }
 
+/// Guards against duplicates that go on to take capacity where tasks are slow by nature, so that none
+/// ever wins.
+#[test]
+fn few_duplicates_start_where_none_wins() {
+    /// Flows with one slow task each; eight duplicates have to show that they are of no use.
+    const FLOWS: u32 = 24;
+    let mut sim = slow_pool();
+    sim.slow_workers.clear();
+    for number in 0..FLOWS {
+        let job = sim.submit(&format!("f{number}"), vec![duplicable()]);
+        let slow = TaskKey {
+            job: job.clone(),
+            occurrence: 0,
+            step: 0,
+            index: 0,
+        };
+        sim.slow_tasks.insert(slow, 7);
+        sim.run_for(2 * RUN_MS);
+    }
+    assert!(sim.run_until_ended(60_000));
+    assert_eq!(count(&sim, "won"), 0);
+    let started = count(&sim, "started");
+    assert!((8..FLOWS).contains(&started), "{started} of {FLOWS}");
+}
+
 /// Guards against more tasks of a step on a worker than it allows, duplicates included.
 #[test]
 fn a_duplicate_keeps_the_limit_per_worker() {
