--- a/components/flow/src/due_order.rs
+++ b/components/flow/src/due_order.rs
@@ -60,6 +60,6 @@
 }
 
 /// Time after acceptance within which a flow should end, in milliseconds.
-fn objective_ms(queue: &Queue, state: &FlowState) -> f64 {
+pub(crate) fn objective_ms(queue: &Queue, state: &FlowState) -> f64 {
     queue.stretch * state.job.spec.chain_ms() as f64 + queue.latency_target_ms as f64
 }
--- a/components/flow/src/evacuation.rs
+++ b/components/flow/src/evacuation.rs
@@ -196,49 +196,48 @@
         pool.peek().is_some() && pool.all(|info| self.evacuations.includes(&info.domain))
     }
 
-    /// Tasks that are placed on workers of evacuated domains, ordered by worker.
-    fn tasks_in_evacuated(&self) -> Vec<TaskKey> {
+    /// Runs that are placed on workers of evacuated domains, ordered by worker.
+    fn runs_in_evacuated(&self) -> Vec<(AgentId, TaskKey)> {
         if !self.has_evacuations() {
             return Vec::new();
         }
-        let views = self.fleet.workers.values();
-        let evacuated = views.filter(|view| self.evacuations.includes_worker(view));
-        let keys = evacuated.flat_map(|view| view.allocations.keys());
-        keys.cloned().collect()
+        let workers = self.fleet.workers.iter();
+        let evacuated = workers.filter(|(_, view)| self.evacuations.includes_worker(view));
+        let runs = evacuated.flat_map(|(agent, view)| {
+            let keys = view.allocations.keys();
+            keys.map(|key| (agent.clone(), key.clone()))
+        });
+        runs.collect()
     }
 
     /// Revokes the placements in evacuated domains whose starts were not sent.
     fn revoke_unstarted(&mut self, now_ms: u64) {
-        for key in self.tasks_in_evacuated() {
-            let placement = self.placement(&key);
-            if placement.is_some_and(|placement| placement.stage == RunStage::Uncommitted) {
-                self.revoke_start(now_ms, &key);
+        for (agent, key) in self.runs_in_evacuated() {
+            let task = self.task(&key);
+            let placement = task.and_then(|task| task.placement_on(&agent));
+            if let Some(placement) = placement.filter(|one| one.stage == RunStage::Uncommitted) {
+                let run = placement.run;
+                self.revoke_start(now_ms, &agent, &key, run);
             }
         }
     }
 
-    /// Queues a placed task again whose start was not sent. The other members of its gang are queued
-    /// or stopped, as they would wait for it in vain.
-    fn revoke_start(&mut self, now_ms: u64, key: &TaskKey) {
-        let Some(agent) = self.placement(key).map(|placement| placement.agent.clone()) else {
-            return;
-        };
-        let run = self.task(key).map_or(0, |task| task.run);
+    /// Takes back the placement of a run whose start was not sent. The other members of its gang are queued
+    /// again or stopped, as they would wait for it in vain.
+    fn revoke_start(&mut self, now_ms: u64, agent: &AgentId, key: &TaskKey, run: u32) {
         let detail = "its failure domain is evacuated";
-        self.log_decision(DecisionKind::Revoked, key, run, &agent, detail);
-        self.requeue(now_ms, key, now_ms);
+        self.log_decision(DecisionKind::Revoked, key, run, agent, detail);
+        self.requeue(now_ms, key, run, now_ms);
         if !self.step_spec(key).is_some_and(|spec| spec.gang) {
             return;
         }
         for member in self.placed_siblings(key) {
-            let (Some(task), Some(placement)) =
-                (self.task(&member), self.placement(&member).cloned())
-            else {
+            let Some(placement) = self.placement(&member).cloned() else {
                 continue;
             };
-            let run = task.run;
+            let run = placement.run;
             match placement.stage {
-                RunStage::Uncommitted => self.requeue(now_ms, &member, now_ms),
+                RunStage::Uncommitted => self.requeue(now_ms, &member, run, now_ms),
                 RunStage::Stopping { .. } => {}
                 RunStage::Ordered | RunStage::Unconfirmed | RunStage::Running { .. } => {
                     self.stop_run(now_ms, &member, run, &placement);
@@ -273,7 +272,7 @@
         }
         self.evacuations.searched_ms = now_ms;
         let mut moves = 0;
-        for key in self.tasks_in_evacuated() {
+        for (_, key) in self.runs_in_evacuated() {
             if moves == MAX_MOVES {
                 return;
             }
--- a/components/flow/src/pass.rs
+++ b/components/flow/src/pass.rs
@@ -36,7 +36,9 @@
         self.prepare_flows(wall_ms);
         let order = self.order_flows(now_ms, wall_ms);
         let starved = self.starved_fillers_if_due(now_ms);
-        if order.is_empty() && starved.is_empty() && !self.has_evacuations() {
+        let slow = self.slow_runs_if_due(now_ms);
+        let is_idle = order.is_empty() && starved.is_empty() && slow.is_empty();
+        if is_idle && !self.has_evacuations() {
             return;
         }
         for job in &order {
@@ -50,6 +52,7 @@
         }
         self.move_fillers(now_ms, starved, &mut candidates);
         self.move_evacuated(now_ms, &mut candidates);
+        self.place_duplicates(now_ms, slow, &mut candidates);
     }
 
     /// Activates due occurrences, and drops states that the last pass left behind.
@@ -300,7 +303,9 @@
         if let Some(checkpoint) = checkpoint {
             task.checkpoint = checkpoint;
         }
-        task.placement = Some(Placement {
+        let run = task.run;
+        task.place(Placement {
+            run,
             agent: candidate.agent.clone(),
             incarnation,
             stage: RunStage::Uncommitted,
@@ -311,7 +316,6 @@
             is_pace_known: true,
             pace_changed_ms: 0,
         });
-        let run = task.run;
         self.uncommitted.insert(key.job.clone());
         let allocation = allocation_for(now_ms, &spec, run);
         candidate.take_up(&allocation);
--- a/components/flow/src/placed_runs.rs
+++ b/components/flow/src/placed_runs.rs
@@ -3,11 +3,11 @@
 use crate::view::Allocation;
 use crate::{FlowState, Placement, RunRef, StepSpec, TaskKey};
 
-/// Placed tasks of a flow, each with the number of its run.
+/// Placed runs of a flow, duplicates included, each with its task and its number.
 pub(crate) fn placements(state: &FlowState) -> impl Iterator<Item = (TaskKey, u32, &Placement)> {
-    state.tasks().filter_map(|(key, task)| {
-        let placement = task.placement.as_ref()?;
-        Some((key, task.run, placement))
+    state.tasks().flat_map(|(key, task)| {
+        let placements = task.placements();
+        placements.map(move |placement| (key.clone(), placement.run, placement))
     })
 }
 
--- a/components/flow/tests/common/mod.rs
+++ b/components/flow/tests/common/mod.rs
@@ -5,6 +5,7 @@
 mod advance;
 mod checks;
 mod polls;
+pub mod slow_pool;
 mod worker;
 
 use flow::CommitLimits;
@@ -84,6 +85,12 @@
     away: Vec<(AgentId, u64)>,
     /// Actual run time of tasks by image, in milliseconds; the declared one if absent.
     pub run_ms: BTreeMap<String, u64>,
+    /// Tasks that are slow by nature: each of their runs takes longer by this factor.
+    pub slow_tasks: BTreeMap<TaskKey, u64>,
+    /// Factor by which each run on a worker takes longer.
+    pub slow_workers: BTreeMap<AgentId, u64>,
+    /// Number of duplicates by what became of them.
+    pub duplicate_outcomes: BTreeMap<String, u32>,
     /// Flows of which every run fails.
     pub always_failing: BTreeSet<JobId>,
     /// Tasks that crash each worker that starts them.
@@ -214,6 +221,9 @@
             commit: None,
             away: Vec::new(),
             run_ms: BTreeMap::new(),
+            slow_tasks: BTreeMap::new(),
+            slow_workers: BTreeMap::new(),
+            duplicate_outcomes: BTreeMap::new(),
             always_failing: BTreeSet::new(),
             deadly: BTreeSet::new(),
             crashes: BTreeMap::new(),
@@ -279,8 +289,33 @@
         self.scheduler.cancel(self.now_ms, job);
     }
 
+    /// Lets duplicates start where steps allow them.
+    pub fn allow_duplicates(&mut self) {
+        self.set_policies(Policies {
+            duplicates: true,
+            ..self.policies
+        });
+    }
+
+    /// Replaces the scheduler by one of a version without duplicates, which ignores the field of the
+    /// records that holds them.
+    pub fn take_over_by_former_version(&mut self) {
+        self.policies.duplicates = false;
+        self.take_over_reading(|record| {
+            record.as_object_mut().unwrap().remove("p");
+        });
+        // Runs that a duplicate was started of may still be in progress.
+        self.policies.duplicates = true;
+    }
+
     /// Replaces the scheduler by a new one that restores its state from the durable records.
     pub fn take_over(&mut self) {
+        self.take_over_reading(|_| ());
+    }
+
+    /// Replaces the scheduler by a new one that restores its state from what `read` makes of the
+    /// durable records.
+    fn take_over_reading(&mut self, read: impl Fn(&mut serde_json::Value)) {
         self.commit = None;
         let mut scheduler = Scheduler::default();
         scheduler.set_config(config());
@@ -301,7 +336,9 @@
         for (job, rows) in &self.records {
             let numbered: Vec<(usize, &str)> =
                 rows.iter().map(String::as_str).enumerate().collect();
-            let record: FlowRecord = serde_json::from_str(&join(&numbered).unwrap()).unwrap();
+            let mut record = serde_json::from_str(&join(&numbered).unwrap()).unwrap();
+            read(&mut record);
+            let record: FlowRecord = serde_json::from_value(record).unwrap();
             scheduler.set_record_rows(job, rows.len());
             scheduler.restore(self.now_ms, job, &record);
             if scheduler.flow(job).is_some_and(|flow| flow.end().is_some()) {
@@ -536,6 +573,10 @@
                 Effect::Ended(job, phase) => {
                     self.ended_ms.insert(job, (self.now_ms, phase));
                 }
+                Effect::Duplicate(outcome) => {
+                    let outcome = outcome.to_string();
+                    *self.duplicate_outcomes.entry(outcome).or_default() += 1;
+                }
                 Effect::Acknowledge(_)
                 | Effect::StepDown
                 | Effect::SetAside(..)
--- a/components/flow_entry/src/effects.rs
+++ b/components/flow_entry/src/effects.rs
@@ -52,6 +52,7 @@
                 Effect::OverloadEnded { lasted_ms } => {
                     log_event!(info, Event::OverloadEnded, lasted_ms = lasted_ms);
                 }
+                Effect::Duplicate(outcome) => Metrics::count(&self.metrics.duplicates, &outcome),
                 Effect::Decided(decision) => self.log_decision(&decision),
             }
         }
@@ -87,6 +88,7 @@
             DecisionKind::Suspected => Event::RunSuspected,
             DecisionKind::Moved => Event::RunMoved,
             DecisionKind::Revoked => Event::StartRevoked,
+            DecisionKind::Duplicated => Event::RunDuplicated,
         };
         log_event!(info, event, job = %decision.task.job, task = %decision.task, run = decision.run,
             agent = %decision.agent, detail = %decision.detail);
--- a/components/flow_entry/src/metrics.rs
+++ b/components/flow_entry/src/metrics.rs
@@ -64,6 +64,8 @@
     pub(crate) backlog_seconds: Family<KindLabel, Gauge<f64, AtomicU64>>,
     /// Decisions of the scheduler by kind.
     pub(crate) decisions: Family<OutcomeLabel, Counter>,
+    /// Duplicates of slow runs by outcome.
+    pub(crate) duplicates: Family<OutcomeLabel, Counter>,
     /// Flows that ended, by state.
     pub(crate) ends: Family<OutcomeLabel, Counter>,
     /// Group commits that took effect.
@@ -113,6 +115,7 @@
             refusals: Family::default(),
             backlog_seconds: Family::default(),
             decisions: Family::default(),
+            duplicates: Family::default(),
             ends: Family::default(),
             commits: Counter::default(),
             is_scheduler: Gauge::default(),
@@ -221,6 +224,11 @@
             "Decisions by kind",
             self.decisions.clone(),
         );
+        registry.register(
+            "flow_duplicates",
+            "Duplicates of slow runs by outcome",
+            self.duplicates.clone(),
+        );
         registry.register("flow_ends", "Flows that ended, by state", self.ends.clone());
         registry.register("flow_commits", "Group commits", self.commits.clone());
         registry.register(
--- a/components/telemetry/src/event.rs
+++ b/components/telemetry/src/event.rs
@@ -164,6 +164,8 @@
     RefusingStarted = 728,
     /// This entry has refused no such flow for a while.
     RefusingEnded = 729,
+    /// A slow run gets a duplicate on another worker.
+    RunDuplicated = 731,
     /// An agent refused a start order: its worker is draining or has another incarnation.
     OrderRefused = 719,
     /// The evacuation of a failure domain was requested.
