Let tasks wait for a worker near their data, and gangs for a rack

With policies.remote_factor set, a step with dataRack, or a gang with sameRack, that could only start remotely waits as crate locality decides. Expected releases come from the progress and the declared run time of the runs on near workers; tasks ahead in the order that wait count as users of the next release, so that not all of a queue waits for one place. The wait of a step is bounded across passes, reserves nothing and begins anew after a takeover. Outcomes are counted in flow_locality_waits, and event 730 is logged when a task gives up.

--- a/components/flow/src/candidate.rs
+++ b/components/flow/src/candidate.rs
@@ -1,11 +1,13 @@
 //! Scoring of candidate workers for a task by free capacity, placement rules, locality and
 //! interference between fillers and latency-critical tasks. The lowest score wins.
 
+use crate::forecast::Forecast;
+use crate::locality::is_near_data;
 use crate::scheduler::allocation_for;
 use crate::slack::{CriticalSlack, image_of};
 use crate::suspects::Isolation;
 use crate::view::{Allocation, WorkerView};
-use crate::{Scheduler, StepSpec, TaskKey, WorkerInfo, has_form};
+use crate::{Scheduler, StepSpec, TaskKey, has_form};
 use model::{AgentId, Resources, ServiceName};
 
 /// Penalty of a worker outside of the rack that holds the task's data.
@@ -24,7 +26,7 @@
 /// Penalty of a latency-critical task for each other latency-critical image on the worker.
 const OTHER_IMAGE_PENALTY: f64 = 2.0;
 /// Least share of a filler's declared processors that must be spare on a worker to place it there.
-const MIN_FILLER_SPARE_SHARE: f64 = 0.5;
+pub(crate) const MIN_FILLER_SPARE_SHARE: f64 = 0.5;
 
 /// What a filler needs of the worker that it is placed on.
 #[derive(Debug, Clone, Default, PartialEq)]
@@ -67,6 +69,8 @@
     pub accepts_hold: bool,
     /// What its latency-critical tasks can bear of fillers; `None` until a filler is to be placed.
     pub slacks: Option<Vec<CriticalSlack>>,
+    /// When its runs are expected to end; `None` until a task might wait for it.
+    pub forecast: Option<Forecast>,
 }
 
 impl Scheduler {
@@ -326,6 +330,7 @@
         is_holdable: true,
         accepts_hold: true,
         slacks: None,
+        forecast: None,
     }
 }
 
@@ -386,11 +391,9 @@
 
 /// [`REMOTE_PENALTY`] for a worker outside of the rack that holds the task's data, else 0.
 fn locality_penalty(view: &WorkerView, spec: &StepSpec) -> f64 {
-    let is_near = spec.data_rack.as_deref().is_none_or(|rack| {
-        view.info
-            .as_ref()
-            .and_then(WorkerInfo::rack)
-            .is_some_and(|own| has_form(own, rack))
-    });
-    if is_near { 0.0 } else { REMOTE_PENALTY }
+    if is_near_data(view, spec) {
+        0.0
+    } else {
+        REMOTE_PENALTY
+    }
 }
--- a/components/flow/src/effect.rs
+++ b/components/flow/src/effect.rs
@@ -1,6 +1,6 @@
 //! Effects of the scheduler: orders to workers, reports and decision records.
 
-use crate::{FlowPhase, Incarnation, RecordFault, TaskKey};
+use crate::{FlowPhase, Incarnation, LocalityOutcome, RecordFault, TaskKey};
 use interference::PressureChange;
 use model::{AgentId, JobId};
 
@@ -23,6 +23,8 @@
     StepDown,
     /// Log that the pressure of a pair of images has changed; the report came from this agent.
     PressureLearned(AgentId, PressureChange),
+    /// Count where a task was placed that is faster near its data or its gang.
+    LocalityChosen(LocalityOutcome),
     /// Log a decision.
     Decided(Decision),
 }
@@ -95,4 +97,6 @@
     Suspected,
     /// A filler is moved away from latency-critical tasks beside which it makes little progress.
     Moved,
+    /// A task that waited for a worker near its data or its gang is placed elsewhere.
+    GaveUpNear,
 }
--- a/components/flow/src/footprint.rs
+++ b/components/flow/src/footprint.rs
@@ -1,7 +1,8 @@
 //! Estimates of the memory that flows take in the scheduler.
 
 use crate::{
-    FlowJob, FlowSpec, FlowState, OccurrenceState, Scheduler, StepSpec, StepState, TaskState,
+    FlowJob, FlowSpec, FlowState, NearWait, OccurrenceState, Scheduler, StepSpec, StepState,
+    TaskState,
 };
 use std::mem::size_of;
 
@@ -10,6 +11,8 @@
 /// Memory of a run on a worker besides the state of its task, in bytes: its allocation, its name in the
 /// worker's report, and its orders.
 const RUN_BYTES: usize = 512;
+/// Memory of a task that waits for a near worker besides its state, in bytes.
+const NEAR_WAIT_TASK_BYTES: usize = 16;
 /// Memory of an ended flow whose state can be queried, in bytes.
 const ENDED_BYTES: usize = 160;
 /// Memory of a further allocation besides its content, in bytes.
@@ -101,7 +104,10 @@
 impl StepState {
     /// Memory of the states of its tasks without their checkpoints and runs, in bytes.
     pub(crate) fn state_bytes(&self) -> usize {
-        self.tasks.capacity() * size_of::<TaskState>()
+        let near_wait = self.near_wait.as_ref().map_or(0, |wait| {
+            size_of::<NearWait>() + wait.tasks.len() * NEAR_WAIT_TASK_BYTES
+        });
+        self.tasks.capacity() * size_of::<TaskState>() + near_wait
     }
 }
 
--- a/components/flow/src/gang.rs
+++ b/components/flow/src/gang.rs
@@ -2,7 +2,7 @@
 
 use crate::candidate::{Candidate, FillerNeed};
 use crate::placement::MIN_PLACED_PACE;
-use crate::{Scheduler, StepSpec, TaskKey};
+use crate::{Scheduler, StepSpec, TaskKey, has_form};
 use model::{AgentId, JobId, ServiceName};
 
 impl Scheduler {
@@ -32,11 +32,22 @@
         let members = keys.iter().filter_map(|key| state.task(key));
         let run = members.clone().map(|task| task.run).max().unwrap_or(0) + 1;
         let checkpoint = members.filter_map(|task| task.checkpoint.clone()).next();
+        let Some(first) = keys.first() else {
+            return;
+        };
+        let near = self.near_groups(now_ms, first, &spec, service, candidates);
         let racks: Vec<Option<String>> = if spec.same_rack {
-            self.racks(service, candidates)
-                .into_iter()
-                .map(Some)
-                .collect()
+            let mut racks = self.racks(service, candidates);
+            if near.is_some() {
+                // The rack of the data comes first.
+                let is_near = |rack: &str| {
+                    spec.data_rack
+                        .as_deref()
+                        .is_none_or(|own| has_form(rack, own))
+                };
+                racks.sort_by_key(|rack| !is_near(rack));
+            }
+            racks.into_iter().map(Some).collect()
         } else {
             vec![None]
         };
@@ -45,6 +56,11 @@
             let rack = rack.as_deref();
             let chosen = self.choose_candidates(&keys, &spec, service, candidates, rack, &filler);
             if let Some(chosen) = chosen {
+                if near.as_ref().is_some_and(|near| {
+                    self.waits_for_near(now_ms, &keys, near, &chosen, candidates)
+                }) {
+                    return;
+                }
                 for (key, index) in keys.iter().zip(chosen) {
                     let checkpoint = Some(checkpoint.clone());
                     let candidate = &mut candidates[index].1;
--- a/components/flow/src/placement.rs
+++ b/components/flow/src/placement.rs
@@ -242,6 +242,7 @@
             min_pace: 0.0,
             ..filler.clone()
         };
+        let near = self.near_groups(now_ms, first, &spec, service, candidates);
         for key in queued {
             if self.fleet.has_orphan(&key) {
                 continue;
@@ -253,6 +254,13 @@
                 self.delay_filler_retry(now_ms, &key);
                 return;
             };
+            let task = std::slice::from_ref(&key);
+            if near
+                .as_ref()
+                .is_some_and(|near| self.waits_for_near(now_ms, task, near, &[index], candidates))
+            {
+                continue;
+            }
             let candidate = &mut candidates[index].1;
             candidate.use_slack(&filler.pressures, &spec);
             self.assign(now_ms, &key, candidate, None, None);
@@ -293,6 +301,7 @@
         };
         if is_empty {
             step.queued_since_ms = None;
+            step.near_wait = None;
             return 0;
         }
         let since_ms = *step.queued_since_ms.get_or_insert(now_ms);
@@ -346,6 +355,7 @@
         self.uncommitted.insert(key.job.clone());
         let allocation = allocation_for(now_ms, &spec, run);
         candidate.take_up(&allocation);
+        self.expect_release(now_ms, key, &allocation, candidate);
         let free = candidate.free;
         let agent = candidate.agent.clone();
         let is_isolated = self.suspects.contains_key(key);
@@ -365,7 +375,7 @@
 }
 
 /// Time after acceptance within which a flow should end, in milliseconds.
-fn objective_ms(queue: &Queue, state: &FlowState) -> f64 {
+pub(crate) fn objective_ms(queue: &Queue, state: &FlowState) -> f64 {
     queue.stretch * state.job.spec.chain_ms() as f64 + queue.latency_target_ms as f64
 }
 
--- a/components/flow/src/step_state.rs
+++ b/components/flow/src/step_state.rs
@@ -1,7 +1,7 @@
 //! States of the tasks of a step and of an occurrence. They are allocated when tasks run, and dropped
 //! when the tasks are done.
 
-use crate::{CrashCount, FlowSpec, Placement, StepSpec};
+use crate::{CrashCount, FlowSpec, NearWait, Placement, StepSpec};
 use interference::MarginTrend;
 use model::AgentId;
 
@@ -75,6 +75,9 @@
     /// Margin that the step's latency-critical tasks have without fillers; `None` before the first
     /// report of one.
     pub margin: Option<MarginTrend>,
+    /// Wait of its tasks for near workers; `None` while none has waited since it was last without queued
+    /// tasks.
+    pub near_wait: Option<Box<NearWait>>,
 }
 
 impl StepState {
@@ -129,6 +132,7 @@
             self.is_released = true;
             self.tasks = Vec::new();
             self.margin = None;
+            self.near_wait = None;
         }
     }
 
--- a/components/flow/src/waiting.rs
+++ b/components/flow/src/waiting.rs
@@ -26,6 +26,8 @@
     Orphaned,
     /// It may crash its worker and waits for one without other new runs.
     Suspect,
+    /// It waits for a worker near its data or its gang, although another one could run it.
+    NearWorker,
     /// Its queue is not in the configuration.
     NoQueue,
     /// No worker of its pool accepts new runs.
@@ -164,6 +166,8 @@
             WaitCause::Delayed
         } else if self.suspects.contains_key(key) {
             WaitCause::Suspect
+        } else if self.is_waiting_for_near(now_ms, key) {
+            WaitCause::NearWorker
         } else {
             self.pool_wait_cause(now_ms, key)
         };
--- a/components/flow/tests/common/advance.rs
+++ b/components/flow/tests/common/advance.rs
@@ -32,6 +32,10 @@
                     .run_ms
                     .get(&image)
                     .unwrap_or(&spec.estimate_ms.max(100));
+                let rack = self.workers[&agent].labels.get(1);
+                let is_remote = spec.data_rack.is_some() && spec.data_rack.as_ref() != rack;
+                let factor = if is_remote { self.remote_factor } else { 1.0 };
+                let run_ms = (run_ms as f64 * factor) as u64;
                 self.advance_run(&agent, &key, &spec, run_ms);
             }
         }
--- a/components/flow/tests/common/mod.rs
+++ b/components/flow/tests/common/mod.rs
@@ -10,9 +10,10 @@
 use flow::CommitLimits;
 use flow::record_rows::join;
 use flow::{
-    AwayWorker, Delivery, Effect, EndedRun, FlowConfig, FlowJob, FlowPhase, FlowRecord, FlowSpec,
-    Incarnation, LeaseTerms, Pool, Queue, QueueKey, RecordRows, ReportTimes, RunEnd, RunRef,
-    RunningTask, Schedule, Scheduler, StartOutcome, StepSpec, TaskKey, WorkerInfo, WorkerReport,
+    AwayWorker, DecisionKind, Delivery, Effect, EndedRun, FlowConfig, FlowJob, FlowPhase,
+    FlowRecord, FlowSpec, Incarnation, LeaseTerms, Policies, Pool, Queue, QueueKey, RecordRows,
+    ReportTimes, RunEnd, RunRef, RunningTask, Schedule, Scheduler, StartOutcome, StepSpec, TaskKey,
+    WorkerInfo, WorkerReport,
 };
 use model::{AgentId, JobId, Resources};
 use std::collections::{BTreeMap, BTreeSet};
@@ -122,6 +123,14 @@
     pub longest_interference_ms: u64,
     /// Orders that let a filler work although a target on its worker has been missed for [`HALT_MS`].
     pub paced_in_halts: u32,
+    /// Factor by which runs take longer on workers of another rack than their data.
+    pub remote_factor: f64,
+    /// Policies in force, also after a takeover.
+    pub policies: Policies,
+    /// Number of placed tasks by locality.
+    pub localities: BTreeMap<&'static str, u32>,
+    /// Details of the tasks that gave up waiting for a near worker.
+    pub given_up: Vec<String>,
 }
 
 /// Key of the only queue.
@@ -223,9 +232,19 @@
             interference_ms: BTreeMap::new(),
             longest_interference_ms: 0,
             paced_in_halts: 0,
+            remote_factor: 1.0,
+            policies: Policies::default(),
+            localities: BTreeMap::new(),
+            given_up: Vec::new(),
         }
     }
 
+    /// Puts policies in force.
+    pub fn set_policies(&mut self, policies: Policies) {
+        self.policies = policies;
+        self.scheduler.set_policies(policies);
+    }
+
     /// Accepts a flow.
     pub fn submit(&mut self, id: &str, steps: Vec<StepSpec>) -> JobId {
         self.submit_scheduled(id, steps, None)
@@ -264,6 +283,7 @@
         self.commit = None;
         let mut scheduler = Scheduler::default();
         scheduler.set_config(config());
+        scheduler.set_policies(self.policies);
         let former_leases_expired_ms = self.now_ms + LEASE_TERMS.longest_ms();
         scheduler.set_former_leases_expired_ms(former_leases_expired_ms);
         for (agent, expired_ms) in &self.away {
@@ -509,8 +529,14 @@
                 Effect::Acknowledge(_)
                 | Effect::StepDown
                 | Effect::SetAside(..)
-                | Effect::PressureLearned(..)
-                | Effect::Decided(_) => {}
+                | Effect::PressureLearned(..) => {}
+                Effect::LocalityChosen(outcome) => {
+                    *self.localities.entry(outcome.into()).or_default() += 1;
+                }
+                Effect::Decided(decision) => {
+                    let given_up = decision.kind == DecisionKind::GaveUpNear;
+                    self.given_up.extend(given_up.then_some(decision.detail));
+                }
             }
         }
     }
@@ -653,6 +679,12 @@
             .count()
     }
 
+    /// Whether a run of a flow is in progress on a worker.
+    pub fn runs_on(&self, agent: &str, job: &JobId) -> bool {
+        let mut running = self.workers[&AgentId::from(agent)].running.keys();
+        running.any(|key| key.job == *job)
+    }
+
     /// Number of runs on a worker in progress.
     pub fn run_count(&self, agent: &str) -> usize {
         self.workers[&AgentId::from(agent)].running.len()
--- a/components/flow_entry/src/effects.rs
+++ b/components/flow_entry/src/effects.rs
@@ -39,6 +39,9 @@
                     log_event!(info, Event::PairJudged, agent = %agent, filler = change.filler,
                         serving = change.critical, pressure = change.pressure);
                 }
+                Effect::LocalityChosen(outcome) => {
+                    Metrics::count(&self.metrics.locality_waits, &outcome);
+                }
                 Effect::Decided(decision) => self.log_decision(&decision),
             }
         }
@@ -73,6 +76,7 @@
             DecisionKind::Failed => Event::FlowFailed,
             DecisionKind::Suspected => Event::RunSuspected,
             DecisionKind::Moved => Event::RunMoved,
+            DecisionKind::GaveUpNear => Event::NearWaitGivenUp,
         };
         log_event!(info, event, job = %decision.task.job, task = %decision.task, run = decision.run,
             agent = %decision.agent, detail = %decision.detail);
--- a/components/flow_entry/src/metrics.rs
+++ b/components/flow_entry/src/metrics.rs
@@ -43,6 +43,8 @@
     pub(crate) submissions: Family<OutcomeLabel, Counter>,
     /// Decisions of the scheduler by kind.
     pub(crate) decisions: Family<OutcomeLabel, Counter>,
+    /// Placed tasks that are faster near their data or their gang, by where they were placed.
+    pub(crate) locality_waits: Family<OutcomeLabel, Counter>,
     /// Flows that ended, by state.
     pub(crate) ends: Family<OutcomeLabel, Counter>,
     /// Group commits that took effect.
@@ -81,6 +83,7 @@
         Self {
             submissions: Family::default(),
             decisions: Family::default(),
+            locality_waits: Family::default(),
             ends: Family::default(),
             commits: Counter::default(),
             is_scheduler: Gauge::default(),
@@ -144,6 +147,11 @@
             "Decisions by kind",
             self.decisions.clone(),
         );
+        registry.register(
+            "flow_locality_waits",
+            "Placed tasks that are faster near their data or their gang, by outcome",
+            self.locality_waits.clone(),
+        );
         registry.register("flow_ends", "Flows that ended, by state", self.ends.clone());
         registry.register("flow_commits", "Group commits", self.commits.clone());
         registry.register(
--- a/components/telemetry/src/event.rs
+++ b/components/telemetry/src/event.rs
@@ -155,6 +155,8 @@
     RunSuspected = 722,
     /// Nothing of a flow has run for a while although a task of it could.
     FlowWaiting = 723,
+    /// A task that waited for a worker near its data or its gang is placed elsewhere.
+    NearWaitGivenUp = 730,
     /// An agent refused a start order: its worker is draining or has another incarnation.
     OrderRefused = 719,
     /// A span ended.
