--- a/components/bench/src/deciding.rs
+++ b/components/bench/src/deciding.rs
@@ -144,7 +144,7 @@
 }
 
 /// Places the queued tasks and commits; returns the number of ordered starts.
-fn place_all(scheduler: &mut Scheduler, now_ms: u64) -> usize {
+pub(crate) fn place_all(scheduler: &mut Scheduler, now_ms: u64) -> usize {
     scheduler.place(now_ms, 0);
     let rows = scheduler.take_commit(now_ms, &COMMIT_LIMITS);
     scheduler.on_committed(&rows);
--- a/components/bench/src/main.rs
+++ b/components/bench/src/main.rs
@@ -7,6 +7,7 @@
 mod hops;
 mod load;
 mod lower_bound;
+mod near;
 mod neighbour;
 mod order;
 mod placement;
--- a/components/flow/tests/interleavings.rs
+++ b/components/flow/tests/interleavings.rs
@@ -5,7 +5,7 @@
 mod common;
 
 use common::{Mode, Sim, step};
-use flow::{FlowPhase, StepSpec};
+use flow::{FlowPhase, Policies, StepSpec};
 use model::AgentId;
 use proptest::prelude::*;
 
@@ -71,6 +71,18 @@
     steps
 }
 
+/// Lets the tasks of the first step have their data on rack `r1`, and those of the second form a gang that
+/// is faster in one rack.
+fn localize(steps: &mut [StepSpec]) {
+    steps[0].data_rack = Some("r1".to_owned());
+    if let Some(second) = steps.get_mut(1) {
+        second.gang = true;
+        second.same_rack = true;
+        // A gang must fit on the workers that are left.
+        second.max_per_worker = None;
+    }
+}
+
 fn agent(number: usize) -> AgentId {
     format!("w{number}").into()
 }
@@ -84,7 +96,11 @@
             chained,
         } => {
             let id = format!("f{:03}", sim.jobs.len());
-            sim.submit(&id, steps(tasks, run_ms, chained));
+            let mut steps = steps(tasks, run_ms, chained);
+            if sim.policies.remote_factor.is_some() {
+                localize(&mut steps);
+            }
+            sim.submit(&id, steps);
         }
         Event::Cancel(number) => {
             let job = sim.jobs.keys().nth(number).cloned();
@@ -116,7 +132,11 @@
 /// Applies events and then lets the flows end, with the last `gone` workers unreachable for good: the
 /// last one gets polls that it can't answer, the others get none.
 fn assert_all_flows_end(events: &[Event], gone: usize) {
-    let mut sim = Sim::new(4);
+    assert_all_flows_end_in(Sim::new(4), events, gone);
+}
+
+/// As [`assert_all_flows_end`], in a simulation of four workers.
+fn assert_all_flows_end_in(mut sim: Sim, events: &[Event], gone: usize) {
     for event in events {
         apply(&mut sim, event);
     }
@@ -164,4 +184,20 @@
     ) {
         assert_all_flows_end(&events, gone);
     }
+
+    /// Guards against tasks and gangs that wait for ever for a near worker, and against runs that break an
+    /// invariant after such a wait, under any order of faults.
+    #[test]
+    fn no_flow_waits_for_ever_for_a_near_worker(
+        events in prop::collection::vec(event(), 1..60),
+        gone in 0_usize..3,
+    ) {
+        let mut sim = Sim::new(4);
+        for name in ["w1", "w3"] {
+            sim.workers.get_mut(&name.into()).unwrap().labels[1] = "r2".to_owned();
+        }
+        sim.remote_factor = 2.5;
+        sim.set_policies(Policies { remote_factor: Some(2.5), ..Policies::default() });
+        assert_all_flows_end_in(sim, &events, gone);
+    }
 }
