Let the search of a worker report why each candidate is excluded

The explain command needs the reasons of the code that decides. The score of a candidate is now a function that returns it or the exclusion, and the order of flows and the choice for a gang are functions of their own.

--- a/components/flow/src/candidate.rs
+++ b/components/flow/src/candidate.rs
@@ -1,13 +1,14 @@
 //! Scoring of candidate workers for a task by free capacity, placement rules, locality and
 //! interference between fillers and latency-critical tasks. The lowest score wins.
 
+use crate::exclusion::rule_exclusion;
 use crate::forecast::Forecast;
 use crate::locality::is_near_data;
 use crate::scheduler::allocation_for;
 use crate::slack::{CriticalSlack, image_of};
 use crate::suspects::Isolation;
 use crate::view::{Allocation, WorkerView};
-use crate::{Scheduler, StepSpec, TaskKey, has_form};
+use crate::{Exclusion, Scheduler, StepSpec, TaskKey, TaskState, has_form};
 use model::{AgentId, Resources, ServiceName};
 
 /// Penalty of a worker outside of the rack that holds the task's data.
@@ -39,6 +40,21 @@
     pub min_pace: f64,
 }
 
+/// A task for which a worker is searched.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Search<'a> {
+    /// The task.
+    pub key: &'a TaskKey,
+    /// Its step.
+    pub spec: &'a StepSpec,
+    /// Its state.
+    pub task: &'a TaskState,
+    /// Only rack that is searched, if there is one.
+    pub rack: Option<&'a str>,
+    /// What it needs if it is a filler.
+    pub filler: &'a FillerNeed,
+}
+
 /// A worker that accepts new runs, with its free capacity during one scheduling pass.
 #[derive(Debug, Clone)]
 pub(crate) struct Candidate {
@@ -78,22 +94,11 @@
     /// pool of which all are paused, these accept some runs too.
     pub(crate) fn candidates(&self, now_ms: u64) -> Vec<(ServiceName, Candidate)> {
         let unpaused = self.fleet.unpaused_pools(now_ms);
-        let accepts_work = |view: &WorkerView, pool: &ServiceName| {
-            let allocations = view.allocations.values();
-            let newest_ms = allocations.map(|allocation| allocation.since_ms).max();
-            match unpaused.contains(pool) {
-                true => view.health.accepts_work(now_ms, newest_ms),
-                false => view.health.accepts_trial(now_ms, newest_ms),
-            }
-        };
         let workers = self.fleet.workers.iter();
         workers
-            .filter(|(_, view)| view.is_synced() && now_ms >= view.not_before_ms)
+            .filter(|(_, view)| self.worker_exclusion(now_ms, view, &unpaused).is_none())
             .filter_map(|(agent, view)| {
-                let info = view.info.as_ref().filter(|info| !info.draining)?;
-                if !accepts_work(view, &info.service) {
-                    return None;
-                }
+                let info = view.info.as_ref()?;
                 let mut candidate = candidate(agent, view, info.capacity);
                 candidate.spare_milli += self.unused_by_pace_milli(view);
                 candidate.held_for = self.held_for(now_ms, agent);
@@ -158,46 +163,59 @@
         let state = self.flows.get(&key.job)?;
         let spec = state.step_spec(key.step)?;
         let task = state.task(key)?;
-        let need = spec.reserved();
+        let search = Search {
+            key,
+            spec,
+            task,
+            rack,
+            filler,
+        };
         let mut best: Option<(f64, usize)> = None;
         for (index, (pool, candidate)) in candidates.iter().enumerate() {
-            if pool != service || !need.fits_in(&candidate.free) {
-                continue;
-            }
-            if !admits(candidate) {
+            if pool != service {
                 continue;
             }
-            // Every later term is a penalty >= 0, so a candidate can be rejected early.
-            let is_worse = |score: f64| best.is_some_and(|(least, _)| score >= least);
-            let score = capacity_score(candidate, spec);
-            if is_worse(score) {
-                continue;
-            }
-            let Some(view) = self.fleet.workers.get(&candidate.agent) else {
-                continue;
-            };
-            let has_failed_here = task.avoided_agent.as_ref() == Some(&candidate.agent);
-            let score = score
-                + locality_penalty(view, spec)
-                + if has_failed_here {
-                    FAILED_BEFORE_PENALTY
-                } else {
-                    0.0
-                };
-            if is_worse(score) || !may_run(view, key, spec, rack, &candidate.chosen_for) {
-                continue;
-            }
-            let Some(penalty) = interference_penalty(view, candidate, spec, filler) else {
-                continue;
-            };
-            let score = score + penalty;
-            if best.is_none_or(|(least, _)| score < least) {
+            let least = best.map_or(f64::INFINITY, |(least, _)| least);
+            if let Ok(score) = self.score(&search, candidate, least, &admits) {
                 best = Some((score, index));
             }
         }
         best.map(|(_, index)| index)
     }
 
+    /// Score of a candidate for a task, or why it does not get the task; only scores below `least` are
+    /// determined.
+    pub(crate) fn score(
+        &self,
+        search: &Search<'_>,
+        candidate: &Candidate,
+        least: f64,
+        admits: impl Fn(&Candidate) -> bool,
+    ) -> Result<f64, Exclusion> {
+        let Search { key, spec, .. } = *search;
+        if !spec.reserved().fits_in(&candidate.free) {
+            return Err(Exclusion::NoRoom);
+        }
+        if !admits(candidate) {
+            return Err(Exclusion::KeptFree);
+        }
+        // Every later term is a penalty >= 0, so a candidate can be rejected early.
+        let bounded = |score: f64| Some(score).filter(|score| *score < least);
+        let score = bounded(capacity_score(candidate, spec)).ok_or(Exclusion::HigherScore)?;
+        let view = self.fleet.workers.get(&candidate.agent);
+        let view = view.ok_or(Exclusion::NotSynced)?;
+        let has_failed_here = search.task.avoided_agent.as_ref() == Some(&candidate.agent);
+        let failed_penalty = f64::from(u8::from(has_failed_here)) * FAILED_BEFORE_PENALTY;
+        let score = score + locality_penalty(view, spec) + failed_penalty;
+        let score = bounded(score).ok_or(Exclusion::HigherScore)?;
+        if let Some(excluded) = rule_exclusion(view, key, spec, search.rack, &candidate.chosen_for)
+        {
+            return Err(excluded);
+        }
+        let penalty = interference_penalty(view, candidate, spec, search.filler)?;
+        bounded(score + penalty).ok_or(Exclusion::HigherScore)
+    }
+
     /// What a step's tasks need of a worker if they are fillers; determines the slacks of the
     /// candidates for them.
     pub(crate) fn filler_need(
@@ -219,15 +237,14 @@
     }
 }
 
-/// Penalty for interference with the tasks on a worker, or `None` if the task must not be placed
-/// there. Fillers prefer workers whose latency-critical tasks bear them easily; latency-critical
+/// Penalty for interference with the tasks on a worker, or why the task must not be placed there. Fillers prefer workers whose latency-critical tasks bear them easily; latency-critical
 /// tasks prefer workers that run their own image.
 fn interference_penalty(
     view: &WorkerView,
     candidate: &Candidate,
     spec: &StepSpec,
     filler: &FillerNeed,
-) -> Option<f64> {
+) -> Result<f64, Exclusion> {
     if spec.filler {
         return candidate.filler_penalty(spec, filler);
     }
@@ -235,9 +252,9 @@
         let image = spec.image.as_deref().unwrap_or_default();
         let images = latency_critical_images(view);
         let others = images.iter().filter(|other| **other != image).count();
-        return Some(others as f64 * OTHER_IMAGE_PENALTY);
+        return Ok(others as f64 * OTHER_IMAGE_PENALTY);
     }
-    Some(0.0)
+    Ok(0.0)
 }
 
 impl Candidate {
@@ -253,13 +270,16 @@
         }
     }
 
-    /// Penalty for the slack that a filler uses up, or `None` if it must not be placed here.
-    fn filler_penalty(&self, spec: &StepSpec, filler: &FillerNeed) -> Option<f64> {
+    /// Penalty for the slack that a filler uses up, or why it must not be placed here.
+    fn filler_penalty(&self, spec: &StepSpec, filler: &FillerNeed) -> Result<f64, Exclusion> {
         if !has_spare_for(self, spec) {
-            return None;
+            return Err(Exclusion::NoSpareProcessors);
         }
         let pace = self.bearable_pace(&filler.pressures, spec);
-        (pace >= filler.min_pace).then(|| USED_SLACK_PENALTY / pace.max(MIN_SCORED_PACE))
+        if pace < filler.min_pace {
+            return Err(Exclusion::Interference);
+        }
+        Ok(USED_SLACK_PENALTY / pace.max(MIN_SCORED_PACE))
     }
 
     /// Share of its full pace at which a filler could work without pushing a latency-critical task
@@ -334,27 +354,6 @@
     }
 }
 
-/// Whether label, rack and `max_per_worker` allow a task on a worker, regardless of its capacity. The
-/// tasks that it is `chosen_for` count as placed.
-pub(crate) fn may_run(
-    view: &WorkerView,
-    key: &TaskKey,
-    spec: &StepSpec,
-    rack: Option<&str>,
-    chosen_for: &[TaskKey],
-) -> bool {
-    let Some(info) = &view.info else {
-        return false;
-    };
-    let is_in_rack = rack.is_none_or(|rack| info.rack() == Some(rack));
-    let chosen = chosen_for.iter().filter(|other| other.is_of_step_of(key));
-    let is_below_limit = spec.max_per_worker.is_none_or(|limit| {
-        let placed = view.count_step_runs(&key.job, key.occurrence, key.step);
-        placed + (chosen.count() as u32) < limit
-    });
-    has_label(view, spec) && is_in_rack && is_below_limit
-}
-
 /// Whether a worker has the label that a step's tasks need, if they need one.
 pub(crate) fn has_label(view: &WorkerView, spec: &StepSpec) -> bool {
     let labels = view.info.as_ref().map(|info| &info.labels);
--- a/components/flow/src/gang.rs
+++ b/components/flow/src/gang.rs
@@ -7,8 +7,7 @@
 
 impl Scheduler {
     /// Places all members of a gang with one common run number and checkpoint, or none of them.
-    /// Does nothing while a member is placed or must not be placed yet. With `same_rack` each rack
-    /// is tried first, and then any mix of racks.
+    /// Does nothing while a member is placed or must not be placed yet.
     pub(crate) fn place_gang(
         &mut self,
         now_ms: u64,
@@ -36,42 +35,49 @@
             return;
         };
         let near = self.near_groups(now_ms, first, &spec, service, candidates);
-        let racks: Vec<Option<String>> = if spec.same_rack {
-            let mut racks = self.racks(service, candidates);
-            if near.is_some() {
-                // The rack of the data comes first.
-                let is_near = |rack: &str| {
-                    spec.data_rack
-                        .as_deref()
-                        .is_none_or(|own| has_form(rack, own))
-                };
-                racks.sort_by_key(|rack| !is_near(rack));
-            }
-            racks.into_iter().map(Some).collect()
-        } else {
-            vec![None]
-        };
         let filler = self.filler_need(now_ms, &spec, MIN_PLACED_PACE, candidates);
-        for rack in racks.iter().chain([&None]) {
-            let rack = rack.as_deref();
-            let chosen = self.choose_candidates(&keys, &spec, service, candidates, rack, &filler);
-            if let Some(chosen) = chosen {
-                if near.as_ref().is_some_and(|near| {
-                    self.waits_for_near(now_ms, &keys, near, &chosen, candidates)
-                }) {
-                    return;
-                }
-                for (key, index) in keys.iter().zip(chosen) {
-                    let checkpoint = Some(checkpoint.clone());
-                    let candidate = &mut candidates[index].1;
-                    candidate.use_slack(&filler.pressures, &spec);
-                    self.assign(now_ms, key, candidate, Some(run), checkpoint);
-                }
-                return;
-            }
+        let Some(chosen) = self.choose_gang(&keys, &spec, service, candidates, &filler) else {
+            return;
+        };
+        if near
+            .as_ref()
+            .is_some_and(|near| self.waits_for_near(now_ms, &keys, near, &chosen, candidates))
+        {
+            return;
+        }
+        for (key, index) in keys.iter().zip(chosen) {
+            let checkpoint = Some(checkpoint.clone());
+            let candidate = &mut candidates[index].1;
+            candidate.use_slack(&filler.pressures, &spec);
+            self.assign(now_ms, key, candidate, Some(run), checkpoint);
         }
     }
 
+    /// Index of a candidate for each member, or `None` if one member fits nowhere. With `same_rack` each
+    /// rack is tried first, the one of the data before the others if tasks wait for near workers, and then
+    /// any mix of racks.
+    pub(crate) fn choose_gang(
+        &self,
+        keys: &[TaskKey],
+        spec: &StepSpec,
+        service: &ServiceName,
+        candidates: &[(ServiceName, Candidate)],
+        filler: &FillerNeed,
+    ) -> Option<Vec<usize>> {
+        let mut racks = Vec::new();
+        if spec.same_rack {
+            racks = self.racks(service, candidates);
+        }
+        if self.policies.remote_factor.is_some() {
+            let own = spec.data_rack.as_deref();
+            racks.sort_by_key(|rack| !own.is_none_or(|own| has_form(rack, own)));
+        }
+        let racks = racks.iter().map(|rack| Some(rack.as_str()));
+        racks
+            .chain([None])
+            .find_map(|rack| self.choose_candidates(keys, spec, service, candidates, rack, filler))
+    }
+
     /// Distinct racks of the candidates in a pool, sorted.
     fn racks(&self, service: &ServiceName, candidates: &[(ServiceName, Candidate)]) -> Vec<String> {
         let mut racks: Vec<String> = candidates
--- a/components/flow/src/holds.rs
+++ b/components/flow/src/holds.rs
@@ -4,7 +4,8 @@
 //! half of a pool's workers are kept free at a time, and a worker that was accepts other tasks for a
 //! moment before it is again, so that suspects and other tasks take turns wherever they compete.
 
-use crate::candidate::{Candidate, may_run};
+use crate::candidate::Candidate;
+use crate::exclusion::may_run;
 use crate::suspects::{RunAge, run_age};
 use crate::view::Hold;
 use crate::{Scheduler, TaskKey};
--- a/components/flow/src/locality.rs
+++ b/components/flow/src/locality.rs
@@ -1,7 +1,8 @@
 //! Lets tasks wait for a worker near their data, and gangs for a rack that takes all members, as long as
 //! that is worthwhile. A task that waits reserves nothing: others may take any room meanwhile.
 
-use crate::candidate::{Candidate, may_run};
+use crate::candidate::Candidate;
+use crate::exclusion::may_run;
 use crate::view::WorkerView;
 use crate::{DecisionKind, Effect, FlowState, Scheduler, StepSpec, TaskKey, WorkerInfo, has_form};
 use ::locality::{NearPlace, Verdict, decide, gang_place};
@@ -51,7 +52,7 @@
 }
 
 /// A place for a task in a group: when it is expected to be free, and the index of the candidate.
-type GroupPlace = (NearPlace, usize);
+pub(crate) type GroupPlace = (NearPlace, usize);
 
 impl NearGroups {
     /// Whether all these candidates are near.
@@ -59,6 +60,22 @@
         let mut groups = self.groups.iter();
         groups.any(|group| chosen.iter().all(|index| group.contains(index)))
     }
+
+    /// Enters tasks that wait for these places in the forecasts.
+    pub(crate) fn claim(
+        &self,
+        now_ms: u64,
+        places: &[GroupPlace],
+        spec: &StepSpec,
+        candidates: &mut [(ServiceName, Candidate)],
+    ) {
+        for (place, index) in places {
+            let at_ms = now_ms.saturating_add(place.expected_free_ms.unwrap_or(0));
+            if let Some(forecast) = candidates[*index].1.forecast.as_mut() {
+                forecast.claim(at_ms, self.run_ms, spec);
+            }
+        }
+    }
 }
 
 impl Scheduler {
@@ -109,30 +126,17 @@
         chosen: &[usize],
         candidates: &mut [(ServiceName, Candidate)],
     ) -> bool {
-        let Some((first, spec)) = keys
-            .first()
-            .and_then(|key| Some((key, self.step_spec(key)?.clone())))
-        else {
+        let Some(spec) = keys.first().and_then(|key| self.step_spec(key)).cloned() else {
             return false;
         };
-        if near.include(chosen) {
-            self.end_wait(keys, LocalityOutcome::Near);
-            return false;
-        }
-        let mut groups = self.group_places(now_ms, keys, &spec, near, candidates);
-        let places: Vec<NearPlace> = groups.iter().map(|(place, _)| *place).collect();
-        let since_ms = self.near_wait(first).map(|wait| wait.since_ms);
-        let (run_ms, factor) = (near.run_ms, near.remote_factor);
-        match decide(now_ms, since_ms, &places, run_ms, factor, near.slack_ms) {
+        let (verdict, soonest) = self.near_verdict(now_ms, keys, &spec, near, chosen, candidates);
+        match verdict {
+            Verdict::PlaceNear => {
+                self.end_wait(keys, LocalityOutcome::Near);
+                false
+            }
             Verdict::Wait { until_ms } => {
-                groups.sort_by_key(|(place, _)| place.expected_free_ms.unwrap_or(u64::MAX));
-                let soonest = groups.into_iter().next();
-                for (place, index) in soonest.into_iter().flat_map(|(_, places)| places) {
-                    let at_ms = now_ms + place.expected_free_ms.unwrap_or(0);
-                    if let Some(forecast) = candidates[index].1.forecast.as_mut() {
-                        forecast.claim(at_ms, run_ms, &spec);
-                    }
-                }
+                near.claim(now_ms, &soonest, &spec, candidates);
                 self.begin_wait(now_ms, keys, until_ms);
                 true
             }
@@ -142,11 +146,39 @@
                 self.end_wait(keys, LocalityOutcome::Remote);
                 false
             }
-            // Not reached: places that are free but can't be chosen are no near places.
-            Verdict::PlaceNear => false,
         }
     }
 
+    /// What to do with tasks that could be placed on the `chosen` candidates, and the near places that are
+    /// expected to be free next.
+    pub(crate) fn near_verdict(
+        &self,
+        now_ms: u64,
+        keys: &[TaskKey],
+        spec: &StepSpec,
+        near: &NearGroups,
+        chosen: &[usize],
+        candidates: &mut [(ServiceName, Candidate)],
+    ) -> (Verdict, Vec<GroupPlace>) {
+        if near.include(chosen) {
+            return (Verdict::PlaceNear, Vec::new());
+        }
+        let mut groups = self.group_places(now_ms, keys, spec, near, candidates);
+        groups.sort_by_key(|(place, _)| place.expected_free_ms.unwrap_or(u64::MAX));
+        let places: Vec<NearPlace> = groups.iter().map(|(place, _)| *place).collect();
+        let wait = keys.first().and_then(|key| self.near_wait(key));
+        let verdict = decide(
+            now_ms,
+            wait.map(|wait| wait.since_ms),
+            &places,
+            near.run_ms,
+            near.remote_factor,
+            near.slack_ms,
+        );
+        let soonest = groups.into_iter().next();
+        (verdict, soonest.map_or_else(Vec::new, |(_, places)| places))
+    }
+
     /// Place of each near group that is expected to have room for all `keys`, with the places that it
     /// consists of. Groups and workers that have room but may not get the tasks are left out.
     fn group_places(
--- a/components/flow/src/placement.rs
+++ b/components/flow/src/placement.rs
@@ -31,7 +31,7 @@
 
 /// Sort key of a flow in a scheduling pass; the lowest is placed first.
 #[derive(Debug, Clone, Copy, PartialEq, PartialOrd)]
-struct Rank {
+pub(crate) struct Rank {
     /// Priority of the queue; 0 is the most urgent.
     priority: u32,
     /// Whether the flow has exceeded its objective by [`OVERDUE_FACTOR`].
@@ -49,17 +49,11 @@
             state.release_done_steps();
             state.activate_within(wall_ms, max_open);
         }
-        let mut order: Vec<(Rank, JobId)> = self
-            .flows
-            .values()
-            .filter(|state| !state.is_closed())
-            .filter_map(|state| Some((self.rank(now_ms, state)?, state.job.id.clone())))
-            .collect();
+        let order = self.order(now_ms);
         let starved = self.starved_fillers_if_due(now_ms);
         if order.is_empty() && starved.is_empty() {
             return;
         }
-        order.sort_by(|left, right| left.partial_cmp(right).unwrap_or(std::cmp::Ordering::Equal));
         for (_, job) in &order {
             self.fail_exhausted(now_ms, job);
         }
@@ -72,6 +66,16 @@
         self.move_fillers(now_ms, starved, &mut candidates);
     }
 
+    /// Flows with queued tasks, in the order in which they are placed.
+    pub(crate) fn order(&self, now_ms: u64) -> Vec<(Rank, JobId)> {
+        let open = self.flows.values().filter(|state| !state.is_closed());
+        let mut order: Vec<(Rank, JobId)> = open
+            .filter_map(|state| Some((self.rank(now_ms, state)?, state.job.id.clone())))
+            .collect();
+        order.sort_by(|left, right| left.partial_cmp(right).unwrap_or(std::cmp::Ordering::Equal));
+        order
+    }
+
     /// Sort key of a flow, or `None` if it has no queued task.
     fn rank(&self, now_ms: u64, state: &FlowState) -> Option<Rank> {
         let has_queued_tasks = state
