--- a/components/flow/src/candidate.rs
+++ b/components/flow/src/candidate.rs
@@ -259,7 +259,7 @@
 
 impl Candidate {
     /// Whether a task may start here as far as suspects are concerned.
-    fn admits(&self, key: &TaskKey, isolation: Isolation) -> bool {
+    pub(crate) fn admits(&self, key: &TaskKey, isolation: Isolation) -> bool {
         let is_held_for_it =
             !self.held_for.is_empty() && self.held_for.iter().all(|task| task == key);
         let isolates = !self.has_new_runs && (is_held_for_it || self.accepts_hold);
