Command explain: where a job would be placed now and why

POST /explain at the monitoring server of a flow entry asks the scheduler by a new call at the end of SchedulerControl. A process that does not know the call closes it, which the entry reports as no scheduler.

--- a/components/flow_entry/src/handle.rs
+++ b/components/flow_entry/src/handle.rs
@@ -4,14 +4,14 @@
 use crate::coordinator::Coordinator;
 use crate::limits::{FlowTooLarge, check_size};
 use crate::memory::MemoryShares;
-use crate::messages::{Cancel, CountQueued, GetPhase, GetReadiness, Submit};
+use crate::messages::{Cancel, CountQueued, Explain, GetPhase, GetReadiness, Submit};
 use crate::metrics::Metrics;
 use actix::Addr;
 use flow::{FlowConfig, FlowJob, FlowLimits, FlowPhase, QueueKey, SpecFault};
 use model::JobId;
 use std::sync::Arc;
 use utils::boot_ms;
-use wire::{CancelOutcome, SubmitOutcome};
+use wire::{CancelOutcome, ExplainReply, SubmitOutcome};
 
 /// Result of a query for the state of a flow.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -104,6 +104,12 @@
         self.control.send(CountQueued(queue)).await.ok().flatten()
     }
 
+    /// Where a job would be placed now and why; nothing is accepted or stored.
+    pub async fn explain(&self, job: FlowJob) -> ExplainReply {
+        let sent = self.control.send(Explain(job)).await;
+        sent.unwrap_or(ExplainReply::NotScheduler)
+    }
+
     /// The metrics in the text format of Prometheus.
     pub fn metrics(&self) -> String {
         self.metrics.observe_memory(&self.memory);
--- a/components/flow_entry/src/lib.rs
+++ b/components/flow_entry/src/lib.rs
@@ -13,6 +13,7 @@
 mod coordinator;
 mod effects;
 mod election;
+mod explain;
 mod feed_watch;
 mod former;
 mod handle;
--- a/components/flow_entry/src/messages.rs
+++ b/components/flow_entry/src/messages.rs
@@ -11,8 +11,8 @@
 };
 use model::{AgentId, JobId};
 use wire::{
-    CancelOutcome, LinkError, PhaseReply, QueuedCountReply, RoomReply, SchedulerProbe,
-    SchedulerProbeReply, SubmitOutcome,
+    CancelOutcome, ExplainReply, LinkError, PhaseReply, QueuedCountReply, RoomReply,
+    SchedulerProbe, SchedulerProbeReply, SubmitOutcome,
 };
 
 /// Submission of a flow, by a caller of this entry or forwarded by another entry.
@@ -116,6 +116,16 @@
 #[rtype(result = "RoomReply")]
 pub(crate) struct PeerGrantRoom;
 
+/// Query of an operator for where a job would be placed now.
+#[derive(Message)]
+#[rtype(result = "ExplainReply")]
+pub(crate) struct Explain(pub FlowJob);
+
+/// Query of another entry to the scheduler for where a job would be placed now.
+#[derive(Message)]
+#[rtype(result = "ExplainReply")]
+pub(crate) struct PeerExplain(pub FlowJob);
+
 /// Configuration read from its source or received from the scheduler, new or not.
 #[derive(Message)]
 #[rtype(result = "()")]
--- a/components/flow_entry/src/rpc.rs
+++ b/components/flow_entry/src/rpc.rs
@@ -2,8 +2,8 @@
 
 use crate::coordinator::Coordinator;
 use crate::messages::{
-    Cancel, NotifyAccepted, NotifyCancelled, PeerCountQueued, PeerGetPhase, PeerGrantRoom,
-    PeerProbe, Submit,
+    Cancel, NotifyAccepted, NotifyCancelled, PeerCountQueued, PeerExplain, PeerGetPhase,
+    PeerGrantRoom, PeerProbe, Submit,
 };
 use actix::Addr;
 use flow::{FlowJob, QueueKey};
@@ -11,8 +11,8 @@
 use tarpc::context::Context;
 use utils::boot_ms;
 use wire::{
-    CancelOutcome, PhaseReply, QueuedCountReply, RoomReply, SchedulerControl, SchedulerProbe,
-    SchedulerProbeReply, SubmitOutcome,
+    CancelOutcome, ExplainReply, PhaseReply, QueuedCountReply, RoomReply, SchedulerControl,
+    SchedulerProbe, SchedulerProbeReply, SubmitOutcome,
 };
 
 /// Time limit of a submission or cancellation that another entry forwards, in milliseconds.
@@ -74,4 +74,9 @@
         let sent = self.0.send(PeerGrantRoom).await;
         sent.unwrap_or(RoomReply::NotScheduler)
     }
+
+    async fn explain(self, _: Context, job: FlowJob) -> ExplainReply {
+        let sent = self.0.send(PeerExplain(job)).await;
+        sent.unwrap_or(ExplainReply::NotScheduler)
+    }
 }
--- a/components/wire/src/lib.rs
+++ b/components/wire/src/lib.rs
@@ -30,7 +30,7 @@
 pub use meter::Meter;
 pub use peer::{Digest, PeerState, PeerView};
 pub use scheduler_control::{
-    CancelOutcome, PhaseReply, QueuedCountReply, RoomReply, SchedulerControl,
+    CancelOutcome, ExplainReply, PhaseReply, QueuedCountReply, RoomReply, SchedulerControl,
     SchedulerControlClient, SchedulerProbe, SchedulerProbeReply, SubmitOutcome,
 };
 pub use worker_control::{AGENT_ROW_PREFIX, WorkerControl, WorkerControlClient};
--- a/components/wire/src/scheduler_control.rs
+++ b/components/wire/src/scheduler_control.rs
@@ -1,6 +1,6 @@
 //! RPC interface between entries about flows.
 
-use flow::{FlowConfig, FlowJob, FlowPhase, QueueKey};
+use flow::{ExplainFault, Explanation, FlowConfig, FlowJob, FlowPhase, QueueKey};
 use model::JobId;
 use serde::{Deserialize, Serialize};
 
@@ -77,6 +77,17 @@
     NotScheduler,
 }
 
+/// Answer to a request to explain where a job would be placed now.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum ExplainReply {
+    /// Where it would be placed, and why.
+    Explained(Explanation),
+    /// The job can't be explained.
+    Fault(ExplainFault),
+    /// The process is not the scheduler, or has not read the table yet.
+    NotScheduler,
+}
+
 /// RPC interface between entries about flows.
 ///
 /// Calls are encoded by position: the order of methods and of their arguments must not change.
@@ -98,4 +109,6 @@
     async fn cancel(job: JobId) -> CancelOutcome;
     /// Grants an entry room for flows that it accepts.
     async fn grant_room() -> RoomReply;
+    /// Explains where a job would be placed now and why, without accepting it.
+    async fn explain(job: FlowJob) -> ExplainReply;
 }
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -44,6 +44,7 @@
             )
             .arg(json_arg()),
         )
+        .subcommand(explain())
         .subcommand(demo())
         .subcommand(standin())
         .subcommand(
@@ -161,6 +162,21 @@
         .subcommand(with_admin(Command::new("cancel").about("Cancel a job")).arg(job_arg()))
 }
 
+fn explain() -> Command {
+    Command::new("explain")
+        .about("Show where a flow's job would be placed now and why, without submitting it")
+        .arg(
+            Arg::new("monitoring")
+                .long("monitoring")
+                .value_name("URL")
+                .env("PARSLEYTHREAD_MONITORING")
+                .required(true)
+                .help("URL of the monitoring server of any flow entry (metrics_listen in its settings)"),
+        )
+        .arg(file_arg())
+        .arg(json_arg())
+}
+
 fn demo() -> Command {
     Command::new("demo")
         .about("Run a small system on loopback under load, inject failures and check the outcome")
--- a/src/main.rs
+++ b/src/main.rs
@@ -14,6 +14,7 @@
         Some(("ticket", args)) => cmd::ticket(args),
         Some(("job", args)) => cmd::job(args),
         Some(("status", args)) => cmd::status(args),
+        Some(("explain", args)) => cmd::explain(args),
         Some(("demo", args)) => cmd::demo(args),
         Some(("standin", args)) => cmd::standin(args),
         Some(("completions", args)) => cmd::completions(args),
