--- a/components/flow/tests/locality.rs
+++ b/components/flow/tests/locality.rs
@@ -3,8 +3,8 @@
 mod common;
 
 use common::{Mode, STEP_MS, Sim, step};
-use flow::{FlowPhase, Policies, StepSpec};
-use model::JobId;
+use flow::{FlowPhase, Policies, StepSpec, WaitCause, WaitWatch};
+use model::{JobId, Resources};
 use std::collections::BTreeSet;
 
 /// Factor by which runs take longer away from their data.
@@ -201,6 +201,31 @@
     assert_eq!(count(&sim, "waited-near"), 1);
 }
 
+/// Guards against fillers, which reserve no processors, that don't wait for the spare processors of a near worker,
+/// and against logs that show a wait as a lack of room.
+#[test]
+fn a_filler_waits_for_spare_processors_near_its_data() {
+    let mut sim = racks(1, 1, policies());
+    let filler = |tasks, processors, estimate_ms| StepSpec {
+        filler: true,
+        need: Resources::new(processors, 1_000, 0),
+        ..on_r1(tasks, estimate_ms)
+    };
+    sim.submit("near", vec![filler(1, 16_000, 8_000)]);
+    sim.run_for(1_000);
+    let job = sim.submit("late", vec![filler(1, 8_000, 12_000)]);
+    let mut watch = WaitWatch::default();
+    sim.run_for(200);
+    watch.observe(sim.now_ms, &sim.scheduler);
+    sim.run_for(3_200);
+    let waiting = watch.observe(sim.now_ms, &sim.scheduler);
+    let causes: Vec<WaitCause> = waiting.iter().map(|flow| flow.cause).collect();
+    assert_eq!(causes, [WaitCause::NearWorker]);
+    sim.run_for(4_000);
+    assert_eq!((sim.running(&job), sim.run_count("w0")), (1, 1));
+    assert_eq!(count(&sim, "waited-near"), 1);
+}
+
 /// Guards against queues of tasks that all count on the same release: only as many wait as the near
 /// workers take within the extra time.
 #[test]
--- a/components/flow_entry/src/explain.rs
+++ b/components/flow_entry/src/explain.rs
@@ -6,7 +6,7 @@
 use flow::FlowJob;
 use std::time::Duration;
 use utils::boot_ms;
-use wire::ExplainReply;
+use wire::{ExplainReply, SchedulerLink};
 
 /// Timeout of a query to the scheduler. An explanation takes longer than other queries, and an
 /// operator waits for it.
@@ -39,6 +39,9 @@
             let Some(link) = link else {
                 return ExplainReply::NotScheduler;
             };
+            // A scheduler of an earlier version closes the connection on a call that it does not know, so
+            // this one shares none with submissions.
+            let link = SchedulerLink::new(link.address());
             let call = link.call(EXPLAIN_TIMEOUT, |client, context| async move {
                 client.explain(context, job).await
             });
