--- a/components/flow/src/candidate.rs
+++ b/components/flow/src/candidate.rs
@@ -2,12 +2,13 @@
 //! interference between fillers and latency-critical tasks. The lowest score wins.
 
 use crate::crashes::Isolation;
-use crate::evacuation::is_warm_enough;
+use crate::forecast::Forecast;
+use crate::locality::is_near_data;
 use crate::placed_runs::allocation_for;
 use crate::slack::{CriticalSlack, image_of};
 use crate::view::{Allocation, WorkerView};
-use crate::worker_rules::may_run;
-use crate::{Scheduler, StepSpec, TaskKey, WorkerInfo, has_form};
+use crate::worker_rules::rule_exclusion;
+use crate::{Exclusion, Scheduler, StepSpec, TaskKey, TaskState};
 use model::{AgentId, Resources, ServiceName};
 
 /// Penalty of a worker outside of the rack that holds the task's data.
@@ -26,7 +27,7 @@
 /// Penalty of a latency-critical task for each other latency-critical image on the worker.
 const OTHER_IMAGE_PENALTY: f64 = 2.0;
 /// Least share of a filler's declared processors that must be spare on a worker to place it there.
-const MIN_FILLER_SPARE_SHARE: f64 = 0.5;
+pub(crate) const MIN_FILLER_SPARE_SHARE: f64 = 0.5;
 
 /// Share of its full pace that a filler must be able to keep on the worker where it is placed. It is above 1
 /// because loads grow while the filler runs.
@@ -43,6 +44,21 @@
     pub min_pace: f64,
 }
 
+/// A task for which a worker is searched.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Search<'a> {
+    /// The task.
+    pub key: &'a TaskKey,
+    /// Its step.
+    pub spec: &'a StepSpec,
+    /// Its state.
+    pub task: &'a TaskState,
+    /// Only rack that is searched, if there is one.
+    pub rack: Option<&'a str>,
+    /// What it needs if it is a filler.
+    pub filler: &'a FillerNeed,
+}
+
 /// A worker that accepts new runs, with its free capacity during one scheduling pass.
 #[derive(Debug, Clone)]
 pub(crate) struct Candidate {
@@ -75,6 +91,8 @@
     pub accepts_hold: bool,
     /// What its latency-critical tasks can bear of fillers; `None` until a filler is to be placed.
     pub slacks: Option<Vec<CriticalSlack>>,
+    /// When its runs are expected to end; `None` until a task might wait for it.
+    pub forecast: Option<Forecast>,
 }
 
 impl Scheduler {
@@ -86,24 +104,11 @@
             return Vec::new();
         }
         let unpaused = self.fleet.unpaused_pools(now_ms);
-        let accepts_work = |view: &WorkerView, pool: &ServiceName| {
-            let allocations = view.allocations.values();
-            let newest_ms = allocations.map(|allocation| allocation.since_ms).max();
-            match unpaused.contains(pool) {
-                true => view.health.accepts_work(now_ms, newest_ms),
-                false => view.health.accepts_trial(now_ms, newest_ms),
-            }
-        };
         let workers = self.fleet.workers.iter();
         workers
-            .filter(|(_, view)| view.is_synced() && now_ms >= view.not_before_ms)
-            .filter(|(_, view)| !self.evacuations.includes_worker(view))
-            .filter(|(_, view)| is_warm_enough(now_ms, view))
+            .filter(|(_, view)| self.worker_exclusion(now_ms, view, &unpaused).is_none())
             .filter_map(|(agent, view)| {
-                let info = view.info.as_ref().filter(|info| !info.draining)?;
-                if !accepts_work(view, &info.service) {
-                    return None;
-                }
+                let info = view.info.as_ref()?;
                 let mut candidate = candidate(agent, view, info.capacity);
                 candidate.spare_milli += self.unused_by_pace_milli(view);
                 candidate.held_for = self.held_for(now_ms, agent);
@@ -169,46 +174,59 @@
         let state = self.flows.get(&key.job)?;
         let spec = state.step_spec(key.step)?;
         let task = state.task(key)?;
-        let need = spec.reserved();
+        let search = Search {
+            key,
+            spec,
+            task,
+            rack,
+            filler,
+        };
         let mut best: Option<(f64, usize)> = None;
         for (index, (pool, candidate)) in candidates.iter().enumerate() {
-            if pool != service || !need.fits_in(&candidate.free) {
-                continue;
-            }
-            if !admits(candidate) {
-                continue;
-            }
-            // Every later term is a penalty >= 0, so a candidate can be rejected early.
-            let is_worse = |score: f64| best.is_some_and(|(least, _)| score >= least);
-            let score = capacity_score(candidate, spec);
-            if is_worse(score) {
-                continue;
-            }
-            let Some(view) = self.fleet.workers.get(&candidate.agent) else {
-                continue;
-            };
-            let has_failed_here = task.avoided_agent.as_ref() == Some(&candidate.agent);
-            let score = score
-                + locality_penalty(view, spec)
-                + if has_failed_here {
-                    FAILED_BEFORE_PENALTY
-                } else {
-                    0.0
-                };
-            if is_worse(score) || !may_run(view, key, spec, rack, &candidate.chosen_for) {
+            if pool != service {
                 continue;
             }
-            let Some(penalty) = interference_penalty(view, candidate, spec, filler) else {
-                continue;
-            };
-            let score = score + penalty;
-            if best.is_none_or(|(least, _)| score < least) {
+            let least = best.map_or(f64::INFINITY, |(least, _)| least);
+            if let Ok(score) = self.score(&search, candidate, least, &admits) {
                 best = Some((score, index));
             }
         }
         best.map(|(_, index)| index)
     }
 
+    /// Score of a candidate for a task, or why it does not get the task; only scores below `least` are
+    /// determined.
+    pub(crate) fn score(
+        &self,
+        search: &Search<'_>,
+        candidate: &Candidate,
+        least: f64,
+        admits: impl Fn(&Candidate) -> bool,
+    ) -> Result<f64, Exclusion> {
+        let Search { key, spec, .. } = *search;
+        if !spec.reserved().fits_in(&candidate.free) {
+            return Err(Exclusion::NoRoom);
+        }
+        if !admits(candidate) {
+            return Err(Exclusion::KeptFree);
+        }
+        // Every later term is a penalty >= 0, so a candidate can be rejected early.
+        let bounded = |score: f64| Some(score).filter(|score| *score < least);
+        let score = bounded(capacity_score(candidate, spec)).ok_or(Exclusion::HigherScore)?;
+        let view = self.fleet.workers.get(&candidate.agent);
+        let view = view.ok_or(Exclusion::NotSynced)?;
+        let has_failed_here = search.task.avoided_agent.as_ref() == Some(&candidate.agent);
+        let failed_penalty = f64::from(u8::from(has_failed_here)) * FAILED_BEFORE_PENALTY;
+        let score = score + locality_penalty(view, spec) + failed_penalty;
+        let score = bounded(score).ok_or(Exclusion::HigherScore)?;
+        if let Some(excluded) = rule_exclusion(view, key, spec, search.rack, &candidate.chosen_for)
+        {
+            return Err(excluded);
+        }
+        let penalty = interference_penalty(view, candidate, spec, search.filler)?;
+        bounded(score + penalty).ok_or(Exclusion::HigherScore)
+    }
+
     /// What a step's tasks need of a worker if they are fillers; determines the slacks of the
     /// candidates for them.
     pub(crate) fn filler_need(
@@ -230,15 +248,14 @@
     }
 }
 
-/// Penalty for interference with the tasks on a worker, or `None` if the task must not be placed
-/// there. Fillers prefer workers whose latency-critical tasks bear them easily; latency-critical
+/// Penalty for interference with the tasks on a worker, or why the task must not be placed there. Fillers prefer workers whose latency-critical tasks bear them easily; latency-critical
 /// tasks prefer workers that run their own image.
 fn interference_penalty(
     view: &WorkerView,
     candidate: &Candidate,
     spec: &StepSpec,
     filler: &FillerNeed,
-) -> Option<f64> {
+) -> Result<f64, Exclusion> {
     if spec.filler {
         return candidate.filler_penalty(spec, filler);
     }
@@ -246,9 +263,9 @@
         let image = spec.image.as_deref().unwrap_or_default();
         let images = latency_critical_images(view);
         let others = images.iter().filter(|other| **other != image).count();
-        return Some(others as f64 * OTHER_IMAGE_PENALTY);
+        return Ok(others as f64 * OTHER_IMAGE_PENALTY);
     }
-    Some(0.0)
+    Ok(0.0)
 }
 
 impl Candidate {
@@ -270,13 +287,16 @@
         has_spare && spec.reserved().fits_in(&self.free)
     }
 
-    /// Penalty for the slack that a filler uses up, or `None` if it must not be placed here.
-    fn filler_penalty(&self, spec: &StepSpec, filler: &FillerNeed) -> Option<f64> {
+    /// Penalty for the slack that a filler uses up, or why it must not be placed here.
+    fn filler_penalty(&self, spec: &StepSpec, filler: &FillerNeed) -> Result<f64, Exclusion> {
         if !has_spare_for(self, spec) {
-            return None;
+            return Err(Exclusion::NoSpareProcessors);
         }
         let pace = self.bearable_pace(&filler.pressures, spec);
-        (pace >= filler.min_pace).then(|| USED_SLACK_PENALTY / pace.max(MIN_SCORED_PACE))
+        if pace < filler.min_pace {
+            return Err(Exclusion::Interference);
+        }
+        Ok(USED_SLACK_PENALTY / pace.max(MIN_SCORED_PACE))
     }
 
     /// Share of its full pace at which a filler could work without pushing a latency-critical task
@@ -351,6 +371,7 @@
         is_holdable: true,
         accepts_hold: true,
         slacks: None,
+        forecast: None,
     }
 }
 
@@ -380,11 +401,9 @@
 
 /// [`REMOTE_PENALTY`] for a worker outside of the rack that holds the task's data, else 0.
 fn locality_penalty(view: &WorkerView, spec: &StepSpec) -> f64 {
-    let is_near = spec.data_rack.as_deref().is_none_or(|rack| {
-        view.info
-            .as_ref()
-            .and_then(WorkerInfo::rack)
-            .is_some_and(|own| has_form(own, rack))
-    });
-    if is_near { 0.0 } else { REMOTE_PENALTY }
+    if is_near_data(view, spec) {
+        0.0
+    } else {
+        REMOTE_PENALTY
+    }
 }
--- a/components/flow/src/effect.rs
+++ b/components/flow/src/effect.rs
@@ -1,6 +1,6 @@
 //! Effects of the scheduler: orders to workers, reports and decision records.
 
-use crate::{FlowPhase, Incarnation, Outlooks, RecordFault, TaskKey};
+use crate::{FlowPhase, Incarnation, LocalityOutcome, Outlooks, RecordFault, TaskKey};
 use interference::PressureChange;
 use model::{AgentId, JobId};
 
@@ -32,6 +32,8 @@
     },
     /// Count what became of a duplicate.
     Duplicate(DuplicateOutcome),
+    /// Count where a task was placed that is faster near its data or its gang.
+    LocalityChosen(LocalityOutcome),
     /// Log a decision.
     Decided(Decision),
 }
@@ -128,4 +130,6 @@
     Revoked,
     /// A slow run gets a duplicate, which is placed.
     Duplicated,
+    /// A task that waited for a worker near its data or its gang is placed elsewhere.
+    GaveUpNear,
 }
--- a/components/flow/src/overload.rs
+++ b/components/flow/src/overload.rs
@@ -86,8 +86,8 @@
     }
 
     /// Flows with queued tasks in the order in which they are served under the policy
-    /// [`crate::Policies::overload_order`].
-    pub(crate) fn order_by_outlook(&mut self, now_ms: u64, wall_ms: u64) -> Vec<JobId> {
+    /// [`crate::Policies::overload_order`], and the numbers of flows by outlook.
+    pub(crate) fn order_by_outlook(&self, now_ms: u64, wall_ms: u64) -> (Vec<JobId>, Outlooks) {
         let mut order = Vec::new();
         let mut outlooks = Outlooks::default();
         for ((pool, is_filler), competitors) in self.competitors(now_ms, wall_ms) {
@@ -108,9 +108,9 @@
                 order.extend(competitors.position(number as u64, ranked));
             }
         }
-        self.observe_overload(now_ms, outlooks);
         order.sort_unstable();
-        order.into_iter().map(|position| position.job).collect()
+        let order = order.into_iter().map(|position| position.job);
+        (order.collect(), outlooks)
     }
 
     /// Open flows that are not closed, by the room that they compete for.
@@ -132,7 +132,7 @@
     }
 
     /// Notes how many flows are deferred, and reports the begin and the end of an overload.
-    fn observe_overload(&mut self, now_ms: u64, outlooks: Outlooks) {
+    pub(crate) fn observe_overload(&mut self, now_ms: u64, outlooks: Outlooks) {
         self.overload.outlooks = outlooks;
         let times_ms = &mut self.overload.times_ms;
         match (*times_ms, outlooks.deferred) {
--- a/components/flow/src/pass.rs
+++ b/components/flow/src/pass.rs
@@ -15,7 +15,7 @@
 use crate::candidate::{Candidate, FillerNeed, MIN_PLACED_PACE};
 use crate::full_pool::FullPools;
 use crate::placed_runs::allocation_for;
-use crate::{DecisionKind, Placement, RunStage, Scheduler, StepSpec, StepState, TaskKey};
+use crate::{DecisionKind, Outlooks, Placement, RunStage, Scheduler, StepSpec, StepState, TaskKey};
 use model::{JobId, ServiceName};
 
 /// Longest time for which a flow without placements waits for a worker on which its filler is not
@@ -67,10 +67,20 @@
     /// Flows with queued tasks, in the order in which they are served.
     fn order_flows(&mut self, now_ms: u64, wall_ms: u64) -> Vec<JobId> {
         self.filler_failures.expire(now_ms);
+        let (order, outlooks) = self.flow_order(now_ms, wall_ms);
+        if self.policies.overload_order {
+            self.observe_overload(now_ms, outlooks);
+        }
+        order
+    }
+
+    /// The order of flows by the policies, and the numbers of flows by outlook; these are 0 where the
+    /// order does not depend on them.
+    pub(crate) fn flow_order(&self, now_ms: u64, wall_ms: u64) -> (Vec<JobId>, Outlooks) {
         if self.policies.overload_order {
             self.order_by_outlook(now_ms, wall_ms)
         } else {
-            self.order_by_due_time(now_ms)
+            (self.order_by_due_time(now_ms), Outlooks::default())
         }
     }
 
@@ -208,6 +218,7 @@
             min_pace: 0.0,
             ..filler.clone()
         };
+        let near = self.near_groups(now_ms, first, &spec, service, candidates);
         for key in queued {
             if self.fleet.has_orphan(&key) {
                 continue;
@@ -220,6 +231,13 @@
                 self.note_filler_failure(now_ms, service, &spec, candidates);
                 return;
             };
+            let task = std::slice::from_ref(&key);
+            if near
+                .as_ref()
+                .is_some_and(|near| self.waits_for_near(now_ms, task, near, &[index], candidates))
+            {
+                continue;
+            }
             let candidate = &mut candidates[index].1;
             candidate.use_slack(&filler.pressures, &spec);
             self.assign(now_ms, &key, candidate, None, None);
@@ -265,6 +283,7 @@
         };
         if is_empty {
             step.queued_since_ms = None;
+            step.near_wait = None;
             return 0;
         }
         let since_ms = *step.queued_since_ms.get_or_insert(now_ms);
@@ -319,6 +338,7 @@
         self.uncommitted.insert(key.job.clone());
         let allocation = allocation_for(now_ms, &spec, run);
         candidate.take_up(&allocation);
+        self.expect_release(now_ms, key, &allocation, candidate);
         let free = candidate.free;
         let agent = candidate.agent.clone();
         let is_isolated = self.suspects.contains_key(key);
--- a/components/flow/tests/common/advance.rs
+++ b/components/flow/tests/common/advance.rs
@@ -34,7 +34,11 @@
                     .unwrap_or(&spec.estimate_ms.max(100));
                 let slowness = self.slow_workers.get(&agent).copied().unwrap_or(1);
                 let slowness = slowness * self.slow_tasks.get(&key).copied().unwrap_or(1);
-                self.advance_run(&agent, &key, &spec, run_ms * slowness);
+                let rack = self.workers[&agent].labels.get(1);
+                let is_remote = spec.data_rack.is_some() && spec.data_rack.as_ref() != rack;
+                let factor = if is_remote { self.remote_factor } else { 1.0 };
+                let run_ms = ((run_ms * slowness) as f64 * factor) as u64;
+                self.advance_run(&agent, &key, &spec, run_ms);
             }
         }
     }
--- a/components/flow/tests/common/mod.rs
+++ b/components/flow/tests/common/mod.rs
@@ -11,10 +11,10 @@
 use flow::CommitLimits;
 use flow::record_rows::join;
 use flow::{
-    AwayWorker, Delivery, Effect, EndedRun, FlowConfig, FlowJob, FlowPhase, FlowRecord, FlowSpec,
-    Incarnation, LeaseTerms, Policies, Pool, Queue, QueueKey, RecordRows, ReportTimes, RunEnd,
-    RunRef, RunningTask, Schedule, Scheduler, StartOutcome, StepSpec, TaskKey, WorkerInfo,
-    WorkerReport,
+    AwayWorker, DecisionKind, Delivery, Effect, EndedRun, FlowConfig, FlowJob, FlowPhase,
+    FlowRecord, FlowSpec, Incarnation, LeaseTerms, Policies, Pool, Queue, QueueKey, RecordRows,
+    ReportTimes, RunEnd, RunRef, RunningTask, Schedule, Scheduler, StartOutcome, StepSpec, TaskKey,
+    WorkerInfo, WorkerReport,
 };
 use model::{AgentId, DomainName, JobId, Resources};
 use std::collections::{BTreeMap, BTreeSet};
@@ -138,6 +138,12 @@
     pub started: Vec<(TaskKey, AgentId, u64)>,
     /// Orders that let a filler work although a target on its worker has been missed for [`HALT_MS`].
     pub paced_in_halts: u32,
+    /// Factor by which runs take longer on workers of another rack than their data.
+    pub remote_factor: f64,
+    /// Number of placed tasks by locality.
+    pub localities: BTreeMap<&'static str, u32>,
+    /// Details of the tasks that gave up waiting for a near worker.
+    pub given_up: Vec<String>,
 }
 
 /// Key of the only queue.
@@ -247,6 +253,9 @@
             evacuations_are_read: true,
             started: Vec::new(),
             paced_in_halts: 0,
+            remote_factor: 1.0,
+            localities: BTreeMap::new(),
+            given_up: Vec::new(),
         }
     }
 
@@ -582,8 +591,14 @@
                 | Effect::SetAside(..)
                 | Effect::PressureLearned(..)
                 | Effect::OverloadBegan(..)
-                | Effect::OverloadEnded { .. }
-                | Effect::Decided(_) => {}
+                | Effect::OverloadEnded { .. } => {}
+                Effect::LocalityChosen(outcome) => {
+                    *self.localities.entry(outcome.into()).or_default() += 1;
+                }
+                Effect::Decided(decision) => {
+                    let given_up = decision.kind == DecisionKind::GaveUpNear;
+                    self.given_up.extend(given_up.then_some(decision.detail));
+                }
             }
         }
     }
@@ -728,6 +743,12 @@
             .count()
     }
 
+    /// Whether a run of a flow is in progress on a worker.
+    pub fn runs_on(&self, agent: &str, job: &JobId) -> bool {
+        let mut running = self.workers[&AgentId::from(agent)].running.keys();
+        running.any(|key| key.job == *job)
+    }
+
     /// Number of runs on a worker in progress.
     pub fn run_count(&self, agent: &str) -> usize {
         self.workers[&AgentId::from(agent)].running.len()
--- a/components/flow/tests/interleavings.rs
+++ b/components/flow/tests/interleavings.rs
@@ -90,6 +90,18 @@
     steps
 }
 
+/// Lets the tasks of the first step have their data on rack `r1`, and those of the second form a gang that
+/// is faster in one rack.
+fn localize(steps: &mut [StepSpec]) {
+    steps[0].data_rack = Some("r1".to_owned());
+    if let Some(second) = steps.get_mut(1) {
+        second.gang = true;
+        second.same_rack = true;
+        // A gang must fit on the workers that are left.
+        second.max_per_worker = None;
+    }
+}
+
 fn agent(number: usize) -> AgentId {
     format!("w{number}").into()
 }
@@ -103,7 +115,11 @@
             chained,
         } => {
             let id = format!("f{:03}", sim.jobs.len());
-            sim.submit(&id, steps(tasks, run_ms, chained));
+            let mut steps = steps(tasks, run_ms, chained);
+            if sim.policies.remote_factor.is_some() {
+                localize(&mut steps);
+            }
+            sim.submit(&id, steps);
         }
         Event::Slow { worker, factor } => {
             sim.slow_workers.insert(agent(worker), factor);
@@ -167,7 +183,7 @@
         let is_expected = match phase {
             FlowPhase::Completed | FlowPhase::Cancelled => true,
             // Crashes soon after several starts of a task look as if it were the cause.
-            FlowPhase::Failed => may_fail || (sim.duplicates && sim.may_be_given_up(job)),
+            FlowPhase::Failed => may_fail || (sim.policies.duplicates && sim.may_be_given_up(job)),
             FlowPhase::Queued | FlowPhase::Running => false,
         };
         assert!(is_expected, "{job} ended as {phase}");
@@ -215,4 +231,20 @@
         sim.allow_duplicates();
         assert_all_flows_end(sim, &events, gone);
     }
+
+    /// Guards against tasks and gangs that wait for ever for a near worker, and against runs that break an
+    /// invariant after such a wait, under any order of faults.
+    #[test]
+    fn no_flow_waits_for_ever_for_a_near_worker(
+        events in prop::collection::vec(event(), 1..60),
+        gone in 0_usize..3,
+    ) {
+        let mut sim = Sim::new(4);
+        for name in ["w1", "w3"] {
+            sim.workers.get_mut(&name.into()).unwrap().labels[1] = "r2".to_owned();
+        }
+        sim.remote_factor = 2.5;
+        sim.set_policies(Policies { remote_factor: Some(2.5), ..Policies::default() });
+        assert_all_flows_end(sim, &events, gone);
+    }
 }
--- a/components/flow_entry/src/effects.rs
+++ b/components/flow_entry/src/effects.rs
@@ -53,6 +53,9 @@
                     log_event!(info, Event::OverloadEnded, lasted_ms = lasted_ms);
                 }
                 Effect::Duplicate(outcome) => Metrics::count(&self.metrics.duplicates, &outcome),
+                Effect::LocalityChosen(outcome) => {
+                    Metrics::count(&self.metrics.locality_waits, &outcome);
+                }
                 Effect::Decided(decision) => self.log_decision(&decision),
             }
         }
@@ -89,6 +92,7 @@
             DecisionKind::Moved => Event::RunMoved,
             DecisionKind::Revoked => Event::StartRevoked,
             DecisionKind::Duplicated => Event::RunDuplicated,
+            DecisionKind::GaveUpNear => Event::NearWaitGivenUp,
         };
         log_event!(info, event, job = %decision.task.job, task = %decision.task, run = decision.run,
             agent = %decision.agent, detail = %decision.detail);
--- a/components/flow_entry/src/lib.rs
+++ b/components/flow_entry/src/lib.rs
@@ -14,6 +14,7 @@
 mod effects;
 mod election;
 mod evacuations;
+mod explain;
 mod feed_watch;
 mod former;
 mod handle;
--- a/components/flow_entry/src/messages.rs
+++ b/components/flow_entry/src/messages.rs
@@ -13,7 +13,7 @@
 };
 use model::{AgentId, JobId};
 use wire::{
-    BacklogReply, CancelOutcome, LinkError, PhaseReply, QueuedCountReply, RoomReply,
+    BacklogReply, CancelOutcome, ExplainReply, LinkError, PhaseReply, QueuedCountReply, RoomReply,
     SchedulerProbe, SchedulerProbeReply, SubmitOutcome,
 };
 
@@ -143,6 +143,16 @@
 #[rtype(result = "BacklogReply")]
 pub(crate) struct PeerGetBacklog;
 
+/// Query of an operator for where a job would be placed now.
+#[derive(Message)]
+#[rtype(result = "ExplainReply")]
+pub(crate) struct Explain(pub FlowJob);
+
+/// Query of another entry to the scheduler for where a job would be placed now.
+#[derive(Message)]
+#[rtype(result = "ExplainReply")]
+pub(crate) struct PeerExplain(pub FlowJob);
+
 /// Configuration read from its source or received from the scheduler, new or not.
 #[derive(Message)]
 #[rtype(result = "()")]
--- a/components/flow_entry/src/metrics.rs
+++ b/components/flow_entry/src/metrics.rs
@@ -66,6 +66,8 @@
     pub(crate) decisions: Family<OutcomeLabel, Counter>,
     /// Duplicates of slow runs by outcome.
     pub(crate) duplicates: Family<OutcomeLabel, Counter>,
+    /// Placed tasks that are faster near their data or their gang, by where they were placed.
+    pub(crate) locality_waits: Family<OutcomeLabel, Counter>,
     /// Flows that ended, by state.
     pub(crate) ends: Family<OutcomeLabel, Counter>,
     /// Group commits that took effect.
@@ -116,6 +118,7 @@
             backlog_seconds: Family::default(),
             decisions: Family::default(),
             duplicates: Family::default(),
+            locality_waits: Family::default(),
             ends: Family::default(),
             commits: Counter::default(),
             is_scheduler: Gauge::default(),
@@ -229,6 +232,11 @@
             "Duplicates of slow runs by outcome",
             self.duplicates.clone(),
         );
+        registry.register(
+            "flow_locality_waits",
+            "Placed tasks that are faster near their data or their gang, by outcome",
+            self.locality_waits.clone(),
+        );
         registry.register("flow_ends", "Flows that ended, by state", self.ends.clone());
         registry.register("flow_commits", "Group commits", self.commits.clone());
         registry.register(
--- a/components/flow_entry/src/rpc.rs
+++ b/components/flow_entry/src/rpc.rs
@@ -2,8 +2,8 @@
 
 use crate::coordinator::Coordinator;
 use crate::messages::{
-    Cancel, NotifyAccepted, NotifyCancelled, PeerCountQueued, PeerGetBacklog, PeerGetPhase,
-    PeerGrantRoom, PeerProbe, Submit,
+    Cancel, NotifyAccepted, NotifyCancelled, PeerCountQueued, PeerExplain, PeerGetBacklog,
+    PeerGetPhase, PeerGrantRoom, PeerProbe, Submit,
 };
 use actix::Addr;
 use flow::{FlowJob, QueueKey};
@@ -11,8 +11,8 @@
 use tarpc::context::Context;
 use utils::boot_ms;
 use wire::{
-    BacklogReply, CancelOutcome, PhaseReply, QueuedCountReply, RoomReply, SchedulerControl,
-    SchedulerProbe, SchedulerProbeReply, SubmitOutcome,
+    BacklogReply, CancelOutcome, ExplainReply, PhaseReply, QueuedCountReply, RoomReply,
+    SchedulerControl, SchedulerProbe, SchedulerProbeReply, SubmitOutcome,
 };
 
 /// Time limit of a submission or cancellation that another entry forwards, in milliseconds.
@@ -79,4 +79,9 @@
         let sent = self.0.send(PeerGetBacklog).await;
         sent.unwrap_or(BacklogReply::NotMeasured)
     }
+
+    async fn explain(self, _: Context, job: FlowJob) -> ExplainReply {
+        let sent = self.0.send(PeerExplain(job)).await;
+        sent.unwrap_or(ExplainReply::NotScheduler)
+    }
 }
--- a/components/flow_entry/tests/common/scheduler.rs
+++ b/components/flow_entry/tests/common/scheduler.rs
@@ -13,8 +13,8 @@
 use tarpc::server::{BaseChannel, Channel};
 use tarpc::tokio_serde::formats::Bincode;
 use wire::{
-    BacklogReply, CancelOutcome, PhaseReply, QueuedCountReply, RoomReply, SchedulerControl,
-    SchedulerProbe, SchedulerProbeReply, SubmitOutcome,
+    BacklogReply, CancelOutcome, ExplainReply, PhaseReply, QueuedCountReply, RoomReply,
+    SchedulerControl, SchedulerProbe, SchedulerProbeReply, SubmitOutcome,
 };
 
 /// What the stand-in answers.
@@ -122,6 +122,10 @@
         RoomReply::Bytes(1 << 20)
     }
 
+    async fn explain(self, _: Context, _: FlowJob) -> ExplainReply {
+        ExplainReply::NotScheduler
+    }
+
     async fn get_backlog(self, _: Context) -> BacklogReply {
         self.fetches.fetch_add(1, Ordering::Relaxed);
         match self.answer().await {
--- a/components/telemetry/src/event.rs
+++ b/components/telemetry/src/event.rs
@@ -166,6 +166,8 @@
     RefusingEnded = 729,
     /// A slow run gets a duplicate on another worker.
     RunDuplicated = 731,
+    /// A task that waited for a worker near its data or its gang is placed elsewhere.
+    NearWaitGivenUp = 730,
     /// An agent refused a start order: its worker is draining or has another incarnation.
     OrderRefused = 719,
     /// The evacuation of a failure domain was requested.
--- a/components/wire/src/scheduler_control.rs
+++ b/components/wire/src/scheduler_control.rs
@@ -1,7 +1,7 @@
 //! RPC interface between entries about flows.
 
 use admission::Backlog;
-use flow::{FlowConfig, FlowJob, FlowPhase, QueueKey};
+use flow::{ExplainFault, Explanation, FlowConfig, FlowJob, FlowPhase, QueueKey};
 use model::JobId;
 use serde::{Deserialize, Serialize};
 
@@ -92,6 +92,17 @@
     NotMeasured,
 }
 
+/// Answer to a request to explain where a job would be placed now.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum ExplainReply {
+    /// Where it would be placed, and why.
+    Explained(Explanation),
+    /// The job can't be explained.
+    Fault(ExplainFault),
+    /// The process is not the scheduler, or has not read the table yet.
+    NotScheduler,
+}
+
 /// RPC interface between entries about flows.
 ///
 /// Calls are encoded by position: the order of methods and of their arguments must not change.
@@ -115,4 +126,6 @@
     async fn grant_room() -> RoomReply;
     /// Returns the scheduler's backlog. Earlier versions don't know this call and close the connection.
     async fn get_backlog() -> BacklogReply;
+    /// Explains where a job would be placed now and why, without accepting it.
+    async fn explain(job: FlowJob) -> ExplainReply;
 }
