Learn run times and speeds of workers in the scheduler of flows

Ends of runs feed the estimates, progress and ends feed the speeds; fillers count only at their full pace and with enough processors, reports that arrive late not at all. A slow worker ranks behind others by a penalty, one that recovers gets few runs at first, and tasks that save their progress move away from it, 8 at once. If most workers are slow, it is the tasks that take longer, and they are learned anew.

--- a/components/flow/src/candidate.rs
+++ b/components/flow/src/candidate.rs
@@ -3,9 +3,10 @@
 
 use crate::scheduler::allocation_for;
 use crate::slack::{CriticalSlack, image_of};
+use crate::slow_workers::SpeedRank;
 use crate::suspects::Isolation;
 use crate::view::{Allocation, WorkerView};
-use crate::{Scheduler, StepSpec, TaskKey, WorkerInfo, has_form};
+use crate::{Scheduler, StepSpec, TaskKey, has_form};
 use model::{AgentId, Resources, ServiceName};
 
 /// Penalty of a worker outside of the rack that holds the task's data.
@@ -67,6 +68,8 @@
     pub accepts_hold: bool,
     /// What its latency-critical tasks can bear of fillers; `None` until a filler is to be placed.
     pub slacks: Option<Vec<CriticalSlack>>,
+    /// How it ranks for its speed.
+    pub speed_rank: SpeedRank,
 }
 
 impl Scheduler {
@@ -93,6 +96,7 @@
                 let mut candidate = candidate(agent, view, info.capacity);
                 candidate.spare_milli += self.unused_by_pace_milli(view);
                 candidate.held_for = self.held_for(now_ms, agent);
+                candidate.speed_rank = self.speed_rank(now_ms, view);
                 Some((info.service.clone(), candidate))
             })
             .collect()
@@ -165,7 +169,7 @@
             }
             // Every later term is a penalty >= 0, so a candidate can be rejected early.
             let is_worse = |score: f64| best.is_some_and(|(least, _)| score >= least);
-            let score = capacity_score(candidate, spec);
+            let score = capacity_score(candidate, spec) + candidate.speed_rank.penalty(spec);
             if is_worse(score) {
                 continue;
             }
@@ -282,6 +286,7 @@
         self.free = self.free.minus(&allocation.reserved);
         self.spare_milli -= allocation.expected_milli();
         self.has_latency_critical |= allocation.latency_target_ms.is_some();
+        self.speed_rank.count_run();
     }
 
     /// Adds a filler that is placed here to those that use up slack.
@@ -326,6 +331,7 @@
         is_holdable: true,
         accepts_hold: true,
         slacks: None,
+        speed_rank: SpeedRank::default(),
     }
 }
 
@@ -386,11 +392,8 @@
 
 /// [`REMOTE_PENALTY`] for a worker outside of the rack that holds the task's data, else 0.
 fn locality_penalty(view: &WorkerView, spec: &StepSpec) -> f64 {
-    let is_near = spec.data_rack.as_deref().is_none_or(|rack| {
-        view.info
-            .as_ref()
-            .and_then(WorkerInfo::rack)
-            .is_some_and(|own| has_form(own, rack))
-    });
-    if is_near { 0.0 } else { REMOTE_PENALTY }
+    match view.is_near(spec) {
+        true => 0.0,
+        false => REMOTE_PENALTY,
+    }
 }
--- a/components/flow/src/effect.rs
+++ b/components/flow/src/effect.rs
@@ -3,6 +3,7 @@
 use crate::{FlowPhase, Incarnation, RecordFault, TaskKey};
 use interference::PressureChange;
 use model::{AgentId, JobId};
+use worker_speed::SpeedChange;
 
 /// An action that the caller of the scheduler carries out.
 #[derive(Debug, Clone, PartialEq)]
@@ -23,6 +24,8 @@
     StepDown,
     /// Log that the pressure of a pair of images has changed; the report came from this agent.
     PressureLearned(AgentId, PressureChange),
+    /// Log that this agent's worker is slow or has recovered.
+    SpeedChanged(AgentId, SpeedChange),
     /// Log a decision.
     Decided(Decision),
 }
@@ -69,6 +72,7 @@
 /// ```
 /// assert_eq!(flow::DecisionKind::Lost.to_string(), "gone");
 /// assert_eq!(flow::DecisionKind::Orphaned.to_string(), "stray");
+/// assert_eq!(flow::DecisionKind::MovedFromSlow.to_string(), "moved-from-slow");
 /// ```
 #[derive(Debug, Clone, Copy, PartialEq, Eq, strum::Display, strum::IntoStaticStr)]
 #[strum(serialize_all = "kebab-case")]
@@ -95,4 +99,6 @@
     Suspected,
     /// A filler is moved away from latency-critical tasks beside which it makes little progress.
     Moved,
+    /// A task is moved away from a slow worker.
+    MovedFromSlow,
 }
--- a/components/flow/src/ends.rs
+++ b/components/flow/src/ends.rs
@@ -19,6 +19,7 @@
         view.orphans.remove(&end.task);
         let is_known = self.flows.contains_key(&end.task.job);
         let record = is_known.then(|| {
+            self.learn_from_end(now_ms, agent, end);
             self.apply_end(now_ms, agent, end);
             let revision = self
                 .flows
--- a/components/flow/src/footprint.rs
+++ b/components/flow/src/footprint.rs
@@ -101,7 +101,8 @@
 impl StepState {
     /// Memory of the states of its tasks without their checkpoints and runs, in bytes.
     pub(crate) fn state_bytes(&self) -> usize {
-        self.tasks.capacity() * size_of::<TaskState>()
+        let siblings = self.siblings.as_deref().map_or(0, size_of_val);
+        self.tasks.capacity() * size_of::<TaskState>() + siblings
     }
 }
 
--- a/components/flow/src/placement.rs
+++ b/components/flow/src/placement.rs
@@ -56,7 +56,8 @@
             .filter_map(|state| Some((self.rank(now_ms, state)?, state.job.id.clone())))
             .collect();
         let starved = self.starved_fillers_if_due(now_ms);
-        if order.is_empty() && starved.is_empty() {
+        let stuck = self.stuck_tasks_if_due(now_ms);
+        if order.is_empty() && starved.is_empty() && stuck.is_empty() {
             return;
         }
         order.sort_by(|left, right| left.partial_cmp(right).unwrap_or(std::cmp::Ordering::Equal));
@@ -70,6 +71,7 @@
             self.place_flow(now_ms, &job, &mut candidates, &mut full);
         }
         self.move_fillers(now_ms, starved, &mut candidates);
+        self.move_stuck_tasks(now_ms, stuck, &mut candidates);
     }
 
     /// Sort key of a flow, or `None` if it has no queued task.
--- a/components/flow/src/reports.rs
+++ b/components/flow/src/reports.rs
@@ -79,6 +79,7 @@
         self.end_probation(times.now_ms, agent, &running);
         self.stop_stalled_runs(times.now_ms, agent, &running);
         self.limit_interference(times.now_ms, agent, &running);
+        self.learn_from_progress(times.now_ms, agent, &running);
         self.acknowledge(agent);
     }
 
--- a/components/flow/src/scheduler.rs
+++ b/components/flow/src/scheduler.rs
@@ -2,6 +2,7 @@
 //! arguments, and actions are returned as effects.
 
 use crate::begun::ProgressLimit;
+use crate::learned::Learned;
 use crate::suspects::suspects;
 use crate::view::{Allocation, Fleet, WorkerView};
 use crate::{
@@ -44,6 +45,8 @@
     pub(crate) open_until_ms: BTreeMap<AgentId, u64>,
     /// Learned pressures of fillers on latency-critical tasks.
     pub(crate) pressures: PressureModel,
+    /// Learned run times of tasks and speeds of workers.
+    pub(crate) learned: Learned,
     /// When starved fillers were last searched for, in milliseconds.
     pub(crate) starved_searched_ms: u64,
     /// When every lease that former schedulers granted is guaranteed to have expired, in milliseconds.
--- a/components/flow/src/step_state.rs
+++ b/components/flow/src/step_state.rs
@@ -2,6 +2,7 @@
 //! when the tasks are done.
 
 use crate::{CrashCount, FlowSpec, Placement, StepSpec};
+use estimates::Siblings;
 use interference::MarginTrend;
 use model::AgentId;
 
@@ -75,6 +76,8 @@
     /// Margin that the step's latency-critical tasks have without fillers; `None` before the first
     /// report of one.
     pub margin: Option<MarginTrend>,
+    /// Run times of the step's tasks that have ended; `None` before the first is learned.
+    pub siblings: Option<Box<Siblings>>,
 }
 
 impl StepState {
@@ -129,6 +132,7 @@
             self.is_released = true;
             self.tasks = Vec::new();
             self.margin = None;
+            self.siblings = None;
         }
     }
 
--- a/components/flow/src/view.rs
+++ b/components/flow/src/view.rs
@@ -2,9 +2,11 @@
 
 use crate::health::Health;
 use crate::interference::LatencyTrace;
-use crate::{ClockSample, Incarnation, Leases, TaskKey, WorkerInfo};
+use crate::learned::ProgressPart;
+use crate::{ClockSample, Incarnation, Leases, StepSpec, TaskKey, WorkerInfo, has_form};
 use model::{AgentId, JobId, Resources, ServiceName};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use worker_speed::SpeedTrack;
 
 /// Share of its reserved processors that a latency-critical task is expected to use, in percent.
 /// The rest is spare for fillers.
@@ -125,6 +127,10 @@
     pub over_target_since_ms: Option<u64>,
     /// Suspects for which it is kept free of other new runs; may be outdated.
     pub hold: Option<Hold>,
+    /// Its learned speed.
+    pub speed: SpeedTrack,
+    /// Parts of its runs whose progress is measured, to learn its speed.
+    pub parts: BTreeMap<TaskKey, ProgressPart>,
 }
 
 /// Keeps a worker free of new runs for tasks that may crash it.
@@ -189,6 +195,14 @@
         i64::from(capacity_milli) - used.sum::<i64>() - orphan_milli
     }
 
+    /// Whether it is in the rack that holds the data of a step's tasks, if there is one.
+    pub(crate) fn is_near(&self, spec: &StepSpec) -> bool {
+        spec.data_rack.as_deref().is_none_or(|rack| {
+            let own = self.info.as_ref().and_then(WorkerInfo::rack);
+            own.is_some_and(|own| has_form(own, rack))
+        })
+    }
+
     /// How long a latency target has been missed on it, in milliseconds; 0 while all are met.
     pub fn over_target_ms(&self, now_ms: u64) -> u64 {
         let since_ms = self.over_target_since_ms;
@@ -218,6 +232,7 @@
         self.acknowledged = 0;
         self.pending_acks.clear();
         self.clock = None;
+        self.parts.clear();
         self.health = Health::default();
     }
 }
--- a/components/flow/tests/common/advance.rs
+++ b/components/flow/tests/common/advance.rs
@@ -89,7 +89,8 @@
             Mode::Healthy | Mode::Stalls | Mode::Partitioned | Mode::Mute => false,
         };
         let fails = is_faulty || is_always_failing;
-        run.done_micro += STEP_MS * 10_000 * u64::from(run.pace) / run_ms;
+        let done_micro = STEP_MS * 10_000 * u64::from(run.pace) / run_ms;
+        run.done_micro += done_micro * worker.speed_percent / 100;
         if fails && now_ms >= run.started_ms + 100 {
             worker.end(key, RunEnd::Failed);
         } else if run.done_micro >= 1_000_000 && !spec.long_running {
--- a/components/flow/tests/common/mod.rs
+++ b/components/flow/tests/common/mod.rs
@@ -10,14 +10,16 @@
 use flow::CommitLimits;
 use flow::record_rows::join;
 use flow::{
-    AwayWorker, Delivery, Effect, EndedRun, FlowConfig, FlowJob, FlowPhase, FlowRecord, FlowSpec,
-    Incarnation, LeaseTerms, Pool, Queue, QueueKey, RecordRows, ReportTimes, RunEnd, RunRef,
-    RunningTask, Schedule, Scheduler, StartOutcome, StepSpec, TaskKey, WorkerInfo, WorkerReport,
+    AwayWorker, DecisionKind, Delivery, Effect, EndedRun, FlowConfig, FlowJob, FlowPhase,
+    FlowRecord, FlowSpec, Incarnation, LeaseTerms, Pool, Queue, QueueKey, RecordRows, ReportTimes,
+    RunEnd, RunRef, RunningTask, Schedule, Scheduler, StartOutcome, StepSpec, TaskKey, WorkerInfo,
+    WorkerReport,
 };
 use model::{AgentId, JobId, Resources};
 use std::collections::{BTreeMap, BTreeSet};
 use worker::ModelRun;
 pub use worker::{Mode, ModelWorker};
+use worker_speed::SpeedChange;
 
 /// Length of one simulation step, in milliseconds.
 pub const STEP_MS: u64 = 20;
@@ -120,6 +122,16 @@
     interference_ms: BTreeMap<TaskKey, u64>,
     /// Longest such time, in milliseconds.
     pub longest_interference_ms: u64,
+    /// Whether tasks that save their progress write checkpoints and resume from them.
+    pub writes_checkpoints: bool,
+    /// Time between the request for a report and its arrival, in milliseconds.
+    pub report_delay_ms: u64,
+    /// Tasks that were moved away from slow workers, each with the time in milliseconds and the worker.
+    pub moved_from_slow: Vec<(u64, TaskKey, AgentId)>,
+    /// Changes of the speeds of workers.
+    pub speed_changes: Vec<(AgentId, SpeedChange)>,
+    /// Starts on each worker.
+    pub starts_on: BTreeMap<AgentId, u32>,
     /// Orders that let a filler work although a target on its worker has been missed for [`HALT_MS`].
     pub paced_in_halts: u32,
 }
@@ -188,6 +200,8 @@
                 clock_rate_milli: CLOCK_RATES_MILLI[number % CLOCK_RATES_MILLI.len()],
                 lease_until_ms: 0,
                 delayed_polls: Vec::new(),
+                domain: "d".to_owned(),
+                speed_percent: 100,
                 latency_ms: BTreeMap::new(),
                 down_until_ms: 0,
                 is_crash_noticed: true,
@@ -222,6 +236,11 @@
             over_target_ms: 0,
             interference_ms: BTreeMap::new(),
             longest_interference_ms: 0,
+            writes_checkpoints: false,
+            report_delay_ms: 0,
+            moved_from_slow: Vec::new(),
+            speed_changes: Vec::new(),
+            starts_on: BTreeMap::new(),
             paced_in_halts: 0,
         }
     }
@@ -414,7 +433,7 @@
         let info = WorkerInfo {
             incarnation: worker.incarnation.clone(),
             service: "pool".into(),
-            domain: "d".into(),
+            domain: worker.domain.as_str().into(),
             capacity: worker.capacity,
             labels: worker.labels.clone(),
             draining: false,
@@ -428,7 +447,7 @@
             RunningTask {
                 task: key.clone(),
                 run: run.run,
-                checkpoint: None,
+                checkpoint: run.checkpoint(),
                 percent: if is_ready {
                     100
                 } else {
@@ -449,7 +468,7 @@
             ended,
         };
         let times = ReportTimes {
-            requested_ms: self.now_ms,
+            requested_ms: self.now_ms - self.report_delay_ms,
             now_ms: self.now_ms,
         };
         self.scheduler.on_report(times, agent, Some(info), &report);
@@ -500,7 +519,7 @@
     fn carry_out_effects(&mut self) {
         for effect in self.scheduler.take_effects() {
             match effect {
-                Effect::Start(run, _) => self.start(&run),
+                Effect::Start(run, input) => self.start(&run, input.checkpoint.as_deref()),
                 Effect::Stop(run) => self.stop(&run),
                 Effect::Pace(run, percent) => self.pace(&run, percent),
                 Effect::Ended(job, phase) => {
@@ -509,13 +528,19 @@
                 Effect::Acknowledge(_)
                 | Effect::StepDown
                 | Effect::SetAside(..)
-                | Effect::PressureLearned(..)
-                | Effect::Decided(_) => {}
+                | Effect::PressureLearned(..) => {}
+                Effect::SpeedChanged(agent, change) => self.speed_changes.push((agent, change)),
+                Effect::Decided(decision) => {
+                    if decision.kind == DecisionKind::MovedFromSlow {
+                        let moved = (self.now_ms, decision.task, decision.agent);
+                        self.moved_from_slow.push(moved);
+                    }
+                }
             }
         }
     }
 
-    fn start(&mut self, run: &RunRef) {
+    fn start(&mut self, run: &RunRef, checkpoint: Option<&str>) {
         let now_ms = self.now_ms;
         let limit = self.lease_limit();
         let outcome = match self.scheduler.offer_start_lease(&run.agent, limit) {
@@ -523,11 +548,11 @@
             Some(lease) => {
                 let outcome = match self.lose_starts.pop() {
                     Some(true) => {
-                        self.execute(run, lease.until_clock_ms);
+                        self.execute(run, checkpoint, lease.until_clock_ms);
                         StartOutcome::Unknown
                     }
                     Some(false) => StartOutcome::Unknown,
-                    None => self.execute(run, lease.until_clock_ms),
+                    None => self.execute(run, checkpoint, lease.until_clock_ms),
                 };
                 let delivery = Delivery::Possible;
                 self.scheduler.settle_lease(&run.agent, lease.id, delivery);
@@ -540,8 +565,15 @@
 
     /// Executes a start order on its worker, and checks that the run fits and that its task is not
     /// acknowledged as done.
-    fn execute(&mut self, run: &RunRef, lease_until_ms: u64) -> StartOutcome {
-        let need = self.spec(&run.task).reserved();
+    fn execute(
+        &mut self,
+        run: &RunRef,
+        checkpoint: Option<&str>,
+        lease_until_ms: u64,
+    ) -> StartOutcome {
+        let spec = self.spec(&run.task);
+        let need = spec.reserved();
+        let saves_progress = self.writes_checkpoints && spec.saves_progress;
         let used = self.used(&run.agent);
         let now_ms = self.now_ms;
         let worker = self.workers.get_mut(&run.agent).unwrap();
@@ -568,12 +600,15 @@
             "{} starts after its success was acknowledged",
             run.task
         );
+        let done_micro = checkpoint.map_or(0, |text| text.parse().unwrap());
         let started = ModelRun {
             run: run.run,
             started_ms: now_ms,
-            done_micro: 0,
+            done_micro,
             pace: 100,
+            saves_progress,
         };
+        *self.starts_on.entry(run.agent.clone()).or_default() += 1;
         worker.running.insert(run.task.clone(), started);
         if self.deadly.contains(&run.task) {
             *self.crashes.entry(run.task.clone()).or_default() += 1;
@@ -633,6 +668,7 @@
             started_ms: self.now_ms,
             done_micro: 0,
             pace: 100,
+            saves_progress: false,
         };
         worker.running.insert(task.clone(), started);
     }
--- a/components/flow/tests/common/worker.rs
+++ b/components/flow/tests/common/worker.rs
@@ -36,6 +36,15 @@
     pub(super) done_micro: u64,
     /// Share of its processors that it may use, in percent.
     pub(super) pace: u32,
+    /// Whether it writes checkpoints.
+    pub(super) saves_progress: bool,
+}
+
+impl ModelRun {
+    /// Newest checkpoint: its progress in millionths, as text.
+    pub(super) fn checkpoint(&self) -> Option<String> {
+        self.saves_progress.then(|| self.done_micro.to_string())
+    }
 }
 
 /// A worker with its runs in progress and its unacknowledged ends.
@@ -68,6 +77,10 @@
     pub(super) down_until_ms: u64,
     /// Whether the scheduler was told of its last crash.
     pub(super) is_crash_noticed: bool,
+    /// Failure domain.
+    pub domain: String,
+    /// Speed of its runs, in percent of the normal one.
+    pub speed_percent: u64,
     /// Latency of each latency-critical task; approaches the value that its interference implies.
     pub latency_ms: BTreeMap<TaskKey, f64>,
 }
@@ -99,7 +112,7 @@
             task: key.clone(),
             run: run.run,
             outcome,
-            checkpoint: None,
+            checkpoint: run.checkpoint(),
         });
         self.next_end += 1;
         self.latency_ms.remove(key);
--- a/components/flow_entry/src/effects.rs
+++ b/components/flow_entry/src/effects.rs
@@ -4,9 +4,10 @@
 use crate::metrics::Metrics;
 use actix::Context;
 use flow::{Decision, DecisionKind, Effect, FlowEnd, FlowPhase};
-use model::JobId;
+use model::{AgentId, JobId};
 use telemetry::{Event, log_event};
 use utils::{boot_ms, wall_ms};
+use worker_speed::SpeedChange;
 
 impl Coordinator {
     /// Carries out the effects that the scheduler has queued.
@@ -39,6 +40,7 @@
                     log_event!(info, Event::PairJudged, agent = %agent, filler = change.filler,
                         serving = change.critical, pressure = change.pressure);
                 }
+                Effect::SpeedChanged(agent, change) => log_speed_change(&agent, change),
                 Effect::Decided(decision) => self.log_decision(&decision),
             }
         }
@@ -72,9 +74,19 @@
             DecisionKind::Paused => Event::WorkerPaused,
             DecisionKind::Failed => Event::FlowFailed,
             DecisionKind::Suspected => Event::RunSuspected,
-            DecisionKind::Moved => Event::RunMoved,
+            DecisionKind::Moved | DecisionKind::MovedFromSlow => Event::RunMoved,
         };
         log_event!(info, event, job = %decision.task.job, task = %decision.task, run = decision.run,
             agent = %decision.agent, detail = %decision.detail);
     }
 }
+
+/// Logs that an agent's worker is slow or has recovered.
+fn log_speed_change(agent: &AgentId, change: SpeedChange) {
+    match change {
+        SpeedChange::Slow { speed, jobs } => {
+            log_event!(warn, Event::WorkerSlow, agent = %agent, speed, jobs);
+        }
+        SpeedChange::Recovered => log_event!(info, Event::WorkerRecovered, agent = %agent),
+    }
+}
--- a/components/telemetry/src/event.rs
+++ b/components/telemetry/src/event.rs
@@ -147,7 +147,7 @@
     RunOrdered = 717,
     /// An agent forwarded a stop order to its worker.
     RunStopped = 718,
-    /// A filler is moved away from tasks that it interferes with.
+    /// A task is moved to a worker where it ends earlier.
     RunMoved = 720,
     /// The learned pressure of a filler's image on a latency-critical image changed.
     PairJudged = 721,
@@ -155,6 +155,10 @@
     RunSuspected = 722,
     /// Nothing of a flow has run for a while although a task of it could.
     FlowWaiting = 723,
+    /// Runs of several jobs show that a worker is slow.
+    WorkerSlow = 724,
+    /// A slow worker has recovered, or is tried again.
+    WorkerRecovered = 725,
     /// An agent refused a start order: its worker is draining or has another incarnation.
     OrderRefused = 719,
     /// A span ended.
--- a/components/worker_speed/src/speed_track.rs
+++ b/components/worker_speed/src/speed_track.rs
@@ -194,9 +194,18 @@
     /// assert_eq!(worker_speed::SpeedTrack::default().speed(), 1.0);
     /// ```
     pub fn speed(&self) -> f64 {
+        self.slow_speed().unwrap_or(1.0)
+    }
+
+    /// Speed of the worker if it is slow, else `None`.
+    ///
+    /// ```
+    /// assert_eq!(worker_speed::SpeedTrack::default().slow_speed(), None);
+    /// ```
+    pub fn slow_speed(&self) -> Option<f64> {
         match self.standing {
-            Standing::Slow { speed } => speed,
-            Standing::Normal | Standing::Recovering { .. } => 1.0,
+            Standing::Slow { speed } => Some(speed),
+            Standing::Normal | Standing::Recovering { .. } => None,
         }
     }
 
@@ -236,7 +245,7 @@
             return Some(self.recover(now_ms));
         }
         let was_slow = matches!(self.standing, Standing::Slow { .. });
-        let (speed, jobs) = self.slow_speed(now_ms)?;
+        let (speed, jobs) = self.measured_slow_speed(now_ms)?;
         self.standing = Standing::Slow { speed };
         (!was_slow).then_some(SpeedChange::Slow { speed, jobs })
     }
@@ -257,7 +266,7 @@
     }
 
     /// Speed of the worker and the number of jobs that show it, if it is slow.
-    fn slow_speed(&self, now_ms: u64) -> Option<(f64, usize)> {
+    fn measured_slow_speed(&self, now_ms: u64) -> Option<(f64, usize)> {
         let jobs = self.job_speeds(now_ms);
         let mut speeds: Vec<f64> = jobs.iter().map(JobSpeed::speed).collect();
         speeds.sort_by(f64::total_cmp);
