Keep learned run times in a row of the table

The scheduler writes them with the group commit to learnt/scheduler/run-times, at most once a second, only if they changed, and the best known ones that fit into a row. A commit carries one learned row at most, so that its limits stay as they are. A row that is damaged, older than an hour or missing is logged, and learning starts from scratch. With the policy off the row is neither read nor written. Metrics for classes, errors of estimates and slow workers.

--- a/components/flow_entry/src/commits.rs
+++ b/components/flow_entry/src/commits.rs
@@ -7,7 +7,7 @@
     CommitDone, InFlightCommit, ResolveConflict, RetryCommit, RunSchedulingPass,
 };
 use crate::reads::read_row;
-use crate::rows::{LEARNED_KEY, LEASE_KEY, LeaseRow, record_key};
+use crate::rows::{LEASE_KEY, LeaseRow, record_key};
 use actix::{AsyncContext, Context, Handler};
 use backing::{StoreError, Transaction};
 use flow::RecordRows;
@@ -27,8 +27,6 @@
 const RETRY_PAUSE: Duration = Duration::from_millis(40);
 /// Largest factor of [`RETRY_PAUSE`].
 const MAX_PAUSE_FACTOR: u32 = 6;
-/// Interval between two writes of the learned statistics, in milliseconds.
-const LEARNED_WRITE_INTERVAL_MS: u64 = 1_000;
 /// Interval between two reads of the registered agents, in milliseconds.
 const AGENTS_READ_INTERVAL_MS: u64 = 1_000;
 /// Interval between two searches for flows that wait, in milliseconds.
@@ -55,6 +53,8 @@
         self.run_scheduling_pass(context);
         if let Some(leadership) = self.leadership.as_mut() {
             leadership.measure_memory(now_ms, &self.metrics);
+            self.metrics
+                .observe_learned(&leadership.scheduler.learned());
         }
         self.log_waiting_flows(now_ms);
     }
@@ -158,10 +158,10 @@
         let mut txn = Transaction::default()
             .require(LEASE_KEY, Some(version))
             .put(LEASE_KEY, encode(&lease));
-        let learned = self.learned_if_due(now_ms);
+        let learned = self.learned_row_if_due(now_ms);
         let has_learned = learned.is_some();
-        if let Some(learned) = learned {
-            txn = txn.put(LEARNED_KEY, learned);
+        if let Some((key, value)) = learned {
+            txn = txn.put(key, value);
         }
         for record in &records {
             txn = write_record(txn, record);
@@ -183,29 +183,6 @@
         self.send_commit(context);
     }
 
-    /// Takes the learned statistics for a write; `None` if they are unchanged or not due.
-    fn learned_if_due(&mut self, now_ms: u64) -> Option<String> {
-        let leadership = self.leadership.as_mut()?;
-        let is_due = now_ms >= leadership.learned_written_ms + LEARNED_WRITE_INTERVAL_MS;
-        if !is_due || leadership.isolation.is_some() {
-            return None;
-        }
-        leadership.learned_written_ms = now_ms;
-        let learned = leadership.scheduler.take_learned()?;
-        let (bytes, limit_bytes) = (learned.len(), self.settings.store.row_bytes);
-        if bytes > limit_bytes {
-            log_event!(
-                warn,
-                Event::CommitRefused,
-                key = LEARNED_KEY,
-                bytes,
-                limit_bytes
-            );
-            return None;
-        }
-        Some(learned)
-    }
-
     /// Sends the commit in flight; the result arrives as [`CommitDone`].
     fn send_commit(&mut self, context: &mut Context<Self>) {
         let Some(leadership) = self.leadership.as_mut() else {
--- a/components/flow_entry/src/leadership.rs
+++ b/components/flow_entry/src/leadership.rs
@@ -6,20 +6,22 @@
 use crate::feed_watch;
 use crate::former::Claim;
 use crate::isolation::Isolation;
+use crate::learned_rows::restore_learned;
 use crate::messages::{
-    ChangedFlow, ClaimDone, FlowsLoaded, InFlightCommit, StateLoaded, StoredRows,
+    ChangedFlow, ClaimDone, FlowsLoaded, InFlightCommit, LearnedRows, StateLoaded, StoredRows,
 };
 use crate::metrics::MemoryUse;
 use crate::reads::{read_all, read_flow_pages, read_row};
 use crate::record_reads::{group_records, parse_record};
-use crate::rows::{FlowKey, LEARNED_KEY, LEASE_KEY, LeaseRow, RECORD_PREFIX, flow_key, record_key};
+use crate::rows::{
+    FlowKey, LEARNED_KEY, LEASE_KEY, LeaseRow, RECORD_PREFIX, RUN_TIMES_KEY, flow_key, record_key,
+};
 use actix::{Addr, AsyncContext, Context, Handler};
 use backing::{Row, StoreError, TableStore, Transaction};
 use flow::{
     AwayWorker, FlowEnd, FlowJob, FlowPhase, FlowRow, LeaseLimit, LeaseTerms, Policies,
     RecordFault, Scheduler, WaitWatch,
 };
-use interference::PressureModel;
 use model::{AgentId, JobId};
 use settings::PolicySettings;
 use std::collections::{BTreeMap, VecDeque};
@@ -85,8 +87,10 @@
     pub is_collecting: bool,
     /// When the last garbage collection of ended rows started.
     pub collected_ms: u64,
-    /// When the learned statistics were last added to a commit.
+    /// When the learned pressures of pairs were last added to a commit.
     pub learned_written_ms: u64,
+    /// When the learned run times were last added to a commit.
+    pub run_times_written_ms: u64,
     /// Finds flows that wait, for the log.
     pub wait_watch: WaitWatch,
     /// When it last looked for them.
@@ -260,6 +264,7 @@
             is_collecting: false,
             collected_ms: now_ms,
             learned_written_ms: now_ms,
+            run_times_written_ms: now_ms,
             wait_watch: WaitWatch::default(),
             waits_searched_ms: now_ms,
             is_pass_requested: false,
@@ -274,8 +279,9 @@
     /// Loads the state that earlier schedulers wrote; the result arrives as [`StateLoaded`].
     fn load(&self, epoch: u64, context: &mut Context<Self>) {
         let (table, control) = (self.table.clone(), context.address());
+        let has_run_times = self.settings.policies.learned_run_times;
         actix_rt::spawn(async move {
-            let rows = load_rows(table.as_ref(), &control, epoch).await;
+            let rows = load_rows(table.as_ref(), &control, epoch, has_run_times).await;
             control.do_send(StateLoaded { epoch, rows });
         });
     }
@@ -321,8 +327,17 @@
     table: &dyn TableStore,
     control: &Addr<Coordinator>,
     epoch: u64,
+    has_run_times: bool,
 ) -> Result<StoredRows, StoreError> {
-    let learned = read_row(table, LEARNED_KEY).await?;
+    let pressures = read_row(table, LEARNED_KEY).await?;
+    let run_times = match has_run_times {
+        true => read_row(table, RUN_TIMES_KEY).await?,
+        false => None,
+    };
+    let learned = LearnedRows {
+        pressures,
+        run_times,
+    };
     let records = read_all(table, RECORD_PREFIX).await?;
     let flows = read_flow_pages(table, |rows| async move {
         let sent = control.send(FlowsLoaded { epoch, rows }).await;
@@ -418,13 +433,11 @@
         for (key, value) in std::mem::take(&mut leadership.early_cancels) {
             apply_flow_row(leadership, now_ms, &key, value.as_deref());
         }
-        match learned.map(|row| PressureModel::parse(&row.value)) {
-            Some(Ok(pressures)) => leadership.scheduler.set_learned(pressures),
-            Some(Err(error)) => {
-                log_event!(error, Event::RowUnreadable, key = LEARNED_KEY, reason = %error);
-            }
-            None => {}
-        }
+        restore_learned(
+            leadership,
+            learned,
+            self.settings.policies.learned_run_times,
+        );
         leadership.is_loaded = true;
         log_event!(
             info,
--- a/components/flow_entry/src/lib.rs
+++ b/components/flow_entry/src/lib.rs
@@ -18,6 +18,7 @@
 mod handle;
 mod isolation;
 mod leadership;
+mod learned_rows;
 mod limits;
 mod memory;
 mod messages;
--- a/components/flow_entry/src/limits.rs
+++ b/components/flow_entry/src/limits.rs
@@ -27,7 +27,7 @@
 
 /// Most conditions, writes and deletions that the table accepts in a transaction.
 pub(crate) const MAX_ENTRIES: usize = 100;
-/// Entries of a commit beside records: the lease, the condition on it, and the learned statistics;
+/// Entries of a commit beside records: the lease, the condition on it, and a learned row;
 /// with a reserve.
 const OTHER_ENTRIES: usize = 10;
 /// Most bytes of the values and keys in a commit. The table accepts 1 MB in a transaction, in an
@@ -38,7 +38,7 @@
 pub(crate) fn commit_limits(row_bytes: usize) -> CommitLimits {
     CommitLimits {
         rows: MAX_ENTRIES - OTHER_ENTRIES,
-        // One more row is reserved for the learned statistics.
+        // One more row is reserved for a learned one.
         bytes: MAX_COMMIT_BYTES - row_bytes,
         row_bytes,
     }
--- a/components/flow_entry/src/messages.rs
+++ b/components/flow_entry/src/messages.rs
@@ -171,10 +171,18 @@
     pub result: Result<u64, StoreError>,
 }
 
+/// Rows of what former schedulers have learned; `None` before they are first written.
+pub(crate) struct LearnedRows {
+    /// Pressures of pairs of images.
+    pub pressures: Option<Row>,
+    /// Run times of tasks; `None` also if they are not to be learned.
+    pub run_times: Option<Row>,
+}
+
 /// Rows that earlier schedulers wrote, read in the order of the fields.
 pub(crate) struct StoredRows {
-    /// Learned statistics of pairs of images; `None` before they are first written.
-    pub learned: Option<Row>,
+    /// What former schedulers have learned.
+    pub learned: LearnedRows,
     /// Progress records of flows.
     pub records: Vec<Row>,
     /// Number of rows of flows and of cancellations, which were sent as [`FlowsLoaded`].
@@ -351,7 +359,7 @@
     pub records: Vec<RecordRows>,
     /// Workers that the lease's row in it names as away.
     pub away: Vec<AwayWorker>,
-    /// Whether the transaction writes the learned statistics.
+    /// Whether the transaction writes a learned row.
     pub has_learned: bool,
     /// Sequence number of the commit.
     pub sequence: u64,
--- a/components/flow_entry/src/metrics.rs
+++ b/components/flow_entry/src/metrics.rs
@@ -1,6 +1,7 @@
 //! Metrics of an entry for flows.
 
 use crate::memory::MemoryShares;
+use flow::LearnedView;
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
@@ -15,6 +16,13 @@
     pub outcome: String,
 }
 
+/// Label by which errors of run times are measured.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct EstimateLabel {
+    /// `learned` for estimates, `declared` for the run times that callers state.
+    pub source: &'static str,
+}
+
 /// Kind of use of the memory that callers set.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, strum::IntoStaticStr)]
 #[strum(serialize_all = "kebab-case")]
@@ -55,6 +63,12 @@
     pub(crate) flows: Gauge,
     /// Flows of which nothing runs although a task could, by the scheduler.
     pub(crate) flows_waiting: Gauge,
+    /// Classes of tasks with learned run times, by the scheduler.
+    pub(crate) estimate_classes: Gauge,
+    /// Mean errors of run times, in percent of the measured ones, by the scheduler.
+    pub(crate) estimate_error_percent: Family<EstimateLabel, Gauge>,
+    /// Slow workers, by the scheduler.
+    pub(crate) workers_slow: Gauge,
     /// Memory that callers set, by kind of use, in bytes.
     pub(crate) memory_bytes: Family<MemoryLabel, Gauge>,
     /// Limits of this memory, by kind of use, in bytes; that of `flows` holds for all of the scheduler.
@@ -87,6 +101,9 @@
             terms_started: Counter::default(),
             flows: Gauge::default(),
             flows_waiting: Gauge::default(),
+            estimate_classes: Gauge::default(),
+            estimate_error_percent: Family::default(),
+            workers_slow: Gauge::default(),
             memory_bytes: Family::default(),
             memory_limit_bytes: Family::default(),
             connections: Gauge::default(),
@@ -113,6 +130,21 @@
         self.memory_bytes.get_or_create(&label).set(bytes as i64);
     }
 
+    /// Updates the metrics of what the scheduler has learned.
+    pub(crate) fn observe_learned(&self, learned: &LearnedView) {
+        self.estimate_classes.set(learned.classes as i64);
+        self.workers_slow.set(learned.slow_workers as i64);
+        let errors = [
+            ("learned", learned.errors.learned_percent),
+            ("declared", learned.errors.declared_percent),
+        ];
+        for (source, percent) in errors {
+            let label = EstimateLabel { source };
+            let gauge = self.estimate_error_percent.get_or_create(&label);
+            gauge.set(percent.round() as i64);
+        }
+    }
+
     /// Updates the metrics of connections, of the memory for requests, and of the limits.
     pub(crate) fn observe_memory(&self, shares: &MemoryShares) {
         self.connections.set(shares.counters.open() as i64);
@@ -162,6 +194,21 @@
             "Flows of which nothing has run for a while although a task could",
             self.flows_waiting.clone(),
         );
+        registry.register(
+            "flow_estimate_classes",
+            "Classes of tasks with learned run times",
+            self.estimate_classes.clone(),
+        );
+        registry.register(
+            "flow_estimate_error_percent",
+            "Mean error of estimated and of declared run times, in percent of the measured ones",
+            self.estimate_error_percent.clone(),
+        );
+        registry.register(
+            "flow_workers_slow",
+            "Workers that are slow by the progress of their runs",
+            self.workers_slow.clone(),
+        );
         registry.register(
             "flow_memory_bytes",
             "Memory that callers set, by kind of use",
--- a/components/flow_entry/src/rows.rs
+++ b/components/flow_entry/src/rows.rs
@@ -14,6 +14,8 @@
 pub(crate) const RECORD_PREFIX: &str = "progress/scheduler/";
 /// Key of the learned statistics of pairs of images, in the same part as the lease.
 pub(crate) const LEARNED_KEY: &str = "learnt/scheduler/pairs";
+/// Key of the learned run times of tasks, in the same part as the lease.
+pub(crate) const RUN_TIMES_KEY: &str = "learnt/scheduler/run-times";
 /// Prefix of the keys of flows in all parts.
 pub(crate) const FLOW_PREFIX: &str = "flows/";
 /// Number of parts over which flows are spread, so that submissions do not wait for each other.
--- a/components/flow_entry/tests/common/mod.rs
+++ b/components/flow_entry/tests/common/mod.rs
@@ -8,7 +8,9 @@
 use flow::{AwayWorker, FlowConfig};
 use flow_entry::{ConfigSource, ConfigUpdate, Dependencies, EntryHandle};
 use serde::Deserialize;
-use settings::{FlowEntrySettings, FlowLimitSettings, LeaseSettings, PlatformSettings};
+use settings::{
+    FlowEntrySettings, FlowLimitSettings, LeaseSettings, PlatformSettings, PolicySettings,
+};
 use standin::MemoryTable;
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
@@ -167,6 +169,24 @@
         id: &str,
         table: &Rc<SlowTable>,
         longest_ms: u64,
+    ) -> Self {
+        Self::start_with(id, table, longest_ms, PolicySettings::default()).await
+    }
+
+    /// As [`Entry::start`], with an entry that learns run times.
+    pub async fn start_learning(id: &str, table: &Rc<SlowTable>) -> Self {
+        let policies = PolicySettings {
+            learned_run_times: true,
+            ..PolicySettings::default()
+        };
+        Self::start_with(id, table, 6_000, policies).await
+    }
+
+    async fn start_with(
+        id: &str,
+        table: &Rc<SlowTable>,
+        longest_ms: u64,
+        policies: PolicySettings,
     ) -> Self {
         let settings = FlowEntrySettings {
             id: id.into(),
@@ -189,7 +209,7 @@
             memory_mb: 160,
             keep_ended_ms: 1_500,
             grace_ms: 1_000,
-            policies: settings::PolicySettings::default(),
+            policies,
         };
         let config = FlowConfig {
             version: 1,
--- a/tests/common/flow_fleet.rs
+++ b/tests/common/flow_fleet.rs
@@ -90,6 +90,12 @@
         Self::start_with(entries, agents, set).await
     }
 
+    /// As [`Fleet::start`], with entries that learn run times.
+    pub async fn start_learning(entries: usize, agents: usize) -> Self {
+        let set = |settings: &mut Value| settings["policies"]["learned_run_times"] = true.into();
+        Self::start_with(entries, agents, set).await
+    }
+
     /// As [`Fleet::start`], with a change to the settings of the entries.
     async fn start_with(entries: usize, agents: usize, change: impl Fn(&mut Value)) -> Self {
         let folder = TempDir::new().unwrap();
@@ -183,6 +189,11 @@
         }
     }
 
+    /// Metrics of an entry as text; empty without an answer.
+    pub async fn metrics(&self, entry: usize) -> String {
+        self.caller.metrics(self.entries[entry].0.metrics).await
+    }
+
     /// All runs that the workers have started.
     pub fn executions(&self) -> Vec<Execution> {
         self.workers
