--- a/components/flow/src/learned.rs
+++ b/components/flow/src/learned.rs
@@ -24,6 +24,8 @@
 const PACE_SETTLE_MS: u64 = 500;
 /// Pace at which the progress of a run is a measure of its worker's speed, in percent.
 const FULL_PACE_PERCENT: u32 = 100;
+/// Newest occurrences of a recurring flow among which ended tasks of a step are searched for.
+const MAX_OCCURRENCES: usize = 8;
 /// Weight of the evidence on a class at which a run says half as much about its worker as at best.
 const HALF_TRUST_SAMPLES: f64 = 2.0;
 
@@ -101,7 +103,7 @@
 
     /// Estimated run time of a task of a step on a worker of normal speed.
     pub(crate) fn estimate(&self, state: &FlowState, step: u32, spec: &StepSpec) -> Estimate {
-        let steps = state.occurrences.iter().rev();
+        let steps = state.occurrences.iter().rev().take(MAX_OCCURRENCES);
         let mut steps = steps.filter_map(|occurrence| occurrence.steps.get(step as usize));
         let siblings = steps.find_map(|step| step.siblings.as_deref());
         let queue = queue_name(state);
--- a/components/flow/src/slow_workers.rs
+++ b/components/flow/src/slow_workers.rs
@@ -19,6 +19,8 @@
 const RECOVERING_SPEED: f64 = 0.5;
 /// Greatest number of moves that one search begins, so that the workers' reports catch up.
 const MAX_MOVES: usize = 8;
+/// Greatest number of stuck tasks for which one search looks for a worker; each examines all workers.
+const MAX_SEARCHED: usize = 32;
 /// Greatest number of moves whose runs have not been stopped yet.
 const MAX_MOVING: usize = 16;
 /// Number of runs of a task from which it is not moved any more.
@@ -68,11 +70,12 @@
 impl Scheduler {
     /// Speed of a worker; 1 is normal. One of which little is known is as slow as its failure domain.
     pub(crate) fn speed_of(&self, view: &WorkerView) -> f64 {
-        if view.speed.standing() != Standing::Normal || view.speed.is_judged(self.learned.now_ms) {
+        let domains = &self.learned.slow_domains;
+        let is_known = view.speed.standing() != Standing::Normal;
+        if is_known || domains.is_empty() || view.speed.is_judged(self.learned.now_ms) {
             return view.speed.speed();
         }
         let domain = view.info.as_ref().map(|info| info.domain.as_str());
-        let domains = &self.learned.slow_domains;
         domain
             .and_then(|domain| domains.speed(domain))
             .unwrap_or(1.0)
@@ -122,6 +125,7 @@
             }
         }
         stuck.sort_by_key(|task| Reverse(task.gain_ms));
+        stuck.truncate(MAX_SEARCHED);
         stuck
     }
 
--- a/components/worker_speed/src/slow_domains.rs
+++ b/components/worker_speed/src/slow_domains.rs
@@ -68,6 +68,15 @@
         }
     }
 
+    /// Whether no domain is slow.
+    ///
+    /// ```
+    /// assert!(worker_speed::SlowDomains::default().is_empty());
+    /// ```
+    pub fn is_empty(&self) -> bool {
+        self.speeds.is_empty()
+    }
+
     /// Speed of the domain's workers; `None` unless it is slow.
     ///
     /// ```
