Split the learning of speeds into short functions; test moves of fillers

No change of behaviour. Measured: the tests of estimates, worker_speed, flow and flow_entry pass, with one new one of fillers on a slow worker.

--- a/components/flow/src/learned.rs
+++ b/components/flow/src/learned.rs
@@ -169,7 +169,7 @@
         let Some(spec) = self.step_spec(key).cloned() else {
             return;
         };
-        let is_measured = is_at_full_pace(&spec, placement, 0) && has_processors(&spec, view);
+        let is_measured = is_at_full_pace(&spec, placement, 0) && has_processors_for(&spec, view);
         let Some(factor) = self.place_factor(view, &spec).filter(|_| is_measured) else {
             return;
         };
@@ -227,65 +227,89 @@
         placement: &Placement,
         percent: u32,
     ) {
-        let (Some(state), Some(view)) = (self.flows.get(&key.job), self.fleet.workers.get(agent))
-        else {
+        let Some((part, next)) = self.part_of_run(now_ms, agent, key, placement, percent) else {
             return;
         };
-        let (Some(spec), Some(task)) = (state.step_spec(key.step), state.task(key)) else {
+        let Some(part) = part else {
+            self.worker_mut(agent).parts.insert(key.clone(), next);
             return;
         };
-        let Some(clock) = view.clock else {
+        let Some(sample) = self.speed_sample(agent, key, part, next) else {
             return;
         };
-        if spec.long_running || spec.gang {
+        let has_processors = self.step_spec(key).zip(self.worker(agent));
+        let has_processors =
+            has_processors.is_some_and(|(spec, view)| has_processors_for(spec, view));
+        let view = self.worker_mut(agent);
+        let is_over = sample.spent_ms >= MAX_PART_MS as f64;
+        if is_over && percent >= part.from_percent + MIN_PART_PERCENT {
+            view.parts.insert(key.clone(), next);
+        }
+        if !has_processors {
             return;
         }
-        let run = task.run;
+        if let Some(change) = view.speed.observe(now_ms, sample) {
+            self.effects
+                .push(Effect::SpeedChanged(agent.clone(), change));
+        }
+    }
+
+    /// The part of a run that is measured, if its progress has been a measure since its begin, and the one that begins
+    /// now. `None` if the run says nothing about its worker.
+    fn part_of_run(
+        &self,
+        now_ms: u64,
+        agent: &AgentId,
+        key: &TaskKey,
+        placement: &Placement,
+        percent: u32,
+    ) -> Option<(Option<ProgressPart>, ProgressPart)> {
+        let view = self.worker(agent)?;
+        let (spec, run) = (self.step_spec(key)?, self.task(key)?.run);
+        let clock_ms = view.clock?.clock_ms;
+        if spec.long_running || spec.gang {
+            return None;
+        }
         let known = view.parts.get(key).copied();
         let known = known.filter(|part| part.run == run);
-        let part = known.or_else(|| part_from_start(now_ms, spec, run, placement, clock.clock_ms));
+        let part = known.or_else(|| part_from_start(now_ms, spec, run, placement, clock_ms));
         let part = part.filter(|part| is_at_full_pace(spec, placement, part.from_ms));
         let next = ProgressPart {
             run,
-            from_clock_ms: clock.clock_ms,
+            from_clock_ms: clock_ms,
             from_ms: now_ms,
             from_percent: percent,
         };
-        let Some(part) = part else {
-            self.worker_mut(agent).parts.insert(key.clone(), next);
-            return;
-        };
-        let spent_ms = clock.clock_ms.saturating_sub(part.from_clock_ms);
-        let gained = percent.saturating_sub(part.from_percent);
+        Some((part, next))
+    }
+
+    /// What a part of a run says about the speed of its worker; `None` while the part is too short.
+    fn speed_sample(
+        &self,
+        agent: &AgentId,
+        key: &TaskKey,
+        part: ProgressPart,
+        next: ProgressPart,
+    ) -> Option<RunSample> {
+        let state = self.flows.get(&key.job)?;
+        let spec = state.step_spec(key.step)?;
+        let spent_ms = next.from_clock_ms.saturating_sub(part.from_clock_ms);
+        let gained = next.from_percent.saturating_sub(part.from_percent);
         let is_long = spent_ms >= spec.estimate_ms.max(MAX_PART_MS);
         if spent_ms < MIN_PART_MS || (gained < MIN_PART_PERCENT && !is_long) {
-            return;
+            return None;
         }
+        let factor = self.place_factor(self.worker(agent)?, spec)?;
         let estimate = self.estimate(state, key.step, spec);
-        let Some(factor) = self.place_factor(view, spec) else {
-            return;
-        };
         // Reports state whole percents, rounded down.
         let share = (f64::from(gained) + 0.5) / 100.0;
-        let sample = RunSample {
+        Some(RunSample {
             job: hash64(key.job.as_str()),
             run: hash64(&key.to_string()),
             expected_ms: estimate.median_ms as f64 * share * factor,
             spent_ms: spent_ms as f64,
             weight: estimate.samples / (estimate.samples + HALF_TRUST_SAMPLES),
-        };
-        let has_processors = has_processors(spec, view);
-        let view = self.worker_mut(agent);
-        if spent_ms >= MAX_PART_MS && gained >= MIN_PART_PERCENT {
-            view.parts.insert(key.clone(), next);
-        }
-        if !has_processors {
-            return;
-        }
-        if let Some(change) = view.speed.observe(now_ms, sample) {
-            self.effects
-                .push(Effect::SpeedChanged(agent.clone(), change));
-        }
+        })
     }
 
     /// Factor by which a task takes longer on a worker for its rack; `None` if that is not known.
@@ -335,7 +359,7 @@
 }
 
 /// Whether a run has the processors that it needs. Fillers share what is left.
-fn has_processors(spec: &StepSpec, view: &WorkerView) -> bool {
+fn has_processors_for(spec: &StepSpec, view: &WorkerView) -> bool {
     let capacity = view.info.as_ref().map(|info| info.capacity);
     let is_spare = |milli| view.spare_milli(milli) >= 0;
     !spec.filler || capacity.is_some_and(|capacity| is_spare(capacity.processors_milli))
--- a/components/flow/tests/learned.rs
+++ b/components/flow/tests/learned.rs
@@ -192,6 +192,23 @@
     );
 }
 
+/// Guards against fillers that stay on a slow worker although others have processors to spare.
+#[test]
+fn fillers_stuck_on_a_slow_worker_are_moved() {
+    let mut sim = learning_sim(3);
+    submit_short(&mut sim, "a", 20, 300);
+    let filler = StepSpec {
+        filler: true,
+        ..saving_step(6, 2_000, 8_000)
+    };
+    sim.submit("filler", vec![filler]);
+    sim.run_for(1_000);
+    set_speed(&mut sim, "w1", 20);
+    submit_short(&mut sim, "b", 40, 300);
+    assert!(!sim.moved_from_slow.is_empty());
+    assert!(sim.run_until_ended(6_000), "{:?}", sim.ended_ms.len());
+}
+
 /// Guards against a fleet of moves at once, and against a task that is moved back and forth.
 #[test]
 fn moves_are_few_at_once_and_no_task_moves_twice() {
