--- a/components/flow/src/candidate.rs
+++ b/components/flow/src/candidate.rs
@@ -3,9 +3,9 @@
 
 use crate::crashes::Isolation;
 use crate::forecast::Forecast;
-use crate::locality::is_near_data;
 use crate::placed_runs::allocation_for;
 use crate::slack::{CriticalSlack, image_of};
+use crate::slow_workers::SpeedRank;
 use crate::view::{Allocation, WorkerView};
 use crate::worker_rules::rule_exclusion;
 use crate::{Exclusion, Scheduler, StepSpec, TaskKey, TaskState};
@@ -93,6 +93,8 @@
     pub slacks: Option<Vec<CriticalSlack>>,
     /// When its runs are expected to end; `None` until a task might wait for it.
     pub forecast: Option<Forecast>,
+    /// How it ranks for its speed.
+    pub speed_rank: SpeedRank,
 }
 
 impl Scheduler {
@@ -113,6 +115,7 @@
                 candidate.spare_milli += self.unused_by_pace_milli(view);
                 candidate.held_for = self.held_for(now_ms, agent);
                 candidate.is_cold = now_ms < view.cold_until_ms;
+                candidate.speed_rank = self.speed_rank(now_ms, view);
                 Some((info.service.clone(), candidate))
             })
             .collect()
@@ -212,7 +215,8 @@
         }
         // Every later term is a penalty >= 0, so a candidate can be rejected early.
         let bounded = |score: f64| Some(score).filter(|score| *score < least);
-        let score = bounded(capacity_score(candidate, spec)).ok_or(Exclusion::HigherScore)?;
+        let score = capacity_score(candidate, spec) + candidate.speed_rank.penalty(spec);
+        let score = bounded(score).ok_or(Exclusion::HigherScore)?;
         let view = self.fleet.workers.get(&candidate.agent);
         let view = view.ok_or(Exclusion::NotSynced)?;
         let has_failed_here = search.task.avoided_agent.as_ref() == Some(&candidate.agent);
@@ -326,6 +330,7 @@
         };
         self.spare_milli -= allocation.expected_milli();
         self.has_latency_critical |= allocation.latency_target_ms.is_some();
+        self.speed_rank.count_run();
     }
 
     /// Adds a filler that is placed here to those that use up slack.
@@ -372,6 +377,7 @@
         accepts_hold: true,
         slacks: None,
         forecast: None,
+        speed_rank: SpeedRank::default(),
     }
 }
 
@@ -401,9 +407,8 @@
 
 /// [`REMOTE_PENALTY`] for a worker outside of the rack that holds the task's data, else 0.
 fn locality_penalty(view: &WorkerView, spec: &StepSpec) -> f64 {
-    if is_near_data(view, spec) {
-        0.0
-    } else {
-        REMOTE_PENALTY
+    match view.is_near(spec) {
+        true => 0.0,
+        false => REMOTE_PENALTY,
     }
 }
--- a/components/flow/src/effect.rs
+++ b/components/flow/src/effect.rs
@@ -3,6 +3,7 @@
 use crate::{FlowPhase, Incarnation, LocalityOutcome, Outlooks, RecordFault, TaskKey};
 use interference::PressureChange;
 use model::{AgentId, JobId};
+use worker_speed::SpeedChange;
 
 /// An action that the caller of the scheduler carries out.
 #[derive(Debug, Clone, PartialEq)]
@@ -34,6 +35,8 @@
     Duplicate(DuplicateOutcome),
     /// Count where a task was placed that is faster near its data or its gang.
     LocalityChosen(LocalityOutcome),
+    /// Log that this agent's worker is slow or has recovered.
+    SpeedChanged(AgentId, SpeedChange),
     /// Log a decision.
     Decided(Decision),
 }
@@ -99,6 +102,7 @@
 /// ```
 /// assert_eq!(flow::DecisionKind::Lost.to_string(), "gone");
 /// assert_eq!(flow::DecisionKind::Orphaned.to_string(), "stray");
+/// assert_eq!(flow::DecisionKind::MovedFromSlow.to_string(), "moved-from-slow");
 /// ```
 #[derive(Debug, Clone, Copy, PartialEq, Eq, strum::Display, strum::IntoStaticStr)]
 #[strum(serialize_all = "kebab-case")]
@@ -132,4 +136,6 @@
     Duplicated,
     /// A task that waited for a worker near its data or its gang is placed elsewhere.
     GaveUpNear,
+    /// A task is moved away from a slow worker.
+    MovedFromSlow,
 }
--- a/components/flow/src/footprint.rs
+++ b/components/flow/src/footprint.rs
@@ -106,7 +106,8 @@
         let near_wait = self.near_wait.as_ref().map_or(0, |wait| {
             size_of::<NearWait>() + wait.tasks.len() * NEAR_WAIT_TASK_BYTES
         });
-        self.tasks.capacity() * size_of::<TaskState>() + near_wait
+        let siblings = self.siblings.as_deref().map_or(0, size_of_val);
+        self.tasks.capacity() * size_of::<TaskState>() + near_wait + siblings
     }
 }
 
--- a/components/flow/src/forecast.rs
+++ b/components/flow/src/forecast.rs
@@ -208,7 +208,7 @@
         let factor = self.policies.remote_factor.unwrap_or(1.0);
         let is_near = view
             .zip(state.step_spec(key.step))
-            .is_none_or(|(view, spec)| crate::locality::is_near_data(view, spec));
+            .is_none_or(|(view, spec)| view.is_near(spec));
         match is_near {
             true => run_ms,
             false => run_ms.saturating_add(locality::extra_ms(run_ms, factor)),
--- a/components/flow/src/locality.rs
+++ b/components/flow/src/locality.rs
@@ -2,9 +2,8 @@
 //! that is worthwhile. A task that waits reserves nothing: others may take any room meanwhile.
 
 use crate::candidate::Candidate;
-use crate::view::WorkerView;
 use crate::worker_rules::may_run;
-use crate::{DecisionKind, Effect, FlowState, Scheduler, StepSpec, TaskKey, WorkerInfo, has_form};
+use crate::{DecisionKind, Effect, FlowState, Scheduler, StepSpec, TaskKey, WorkerInfo};
 use ::locality::{NearPlace, Verdict, decide, gang_place};
 use model::{AgentId, ServiceName};
 use std::collections::{BTreeMap, BTreeSet};
@@ -99,7 +98,7 @@
         let mut by_rack: BTreeMap<&str, Vec<usize>> = BTreeMap::new();
         for (index, (pool, candidate)) in candidates.iter().enumerate() {
             let view = self.fleet.workers.get(&candidate.agent);
-            let Some(view) = view.filter(|view| pool == service && is_near_data(view, spec)) else {
+            let Some(view) = view.filter(|view| pool == service && view.is_near(spec)) else {
                 continue;
             };
             let rack = view.info.as_ref().and_then(WorkerInfo::rack);
@@ -335,11 +334,3 @@
         }
     }
 }
-
-/// Whether a worker is in the rack that holds the data of a step's tasks, if they have any.
-pub(crate) fn is_near_data(view: &WorkerView, spec: &StepSpec) -> bool {
-    spec.data_rack.as_deref().is_none_or(|rack| {
-        let own = view.info.as_ref().and_then(WorkerInfo::rack);
-        own.is_some_and(|own| has_form(own, rack))
-    })
-}
--- a/components/flow/src/pass.rs
+++ b/components/flow/src/pass.rs
@@ -37,7 +37,8 @@
         let order = self.order_flows(now_ms, wall_ms);
         let starved = self.starved_fillers_if_due(now_ms);
         let slow = self.slow_runs_if_due(now_ms);
-        let is_idle = order.is_empty() && starved.is_empty() && slow.is_empty();
+        let stuck = self.stuck_tasks_if_due(now_ms);
+        let is_idle = order.is_empty() && starved.is_empty() && slow.is_empty() && stuck.is_empty();
         if is_idle && !self.has_evacuations() {
             return;
         }
@@ -52,6 +53,7 @@
         }
         self.move_fillers(now_ms, starved, &mut candidates);
         self.move_evacuated(now_ms, &mut candidates);
+        self.move_stuck_tasks(now_ms, stuck, &mut candidates);
         self.place_duplicates(now_ms, slow, &mut candidates);
     }
 
--- a/components/flow/src/remaining.rs
+++ b/components/flow/src/remaining.rs
@@ -36,10 +36,17 @@
 }
 
 impl Scheduler {
-    /// Expected run time of a task of a step at full pace, in milliseconds. Every estimate of a run time
-    /// is requested here.
+    /// Expected run time of a task of a step at full pace on a worker of normal speed, in milliseconds; the
+    /// declared one unless run times are learned. 0 if the flow has no such step. Every estimate of a run
+    /// time is requested here.
     pub(crate) fn run_time_ms(&self, state: &FlowState, step: u32) -> u64 {
-        state.step_spec(step).map_or(0, |spec| spec.estimate_ms)
+        let Some(spec) = state.step_spec(step) else {
+            return 0;
+        };
+        match self.policies.learned_run_times {
+            true => self.estimate(state, step, spec).median_ms,
+            false => spec.estimate_ms,
+        }
     }
 
     /// A flow as the order of jobs sees it, and what is left of it; `None` while it waits for its next
--- a/components/flow/src/scheduler.rs
+++ b/components/flow/src/scheduler.rs
@@ -4,6 +4,7 @@
 use crate::begun::ProgressLimit;
 use crate::evacuation::Evacuations;
 use crate::filler_failures::FillerFailures;
+use crate::learned::Learned;
 use crate::overload::Overload;
 use crate::placed_runs::{allocation_for, placements, run_ref};
 use crate::suspects::suspects;
@@ -55,6 +56,8 @@
     pub(crate) slow_searched_ms: u64,
     /// Learned pressures of fillers on latency-critical tasks.
     pub(crate) pressures: PressureModel,
+    /// Learned run times of tasks and speeds of workers.
+    pub(crate) learned: Learned,
     /// When starved fillers were last searched for, in milliseconds.
     pub(crate) starved_searched_ms: u64,
     /// Fillers for which no worker was found a moment ago.
--- a/components/flow/src/step_state.rs
+++ b/components/flow/src/step_state.rs
@@ -2,6 +2,7 @@
 //! when the tasks are done.
 
 use crate::{CrashCount, FlowSpec, NearWait, Placement, StepSpec};
+use estimates::Siblings;
 use interference::MarginTrend;
 use model::AgentId;
 
@@ -86,6 +87,8 @@
     /// Wait of its tasks for near workers; `None` while none has waited since it was last without queued
     /// tasks.
     pub near_wait: Option<Box<NearWait>>,
+    /// Run times of the step's tasks that have ended; `None` before the first is learned.
+    pub siblings: Option<Box<Siblings>>,
 }
 
 impl StepState {
@@ -141,6 +144,7 @@
             self.tasks = Vec::new();
             self.margin = None;
             self.near_wait = None;
+            self.siblings = None;
         }
     }
 
--- a/components/flow_entry/src/effects.rs
+++ b/components/flow_entry/src/effects.rs
@@ -4,9 +4,10 @@
 use crate::metrics::Metrics;
 use actix::Context;
 use flow::{Decision, DecisionKind, Effect, FlowEnd, FlowPhase};
-use model::JobId;
+use model::{AgentId, JobId};
 use telemetry::{Event, log_event};
 use utils::{boot_ms, wall_ms};
+use worker_speed::SpeedChange;
 
 impl Coordinator {
     /// Carries out the effects that the scheduler has queued.
@@ -56,6 +57,7 @@
                 Effect::LocalityChosen(outcome) => {
                     Metrics::count(&self.metrics.locality_waits, &outcome);
                 }
+                Effect::SpeedChanged(agent, change) => log_speed_change(&agent, change),
                 Effect::Decided(decision) => self.log_decision(&decision),
             }
         }
@@ -93,8 +95,19 @@
             DecisionKind::Revoked => Event::StartRevoked,
             DecisionKind::Duplicated => Event::RunDuplicated,
             DecisionKind::GaveUpNear => Event::NearWaitGivenUp,
+            DecisionKind::MovedFromSlow => Event::RunMoved,
         };
         log_event!(info, event, job = %decision.task.job, task = %decision.task, run = decision.run,
             agent = %decision.agent, detail = %decision.detail);
     }
 }
+
+/// Logs that an agent's worker is slow or has recovered.
+fn log_speed_change(agent: &AgentId, change: SpeedChange) {
+    match change {
+        SpeedChange::Slow { speed, jobs } => {
+            log_event!(warn, Event::WorkerSlow, agent = %agent, speed, jobs);
+        }
+        SpeedChange::Recovered => log_event!(info, Event::WorkerRecovered, agent = %agent),
+    }
+}
--- a/components/flow_entry/src/metrics.rs
+++ b/components/flow_entry/src/metrics.rs
@@ -2,7 +2,7 @@
 
 use crate::memory::MemoryShares;
 use admission::Backlog;
-use flow::Outlooks;
+use flow::{LearnedView, Outlooks};
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
@@ -18,6 +18,13 @@
     pub outcome: String,
 }
 
+/// Label by which errors of run times are measured.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct EstimateLabel {
+    /// `learned` for estimates, `declared` for the run times that callers state.
+    pub source: &'static str,
+}
+
 /// Kind of use of the memory that callers set.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, strum::IntoStaticStr)]
 #[strum(serialize_all = "kebab-case")]
@@ -89,6 +96,12 @@
     /// Flows that have not ended by what they can still achieve, by the scheduler; 0 while the order under
     /// overload is off.
     pub(crate) jobs_by_outlook: Family<OutlookLabel, Gauge>,
+    /// Classes of tasks with learned run times, by the scheduler.
+    pub(crate) estimate_classes: Gauge,
+    /// Mean errors of run times, in percent of the measured ones, by the scheduler.
+    pub(crate) estimate_error_percent: Family<EstimateLabel, Gauge>,
+    /// Slow workers, by the scheduler.
+    pub(crate) workers_slow: Gauge,
     /// Memory that callers set, by kind of use, in bytes.
     pub(crate) memory_bytes: Family<KindLabel, Gauge>,
     /// Limits of this memory, by kind of use, in bytes; that of `flows` holds for all of the scheduler.
@@ -129,6 +142,9 @@
             evacuation_runs_left: Gauge::default(),
             evacuation_seconds: Histogram::new(exponential_buckets(0.1, 2.0, 14)),
             jobs_by_outlook: Family::default(),
+            estimate_classes: Gauge::default(),
+            estimate_error_percent: Family::default(),
+            workers_slow: Gauge::default(),
             memory_bytes: Family::default(),
             memory_limit_bytes: Family::default(),
             connections: Gauge::default(),
@@ -186,6 +202,21 @@
         }
     }
 
+    /// Updates the metrics of what the scheduler has learned.
+    pub(crate) fn observe_learned(&self, learned: &LearnedView) {
+        self.estimate_classes.set(learned.classes as i64);
+        self.workers_slow.set(learned.slow_workers as i64);
+        let errors = [
+            ("learned", learned.errors.learned_percent),
+            ("declared", learned.errors.declared_percent),
+        ];
+        for (source, percent) in errors {
+            let label = EstimateLabel { source };
+            let gauge = self.estimate_error_percent.get_or_create(&label);
+            gauge.set(percent.round() as i64);
+        }
+    }
+
     /// Updates the metrics of connections, of the memory for requests, and of the limits.
     pub(crate) fn observe_memory(&self, shares: &MemoryShares) {
         self.connections.set(shares.counters.open() as i64);
@@ -275,6 +306,21 @@
             "Flows that are not over, by what they can still achieve",
             self.jobs_by_outlook.clone(),
         );
+        registry.register(
+            "flow_estimate_classes",
+            "Classes of tasks with learned run times",
+            self.estimate_classes.clone(),
+        );
+        registry.register(
+            "flow_estimate_error_percent",
+            "Mean error of estimated and of declared run times, in percent of the measured ones",
+            self.estimate_error_percent.clone(),
+        );
+        registry.register(
+            "flow_workers_slow",
+            "Workers that are slow by the progress of their runs",
+            self.workers_slow.clone(),
+        );
         registry.register(
             "flow_memory_bytes",
             "Memory that callers set, by kind of use",
--- a/components/flow_entry/tests/common/mod.rs
+++ b/components/flow_entry/tests/common/mod.rs
@@ -10,7 +10,9 @@
 use flow::{AwayWorker, FlowConfig};
 use flow_entry::{ConfigSource, ConfigUpdate, Dependencies, EntryHandle};
 use serde::Deserialize;
-use settings::{FlowEntrySettings, FlowLimitSettings, LeaseSettings, PlatformSettings};
+use settings::{
+    FlowEntrySettings, FlowLimitSettings, LeaseSettings, PlatformSettings, PolicySettings,
+};
 use standin::MemoryTable;
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
@@ -205,6 +207,18 @@
         .await
     }
 
+    /// As [`Entry::start`], with an entry that learns run times.
+    pub async fn start_learning(id: &str, table: &Rc<SlowTable>) -> Self {
+        let config = FlowConfig {
+            version: 1,
+            ..FlowConfig::default()
+        };
+        Self::start_with(id, table, config, |settings| {
+            settings.policies.learned_run_times = true;
+        })
+        .await
+    }
+
     /// As [`Entry::start`], with this configuration and a change to the settings.
     pub async fn start_with(
         id: &str,
--- a/components/telemetry/src/event.rs
+++ b/components/telemetry/src/event.rs
@@ -149,6 +149,7 @@
     RunStopped = 718,
     /// A run is moved: a filler away from tasks that it interferes with, or a run out of an evacuated
     /// failure domain.
+    /// A task is moved to a worker where it ends earlier.
     RunMoved = 720,
     /// The learned pressure of a filler's image on a latency-critical image changed.
     PairJudged = 721,
@@ -168,6 +169,10 @@
     RunDuplicated = 731,
     /// A task that waited for a worker near its data or its gang is placed elsewhere.
     NearWaitGivenUp = 730,
+    /// Runs of several jobs show that a worker is slow.
+    WorkerSlow = 724,
+    /// A slow worker has recovered, or is tried again.
+    WorkerRecovered = 725,
     /// An agent refused a start order: its worker is draining or has another incarnation.
     OrderRefused = 719,
     /// The evacuation of a failure domain was requested.
--- a/tests/common/flow_fleet.rs
+++ b/tests/common/flow_fleet.rs
@@ -103,6 +103,12 @@
         Self::start_with_zones(entries, agents, zones, set).await
     }
 
+    /// As [`Fleet::start`], with entries that learn run times.
+    pub async fn start_learning(entries: usize, agents: usize) -> Self {
+        let set = |settings: &mut Value| settings["policies"]["learned_run_times"] = true.into();
+        Self::start_with(entries, agents, set).await
+    }
+
     /// As [`Fleet::start`], with entries that refuse jobs that can't end in time.
     pub async fn start_with_admission(entries: usize, agents: usize) -> Self {
         let set = |settings: &mut Value| settings["policies"]["admission"] = true.into();
@@ -214,6 +220,11 @@
         }
     }
 
+    /// Metrics of an entry as text; empty without an answer.
+    pub async fn metrics(&self, entry: usize) -> String {
+        self.caller.metrics(self.entries[entry].0.metrics).await
+    }
+
     /// All runs that the workers have started.
     pub fn executions(&self) -> Vec<Execution> {
         self.workers
