--- a/components/flow/src/candidate.rs
+++ b/components/flow/src/candidate.rs
@@ -4,6 +4,7 @@
 use crate::crashes::Isolation;
 use crate::forecast::Forecast;
 use crate::placed_runs::allocation_for;
+use crate::scarce_images::ScarceNeed;
 use crate::slack::{CriticalSlack, image_of};
 use crate::slow_workers::SpeedRank;
 use crate::view::{Allocation, WorkerView};
@@ -20,6 +21,9 @@
 const NO_LATENCY_CRITICAL_PENALTY: f64 = 1.0;
 /// Penalty of a filler that uses up all slack of a latency-critical task on the worker.
 const USED_SLACK_PENALTY: f64 = 0.5;
+/// Penalty of a filler on a worker that could bear fillers of another image which few workers can bear and
+/// which wait; greater than all other terms of a filler's score.
+const SCARCE_WORKER_PENALTY: f64 = 2.0;
 /// Least pace that is told apart where a filler is placed regardless of its pace.
 const MIN_SCORED_PACE: f64 = 0.02;
 /// Time for which a new filler should be able to work at its pace, in milliseconds.
@@ -42,6 +46,8 @@
     /// Least share of its full pace that it must be able to keep; above 1 to leave room for loads that
     /// grow while it runs.
     pub min_pace: f64,
+    /// Needs of fillers of other images that wait for one of the few workers that can bear them.
+    pub scarce: Vec<ScarceNeed>,
 }
 
 /// A task for which a worker is searched.
@@ -248,6 +254,7 @@
         FillerNeed {
             pressures: self.pressures.cautious_row(now_ms, image),
             min_pace,
+            scarce: self.scarce_needs(now_ms, spec),
         }
     }
 }
@@ -300,7 +307,22 @@
         if pace < filler.min_pace {
             return Err(Exclusion::Interference);
         }
-        Ok(USED_SLACK_PENALTY / pace.max(MIN_SCORED_PACE))
+        let scarce_penalty = match filler.scarce.iter().any(|need| self.could_bear(need)) {
+            true => SCARCE_WORKER_PENALTY,
+            false => 0.0,
+        };
+        Ok(USED_SLACK_PENALTY / pace.max(MIN_SCORED_PACE) + scarce_penalty)
+    }
+
+    /// Whether the latency-critical tasks here could bear a filler at its pace if there were no others.
+    fn could_bear(&self, need: &ScarceNeed) -> bool {
+        let total = f64::from(self.capacity.processors_milli.max(1));
+        let share = f64::from(need.processors_milli) / total;
+        let mut criticals = self.slacks.iter().flatten();
+        criticals.all(|critical| {
+            let loss = critical.image.of(&need.pressures) * share;
+            critical.slack >= loss * MIN_PLACED_PACE
+        })
     }
 
     /// Share of its full pace at which a filler could work without pushing a latency-critical task
--- a/components/flow/src/lib.rs
+++ b/components/flow/src/lib.rs
@@ -48,6 +48,7 @@
 pub mod record_rows;
 mod remaining;
 mod reports;
+mod scarce_images;
 mod scheduler;
 mod set_aside;
 mod slack;
--- a/components/flow/src/policies.rs
+++ b/components/flow/src/policies.rs
@@ -16,8 +16,6 @@
     pub overload_order: bool,
     /// Whether a second run of a slow task may start where its step allows that.
     pub duplicates: bool,
-    /// Whether queues of equal priority get equal shares of a pool that is full.
-    pub fair_shares: bool,
     /// Factor by which a task takes longer away from its data or its group; `None` if tasks don't
     /// wait for a near worker.
     pub remote_factor: Option<f64>,
--- a/components/flow/src/scheduler.rs
+++ b/components/flow/src/scheduler.rs
@@ -7,6 +7,7 @@
 use crate::learned::Learned;
 use crate::overload::Overload;
 use crate::placed_runs::{allocation_for, placements, run_ref};
+use crate::scarce_images::ScarceImages;
 use crate::suspects::suspects;
 use crate::task_runs::Removed;
 use crate::view::{Fleet, WorkerView};
@@ -60,6 +61,8 @@
     pub(crate) learned: Learned,
     /// When starved fillers were last searched for, in milliseconds.
     pub(crate) starved_searched_ms: u64,
+    /// Images of fillers for which no worker was found lately.
+    pub(crate) scarce_images: ScarceImages,
     /// Fillers for which no worker was found a moment ago.
     pub(crate) filler_failures: FillerFailures,
     /// Whether the order defers flows, and how many.
--- a/components/flow/tests/learned.rs
+++ b/components/flow/tests/learned.rs
@@ -13,7 +13,6 @@
     learned_run_times: true,
     overload_order: false,
     duplicates: false,
-    fair_shares: false,
     remote_factor: None,
 };
 
--- a/components/flow_entry/src/leadership.rs
+++ b/components/flow_entry/src/leadership.rs
@@ -321,7 +321,6 @@
         learned_run_times: settings.learned_run_times,
         overload_order: settings.overload_order,
         duplicates: settings.duplicates,
-        fair_shares: settings.fair_shares,
         remote_factor: settings.remote_factor,
     }
 }
--- a/components/settings/src/flow.rs
+++ b/components/settings/src/flow.rs
@@ -81,9 +81,6 @@
     /// Whether a second run of a slow task may start where its step allows that.
     #[garde(skip)]
     pub duplicates: bool,
-    /// Whether queues of equal priority get equal shares of a pool that is full.
-    #[garde(skip)]
-    pub fair_shares: bool,
     /// Factor by which a task takes longer away from its data or its group; absent if tasks don't
     /// wait for a near worker.
     #[garde(inner(range(min = 1.0, max = 100.0)))]
