--- a/components/flow/src/backlog.rs
+++ b/components/flow/src/backlog.rs
@@ -100,10 +100,12 @@
         backlog
     }
 
-    /// Adds the processors of a worker that answers and is not about to leave.
+    /// Adds the processors of a worker that answers, is not about to leave and in no evacuated domain.
     fn add_processors(&self, view: &WorkerView, backlog: &mut Backlog) {
         let info = view.info.as_ref().filter(|info| !info.draining);
-        let Some(info) = info.filter(|_| view.contact.is_answering()) else {
+        let Some(info) =
+            info.filter(|_| view.contact.is_answering() && !self.evacuations.includes_worker(view))
+        else {
             return;
         };
         let Some(pool) = backlog.pool_mut(info.service.as_str()) else {
--- a/components/flow/src/candidate.rs
+++ b/components/flow/src/candidate.rs
@@ -4,32 +4,18 @@
 use crate::crashes::Isolation;
 use crate::forecast::Forecast;
 use crate::placed_runs::allocation_for;
-use crate::scarce_images::ScarceNeed;
-use crate::slack::{CriticalSlack, image_of};
+use crate::scoring::{capacity_score, interference_penalty, locality_penalty};
+use crate::slack::CriticalSlack;
 use crate::slow_workers::SpeedRank;
 use crate::view::{Allocation, WorkerView};
 use crate::worker_rules::rule_exclusion;
 use crate::{Exclusion, Scheduler, StepSpec, TaskKey, TaskState};
 use model::{AgentId, Resources, ServiceName};
 
-/// Penalty of a worker outside of the rack that holds the task's data.
-const REMOTE_PENALTY: f64 = 100.0;
 /// Penalty of the worker on which the task failed or stalled last.
 const FAILED_BEFORE_PENALTY: f64 = 50.0;
-/// Penalty of a worker without latency-critical tasks for any task but a filler. It keeps such
-/// workers free for fillers.
-const NO_LATENCY_CRITICAL_PENALTY: f64 = 1.0;
-/// Penalty of a filler that uses up all slack of a latency-critical task on the worker.
-const USED_SLACK_PENALTY: f64 = 0.5;
-/// Penalty of a filler on a worker that could bear fillers of another image which few workers can bear and
-/// which wait; greater than all other terms of a filler's score.
-const SCARCE_WORKER_PENALTY: f64 = 2.0;
-/// Least pace that is told apart where a filler is placed regardless of its pace.
-const MIN_SCORED_PACE: f64 = 0.02;
 /// Time for which a new filler should be able to work at its pace, in milliseconds.
 const PLACEMENT_HORIZON_MS: u64 = 2_500;
-/// Penalty of a latency-critical task for each other latency-critical image on the worker.
-const OTHER_IMAGE_PENALTY: f64 = 2.0;
 /// Least share of a filler's declared processors that must be spare on a worker to place it there.
 pub(crate) const MIN_FILLER_SPARE_SHARE: f64 = 0.5;
 
@@ -46,8 +32,6 @@
     /// Least share of its full pace that it must be able to keep; above 1 to leave room for loads that
     /// grow while it runs.
     pub min_pace: f64,
-    /// Needs of fillers of other images that wait for one of the few workers that can bear them.
-    pub scarce: Vec<ScarceNeed>,
 }
 
 /// A task for which a worker is searched.
@@ -111,7 +95,7 @@
         if !self.is_evacuation_known(now_ms) {
             return Vec::new();
         }
-        let unpaused = self.fleet.unpaused_pools(now_ms);
+        let unpaused = self.unpaused_pools(now_ms);
         let workers = self.fleet.workers.iter();
         workers
             .filter(|(_, view)| self.worker_exclusion(now_ms, view, &unpaused).is_none())
@@ -254,31 +238,10 @@
         FillerNeed {
             pressures: self.pressures.cautious_row(now_ms, image),
             min_pace,
-            scarce: self.scarce_needs(now_ms, spec),
         }
     }
 }
 
-/// Penalty for interference with the tasks on a worker, or why the task must not be placed there. Fillers prefer workers whose latency-critical tasks bear them easily; latency-critical
-/// tasks prefer workers that run their own image.
-fn interference_penalty(
-    view: &WorkerView,
-    candidate: &Candidate,
-    spec: &StepSpec,
-    filler: &FillerNeed,
-) -> Result<f64, Exclusion> {
-    if spec.filler {
-        return candidate.filler_penalty(spec, filler);
-    }
-    if spec.latency_target_ms.is_some() {
-        let image = spec.image.as_deref().unwrap_or_default();
-        let images = latency_critical_images(view);
-        let others = images.iter().filter(|other| **other != image).count();
-        return Ok(others as f64 * OTHER_IMAGE_PENALTY);
-    }
-    Ok(0.0)
-}
-
 impl Candidate {
     /// Whether a task may start here as far as suspects are concerned.
     pub(crate) fn admits(&self, key: &TaskKey, isolation: Isolation) -> bool {
@@ -298,45 +261,6 @@
         has_spare && spec.reserved().fits_in(&self.free)
     }
 
-    /// Penalty for the slack that a filler uses up, or why it must not be placed here.
-    fn filler_penalty(&self, spec: &StepSpec, filler: &FillerNeed) -> Result<f64, Exclusion> {
-        if !has_spare_for(self, spec) {
-            return Err(Exclusion::NoSpareProcessors);
-        }
-        let pace = self.bearable_pace(&filler.pressures, spec);
-        if pace < filler.min_pace {
-            return Err(Exclusion::Interference);
-        }
-        let scarce_penalty = match filler.scarce.iter().any(|need| self.could_bear(need)) {
-            true => SCARCE_WORKER_PENALTY,
-            false => 0.0,
-        };
-        Ok(USED_SLACK_PENALTY / pace.max(MIN_SCORED_PACE) + scarce_penalty)
-    }
-
-    /// Whether the latency-critical tasks here could bear a filler at its pace if there were no others.
-    fn could_bear(&self, need: &ScarceNeed) -> bool {
-        let total = f64::from(self.capacity.processors_milli.max(1));
-        let share = f64::from(need.processors_milli) / total;
-        let mut criticals = self.slacks.iter().flatten();
-        criticals.all(|critical| {
-            let loss = critical.image.of(&need.pressures) * share;
-            critical.slack >= loss * MIN_PLACED_PACE
-        })
-    }
-
-    /// Share of its full pace at which a filler could work without pushing a latency-critical task
-    /// over its target; above 1 if there is slack beyond that.
-    fn bearable_pace(&self, pressures: &[f64], spec: &StepSpec) -> f64 {
-        let share = self.processor_share(spec);
-        let paces = self
-            .slacks
-            .iter()
-            .flatten()
-            .map(|critical| critical.bearable_pace(critical.image.of(pressures) * share));
-        paces.fold(f64::INFINITY, f64::min)
-    }
-
     /// Takes up what a task needs that is to be placed here later.
     pub(crate) fn choose(&mut self, key: &TaskKey, spec: &StepSpec, filler: &FillerNeed) {
         self.take_up(&allocation_for(0, spec, 0));
@@ -363,24 +287,12 @@
         }
     }
 
-    fn processor_share(&self, spec: &StepSpec) -> f64 {
+    pub(crate) fn processor_share(&self, spec: &StepSpec) -> f64 {
         let total = f64::from(self.capacity.processors_milli.max(1));
         f64::from(spec.need.processors_milli) / total
     }
 }
 
-/// Distinct images of the latency-critical tasks on a worker, sorted.
-fn latency_critical_images(view: &WorkerView) -> Vec<&str> {
-    let critical = view
-        .allocations
-        .values()
-        .filter(|allocation| allocation.latency_target_ms.is_some());
-    let mut images: Vec<&str> = critical.map(image_of).collect();
-    images.sort_unstable();
-    images.dedup();
-    images
-}
-
 fn candidate(agent: &AgentId, view: &WorkerView, capacity: Resources) -> Candidate {
     let free = capacity.minus(&view.reserved());
     let spare_milli = view.spare_milli(capacity.processors_milli);
@@ -404,33 +316,6 @@
 }
 
 /// Whether enough processors are spare for a filler.
-fn has_spare_for(candidate: &Candidate, spec: &StepSpec) -> bool {
+pub(crate) fn has_spare_for(candidate: &Candidate, spec: &StepSpec) -> bool {
     candidate.spare_milli as f64 >= f64::from(spec.need.processors_milli) * MIN_FILLER_SPARE_SHARE
 }
-
-/// Score of a worker by its free capacity. Latency-critical tasks are packed, so that fillers find
-/// workers on which they disturb nothing; all other tasks are spread.
-fn capacity_score(candidate: &Candidate, spec: &StepSpec) -> f64 {
-    let total = f64::from(candidate.capacity.processors_milli.max(1));
-    let free = f64::from(candidate.free.processors_milli) / total;
-    let penalty = if candidate.has_latency_critical {
-        0.0
-    } else {
-        NO_LATENCY_CRITICAL_PENALTY
-    };
-    if spec.latency_target_ms.is_some() {
-        penalty + free
-    } else if spec.filler {
-        -(candidate.spare_milli as f64 / total)
-    } else {
-        penalty - free
-    }
-}
-
-/// [`REMOTE_PENALTY`] for a worker outside of the rack that holds the task's data, else 0.
-fn locality_penalty(view: &WorkerView, spec: &StepSpec) -> f64 {
-    match view.is_near(spec) {
-        true => 0.0,
-        false => REMOTE_PENALTY,
-    }
-}
--- a/components/flow/src/ends.rs
+++ b/components/flow/src/ends.rs
@@ -103,7 +103,7 @@
         if let Some(removed) = removed {
             self.count_ended(now_ms, key, end, was_done, &removed);
         }
-        if !is_current || (end.outcome == RunEnd::Done && !is_long_running) {
+        if end.outcome == RunEnd::Done && !is_long_running {
             self.stop_duplicate(now_ms, key);
         }
         self.finish_if_ended(key);
--- a/components/flow/src/evacuation.rs
+++ b/components/flow/src/evacuation.rs
@@ -28,6 +28,8 @@
 const SEARCH_INTERVAL_MS: u64 = 200;
 /// Greatest number of moves in one search, so that the other workers' reports catch up.
 const MAX_MOVES: usize = 8;
+/// Greatest number of runs for which a worker is searched at once.
+const MAX_SEARCHES: usize = 32;
 /// Least time between two new runs on a worker that is slow after its start, in milliseconds.
 const COLD_RUN_INTERVAL_MS: u64 = 500;
 /// Progress that a long-running task reports once it does its work, in percent.
@@ -44,6 +46,8 @@
     confirmed_ms: Option<u64>,
     /// When runs to move were last searched for, in milliseconds.
     searched_ms: u64,
+    /// Run for which a worker was last searched, with the agent of its worker.
+    searched_run: Option<(AgentId, TaskKey)>,
 }
 
 /// Progress of one evacuation.
@@ -271,27 +275,40 @@
             return;
         }
         self.evacuations.searched_ms = now_ms;
-        let mut moves = 0;
-        for (_, key) in self.runs_in_evacuated() {
-            if moves == MAX_MOVES {
+        let (mut moves, mut searches) = (0, 0);
+        let due = self.due_evacuation_moves(now_ms);
+        // The searches go on where the last ones ended, as the first runs may fit nowhere.
+        let after = self.evacuations.searched_run.take();
+        let begin = due.partition_point(|run| after.as_ref().is_some_and(|after| run <= after));
+        for (agent, key) in due[begin..].iter().chain(&due[..begin]) {
+            if moves == MAX_MOVES || searches == MAX_SEARCHES {
                 return;
             }
-            if !self.is_evacuation_move_due(now_ms, &key) {
-                continue;
-            }
-            let percent = self
-                .placement(&key)
-                .map_or(0, |placement| placement.percent);
+            searches += 1;
+            self.evacuations.searched_run = Some((agent.clone(), key.clone()));
+            let percent = self.placement(key).map_or(0, |placement| placement.percent);
             let detail = format!("its failure domain is evacuated; progress {percent}%");
-            if self.move_run(now_ms, &key, detail, candidates) {
+            if self.move_run(now_ms, key, detail, candidates) {
                 moves += 1;
             }
         }
     }
 
-    /// Whether a run in an evacuated domain should go on elsewhere.
-    fn is_evacuation_move_due(&self, now_ms: u64, key: &TaskKey) -> bool {
-        let (Some(spec), Some(placement)) = (self.step_spec(key), self.placement(key)) else {
+    /// Runs in evacuated domains that should go on elsewhere, ordered by worker.
+    fn due_evacuation_moves(&self, now_ms: u64) -> Vec<(AgentId, TaskKey)> {
+        let mut due = self.runs_in_evacuated();
+        due.retain(|(agent, key)| self.is_evacuation_move_due(now_ms, agent, key));
+        due
+    }
+
+    /// Whether a run in an evacuated domain should go on elsewhere. A task with a duplicate runs elsewhere
+    /// already.
+    fn is_evacuation_move_due(&self, now_ms: u64, agent: &AgentId, key: &TaskKey) -> bool {
+        let (Some(state), Some(spec)) = (self.flows.get(&key.job), self.step_spec(key)) else {
+            return false;
+        };
+        let task = state.task(key).filter(|task| task.duplicate.is_none());
+        let Some(placement) = task.and_then(|task| task.placement_on(agent)) else {
             return false;
         };
         let since_ms = self.fleet.workers.get(&placement.agent).and_then(|view| {
@@ -307,7 +324,8 @@
         }
         let left_percent = u64::from(100 - placement.percent.min(100));
         let pace = u64::from(placement.pace.max(1));
-        let left_ms = spec.estimate_ms * left_percent / 100 * FULL_PACE_PERCENT / pace;
+        let run_ms = self.run_time_ms(state, key.step);
+        let left_ms = run_ms * left_percent / 100 * FULL_PACE_PERCENT / pace;
         spec.saves_progress && left_ms >= MIN_MOVED_MS
     }
 
--- a/components/flow/src/exclusion.rs
+++ b/components/flow/src/exclusion.rs
@@ -51,6 +51,19 @@
 }
 
 impl Scheduler {
+    /// Pools with a worker that may get runs, is not draining, not paused and in no evacuated domain.
+    pub(crate) fn unpaused_pools(&self, now_ms: u64) -> BTreeSet<&ServiceName> {
+        let workers = self.fleet.workers.values();
+        let unpaused = workers.filter(|view| {
+            let may_get_runs = view.is_synced() && !self.evacuations.includes_worker(view);
+            may_get_runs && !view.health.is_paused(now_ms)
+        });
+        unpaused
+            .filter_map(|view| view.info.as_ref().filter(|info| !info.draining))
+            .map(|info| &info.service)
+            .collect()
+    }
+
     /// Why a worker accepts no new runs at all, or `None` if it does. In a pool of which all workers are
     /// paused, these accept some runs too.
     pub(crate) fn worker_exclusion(
--- a/components/flow/src/explain.rs
+++ b/components/flow/src/explain.rs
@@ -259,7 +259,7 @@
             rack: None,
             filler,
         };
-        let unpaused = self.fleet.unpaused_pools(now_ms);
+        let unpaused = self.unpaused_pools(now_ms);
         let by_agent: BTreeMap<&AgentId, &Candidate> = candidates
             .iter()
             .map(|(_, candidate)| (&candidate.agent, candidate))
--- a/components/flow/src/filler_failures.rs
+++ b/components/flow/src/filler_failures.rs
@@ -83,9 +83,6 @@
         let has_room = candidates
             .iter()
             .any(|(pool, candidate)| pool == service && candidate.has_room_for(spec));
-        if has_room {
-            self.note_scarce(now_ms, spec);
-        }
         let until_ms = now_ms + FILLER_RETRY_MS;
         self.filler_failures.note(service, spec, has_room, until_ms);
     }
--- a/components/flow/src/forecast.rs
+++ b/components/flow/src/forecast.rs
@@ -182,14 +182,14 @@
     fn remaining_run_ms(&self, now_ms: u64, key: &TaskKey, allocation: &Allocation) -> Option<u64> {
         let state = self.flows.get(&key.job)?;
         let task = state.task(key)?;
-        let placement = task.placement.as_ref()?;
+        let placement = task.placement_of(allocation.run)?;
         if matches!(placement.stage, RunStage::Stopping { .. }) {
             return Some(0);
         }
         if state.step_spec(key.step)?.long_running || placement.pace == 0 {
             return None;
         }
-        let is_first_run = task.run <= 1;
+        let is_first_run = allocation.run <= 1;
         let declared_ms = self.expected_run_ms(state, key, placement);
         let total_ms = observed_run_ms(now_ms, allocation, placement, is_first_run, declared_ms);
         let left_percent = u64::from(100 - placement.percent.min(100));
--- a/components/flow/src/pool_room.rs
+++ b/components/flow/src/pool_room.rs
@@ -105,7 +105,8 @@
         self.fleet.workers.values().filter(move |view| {
             let info = view.info.as_ref().filter(|info| !info.draining);
             let is_of_pool = info.is_some_and(|info| info.service == *pool);
-            is_of_pool && view.is_synced() && !view.health.is_paused(now_ms)
+            let may_get_runs = view.is_synced() && !self.evacuations.includes_worker(view);
+            is_of_pool && may_get_runs && !view.health.is_paused(now_ms)
         })
     }
 
--- a/components/flow/src/slow_workers.rs
+++ b/components/flow/src/slow_workers.rs
@@ -118,10 +118,10 @@
         self.refresh_speeds(now_ms);
         self.forget_moved_tasks();
         let mut stuck: Vec<StuckTask> = Vec::new();
-        for view in self.fleet.workers.values() {
+        for (agent, view) in &self.fleet.workers {
             if let Standing::Slow { speed } = view.speed.standing() {
                 let keys = view.allocations.keys();
-                stuck.extend(keys.filter_map(|key| self.stuck_task(key, speed)));
+                stuck.extend(keys.filter_map(|key| self.stuck_task(agent, key, speed)));
             }
         }
         stuck.sort_by_key(|task| Reverse(task.gain_ms));
@@ -178,8 +178,9 @@
         self.learned.moving = moving;
     }
 
-    /// A task on a worker of this speed, if it would end earlier elsewhere.
-    fn stuck_task(&self, key: &TaskKey, speed: f64) -> Option<StuckTask> {
+    /// A task on a worker of this speed, if it would end earlier elsewhere. One with a duplicate runs elsewhere
+    /// already.
+    fn stuck_task(&self, agent: &AgentId, key: &TaskKey, speed: f64) -> Option<StuckTask> {
         let state = self.flows.get(&key.job)?;
         let (spec, task) = (state.step_spec(key.step)?, state.task(key)?);
         let placement = task.placement.as_ref()?;
@@ -188,6 +189,8 @@
             && !spec.gang
             && !spec.long_running
             && task.run < MAX_RUNS
+            && placement.agent == *agent
+            && task.duplicate.is_none()
             && !self.suspects.contains_key(key);
         if !is_movable || state.is_closed() {
             return None;
--- a/components/flow/src/view.rs
+++ b/components/flow/src/view.rs
@@ -4,8 +4,8 @@
 use crate::interference::LatencyTrace;
 use crate::learned::ProgressPart;
 use crate::{ClockSample, Incarnation, Leases, StepSpec, TaskKey, WorkerInfo, has_form};
-use model::{AgentId, JobId, Resources, ServiceName};
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use model::{AgentId, JobId, Resources};
+use std::collections::{BTreeMap, VecDeque};
 use worker_speed::SpeedTrack;
 
 /// Share of its reserved processors that a latency-critical task is expected to use, in percent.
@@ -255,16 +255,6 @@
             .any(|view| view.orphans.contains_key(task))
     }
 
-    /// Pools with a worker that may get runs, is not draining and is not paused.
-    pub fn unpaused_pools(&self, now_ms: u64) -> BTreeSet<&ServiceName> {
-        let workers = self.workers.values();
-        let unpaused = workers.filter(|view| view.is_synced() && !view.health.is_paused(now_ms));
-        unpaused
-            .filter_map(|view| view.info.as_ref().filter(|info| !info.draining))
-            .map(|info| &info.service)
-            .collect()
-    }
-
     /// Removes the allocation of a task on a worker, if there is one.
     pub fn release(&mut self, now_ms: u64, agent: &AgentId, task: &TaskKey) {
         let Some(view) = self.workers.get_mut(agent) else {
--- a/components/flow_entry/src/evacuations.rs
+++ b/components/flow_entry/src/evacuations.rs
@@ -111,15 +111,18 @@
 impl Coordinator {
     /// Asks the agents in domains that returned to service how long their workers are slow. One that does
     /// not answer, or does not know the call, counts as warm.
-    fn ask_for_cold(&self, domains: &BTreeSet<DomainName>, context: &mut Context<Self>) {
-        let Some(leadership) = self.leadership.as_ref() else {
+    fn ask_for_cold(&mut self, domains: &BTreeSet<DomainName>, context: &mut Context<Self>) {
+        let Some(leadership) = self.leadership.as_mut() else {
             return;
         };
         let epoch = leadership.epoch;
+        let answered_ms = boot_ms() + COLD_TIMEOUT.as_millis() as u64;
         for agent in leadership.scheduler.agents_in(domains) {
             let Some(connection) = leadership.agents.get(&agent) else {
                 continue;
             };
+            // Until the answer it counts as slow, so that the next pass does not fill it.
+            leadership.scheduler.set_cold(&agent, answered_ms);
             let (link, control) = (connection.link.clone(), context.address());
             actix_rt::spawn(async move {
                 let call = link.call(COLD_TIMEOUT, |client, context| async move {
--- a/components/flow_entry/tests/common/mod.rs
+++ b/components/flow_entry/tests/common/mod.rs
@@ -10,9 +10,7 @@
 use flow::{AwayWorker, FlowConfig};
 use flow_entry::{ConfigSource, ConfigUpdate, Dependencies, EntryHandle};
 use serde::Deserialize;
-use settings::{
-    FlowEntrySettings, FlowLimitSettings, LeaseSettings, PlatformSettings, PolicySettings,
-};
+use settings::{FlowEntrySettings, FlowLimitSettings, LeaseSettings, PlatformSettings};
 use standin::MemoryTable;
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
