Evacuate failure domains in the soak and check that nothing starts there

The soak knew neither evacuations nor the policies that the deployment switches on. The new check reports each start in the domain later than 5 s after the request and before its end. Admission stays off, as refusals reduce the load.

--- a/components/soak/src/check.rs
+++ b/components/soak/src/check.rs
@@ -8,6 +8,10 @@
 /// Time after the acknowledgement of a cancellation from which no task of the job may start.
 const CANCEL_LIMIT: Duration = Duration::from_secs(3);
 
+/// Time after the store holds the request for an evacuation from which no task may start in the
+/// failure domain; the bound in the entries' settings.
+pub(crate) const EVACUATION_BOUND: Duration = Duration::from_secs(5);
+
 /// Most starts of a task that crashes each worker that starts it.
 const MAX_DEADLY_STARTS: usize = 5;
 
@@ -30,10 +34,24 @@
     AcceptedEnds,
     /// Every entry reports the final state of a job.
     OneState,
+    /// No task starts in an evacuated failure domain more than 5 s after the request was stored and
+    /// before it was cancelled.
+    EvacuatedStartsNothing,
     /// No process exits except by an injected fault.
     StaysUp,
 }
 
+/// An evacuation of a failure domain that was requested during a run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Evacuation {
+    /// Name of the failure domain.
+    pub domain: &'static str,
+    /// Time at which the store held the request.
+    pub stored: Instant,
+    /// Time just before the request was deleted; `None` while it stands.
+    pub ended: Option<Instant>,
+}
+
 /// A broken promise, with the observation that shows it.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
 #[error("{promise}: {detail}")]
@@ -76,6 +94,30 @@
     breaches
 }
 
+/// Returns the starts that came too late in an evacuated failure domain, of all `executions` of the
+/// domain's workers.
+///
+/// ```
+/// let (domain, stored) = ("d1", std::time::Instant::now());
+/// let evacuation = soak::Evacuation { domain, stored, ended: None };
+/// assert!(soak::check_evacuation(&evacuation, &[]).is_empty());
+/// ```
+pub fn check_evacuation(evacuation: &Evacuation, executions: &[Execution]) -> Vec<Breach> {
+    let limit = evacuation.stored + EVACUATION_BOUND;
+    let late = executions.iter().filter(|run| {
+        run.started > limit && evacuation.ended.is_none_or(|ended| run.started < ended)
+    });
+    late.map(|late| {
+        let after_ms = (late.started - evacuation.stored).as_millis();
+        let detail = format!(
+            "{} run {} started in {} {after_ms} ms after the request",
+            late.task, late.run, evacuation.domain
+        );
+        Breach::new(Promise::EvacuatedStartsNothing, detail)
+    })
+    .collect()
+}
+
 fn job_of(task: &str) -> &str {
     task.split('.').next().unwrap_or_default()
 }
--- a/components/soak/src/fault.rs
+++ b/components/soak/src/fault.rs
@@ -1,6 +1,7 @@
 //! Injected faults, and their schedule for a run, which depends only on its seed and options.
 
 use crate::Options;
+use crate::fleet::DOMAINS;
 use platform_standin::store::StoreMode;
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
@@ -8,6 +9,9 @@
 
 /// Range of the durations of faults, in milliseconds.
 const LENGTH_MS: std::ops::Range<u64> = 300..4_000;
+/// Range of the durations of evacuations, in milliseconds. They outlast the bound of 5 s, so that a
+/// start after it is observed.
+const EVACUATION_MS: std::ops::Range<u64> = 7_000..10_000;
 /// Run time of the tasks of a large job, in milliseconds.
 pub(crate) const LARGE_RUN_MS: u64 = 1_500;
 /// Time from the kill of all processes beside a large job to their restart, in milliseconds.
@@ -58,6 +62,8 @@
     KillAll,
     /// An agent is lost and never comes back.
     LoseAgent(AgentLoss),
+    /// The operator requests the evacuation of a failure domain, and cancels it when the fault ends.
+    Evacuate,
 }
 
 /// A fault that is injected during a run.
@@ -69,13 +75,13 @@
     pub length_ms: u64,
     /// What the fault does.
     pub kind: FaultKind,
-    /// Index of the affected process or worker, taken modulo their number.
+    /// Index of the affected process, worker or failure domain, taken modulo their number.
     pub target: usize,
 }
 
 /// Returns the faults of a run, ordered by start; they may overlap. One odd row, the agents that are
-/// lost for good, and the restart of all processes beside a large job come in addition to the number of
-/// faults in the options.
+/// lost for good, the evacuations, and the restart of all processes beside a large job come in addition to
+/// the number of faults in the options.
 ///
 /// ```
 /// let options = soak::Options {
@@ -87,6 +93,7 @@
 ///     deadly_percent: 0,
 ///     limit_percent: 0,
 ///     lost_agents: 1,
+///     evacuations: 1,
 ///     large_tasks: 0,
 ///     durations: soak::PhaseDurations::for_load(10_000),
 /// };
@@ -95,8 +102,12 @@
 /// ```
 pub fn plan_faults(seed: u64, options: &Options) -> Vec<Fault> {
     let mut random = StdRng::seed_from_u64(seed);
-    let is_drawn =
-        |kind: &FaultKind| !matches!(kind, FaultKind::OddAgentRow(_) | FaultKind::LoseAgent(_));
+    let is_drawn = |kind: &FaultKind| {
+        !matches!(
+            kind,
+            FaultKind::OddAgentRow(_) | FaultKind::LoseAgent(_) | FaultKind::Evacuate
+        )
+    };
     let kinds: Vec<FaultKind> = FaultKind::iter().filter(is_drawn).collect();
     let mut faults: Vec<Fault> = (0..options.faults)
         .map(|_| Fault {
@@ -108,6 +119,7 @@
         .collect();
     faults.push(odd_row(seed, options));
     faults.extend(lost_agents(seed, options));
+    faults.extend(evacuations(seed, options));
     if options.large_tasks > 0 {
         faults.push(restart_beside_large_job(options));
     }
@@ -143,6 +155,20 @@
     lost.collect()
 }
 
+/// Evacuations of distinct failure domains, drawn apart as [`odd_row`] is. They start in the first
+/// quarter of the load, so that jobs are still submitted when the bound has passed.
+fn evacuations(seed: u64, options: &Options) -> Vec<Fault> {
+    let mut random = StdRng::seed_from_u64(seed.rotate_left(16));
+    let first = random.random_range(0..DOMAINS.len());
+    let evacuated = (0..options.evacuations.min(DOMAINS.len())).map(|number| Fault {
+        at_ms: random.random_range(0..(options.durations.load_ms / 4).max(1)),
+        length_ms: random.random_range(EVACUATION_MS),
+        kind: FaultKind::Evacuate,
+        target: (first + number) % DOMAINS.len(),
+    });
+    evacuated.collect()
+}
+
 /// A restart of all processes while the ends of a large job's tasks pile up at the workers.
 fn restart_beside_large_job(options: &Options) -> Fault {
     Fault {
--- a/components/soak/src/fleet.rs
+++ b/components/soak/src/fleet.rs
@@ -1,20 +1,29 @@
 //! The system under test: entries and agents as processes, with a stand-in store and workers.
 
+use crate::check::{EVACUATION_BOUND, Evacuation};
 use crate::node::Node;
 use crate::{AgentLoss, Fault, FaultKind, Options};
 use platform_standin::store::{StoreMode, StoreStandIn};
-use platform_standin::worker::WorkerStandIn;
+use platform_standin::worker::{Execution, WorkerStandIn};
 use platform_standin::{AgentAddresses, EntryAddresses};
 use rustix::process::Signal;
+use serde_json::json;
 use standin::{Relay, RelayMode};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeSet;
 use std::io;
 use std::net::SocketAddr;
+use std::time::Instant;
 
 /// Version of the configuration at the start.
 const FIRST_CONFIG: u64 = 3;
 
+/// Failure domains, to which the workers belong in turn.
+pub(crate) const DOMAINS: [&str; 3] = ["d1", "d2", "d3"];
+
+/// Factor by which tasks take longer away from their data or their group, in the entries' settings.
+const REMOTE_FACTOR: f64 = 1.5;
+
 /// The running system, with the means to inject faults into it.
 pub(crate) struct Fleet {
     /// Stand-in for the platform's store.
@@ -31,6 +40,8 @@
     lost: RefCell<BTreeSet<usize>>,
     /// Version of the newest configuration.
     config: Cell<u64>,
+    /// Evacuations so far, in order of their requests.
+    evacuations: RefCell<Vec<Evacuation>>,
     /// Active faults of the store, oldest first; the newest one is in effect.
     store_faults: RefCell<Vec<StoreMode>>,
 }
@@ -50,6 +61,7 @@
             workers: Vec::new(),
             lost: RefCell::default(),
             config: Cell::new(FIRST_CONFIG),
+            evacuations: RefCell::default(),
             store_faults: RefCell::default(),
             store,
         };
@@ -57,7 +69,8 @@
             let addresses = EntryAddresses::free();
             let id = format!("e{number}");
             let relay = relay_to(fleet.store.address).await?;
-            let settings = addresses.settings(&id, relay.address);
+            let mut settings = addresses.settings(&id, relay.address);
+            settings["policies"] = policies();
             fleet.add_node(options, "entry", &id, &settings, relay)?;
             fleet.fronts.push(addresses.front);
         }
@@ -65,9 +78,11 @@
             let addresses = AgentAddresses::free();
             let id = format!("a{number}");
             let relay = relay_to(fleet.store.address).await?;
-            let settings = addresses.settings(&id, relay.address);
+            let domain = domain_of(number);
+            let mut settings = addresses.settings(&id, relay.address);
+            settings["domain"] = domain.into();
             fleet.add_node(options, "agent", &id, &settings, relay)?;
-            let worker = WorkerStandIn::start(&format!("w{number}"), addresses);
+            let worker = WorkerStandIn::start_in(domain, &format!("w{number}"), addresses);
             fleet.workers.push(worker);
         }
         Ok(fleet)
@@ -110,6 +125,7 @@
             FaultKind::OddAgentRow(kind) => self.store.leave_odd_row("agents", "all", kind),
             FaultKind::KillAll => self.for_each_node(Node::kill)?,
             FaultKind::LoseAgent(loss) => self.lose(target, loss)?,
+            FaultKind::Evacuate => self.evacuate(domain_of(fault.target)),
         }
         self.set_store_mode();
         Ok(())
@@ -131,6 +147,7 @@
                 }
             }
             FaultKind::KillAll => self.for_each_node(Node::restart)?,
+            FaultKind::Evacuate => self.end_evacuation(domain_of(fault.target)),
             FaultKind::HangUp
             | FaultKind::DropHistory
             | FaultKind::ChangeConfig
@@ -178,6 +195,36 @@
         present.try_for_each(|(_, node)| change(&mut node.borrow_mut()))
     }
 
+    fn evacuate(&self, domain: &'static str) {
+        self.store.evacuate(domain);
+        self.evacuations.borrow_mut().push(Evacuation {
+            domain,
+            stored: Instant::now(),
+            ended: None,
+        });
+    }
+
+    fn end_evacuation(&self, domain: &str) {
+        let mut evacuations = self.evacuations.borrow_mut();
+        let mut standing = evacuations.iter_mut().filter(|own| own.ended.is_none());
+        if let Some(evacuation) = standing.find(|own| own.domain == domain) {
+            evacuation.ended = Some(Instant::now());
+        }
+        self.store.end_evacuation(domain);
+    }
+
+    /// Evacuations so far, each with all executions of the domain's workers.
+    pub fn evacuations(&self) -> Vec<(Evacuation, Vec<Execution>)> {
+        let evacuations = self.evacuations.borrow();
+        let with_executions = evacuations.iter().map(|evacuation| {
+            let workers = self.workers.iter().enumerate();
+            let own = workers.filter(|(number, _)| domain_of(*number) == evacuation.domain);
+            let executions = own.flat_map(|(_, worker)| worker.executions());
+            (*evacuation, executions.collect())
+        });
+        with_executions.collect()
+    }
+
     fn change_config(&self) {
         let version = self.config.get() + 1;
         self.config.set(version);
@@ -201,6 +248,20 @@
     }
 }
 
+/// Failure domain with an index, or of the worker with a number.
+fn domain_of(number: usize) -> &'static str {
+    DOMAINS[number % DOMAINS.len()]
+}
+
+/// Policies in the entries' settings. Admission is off, as a refused job breaks no promise but
+/// reduces the load.
+fn policies() -> serde_json::Value {
+    json!({
+        "evacuation_bound_ms": EVACUATION_BOUND.as_millis() as u64, "learned_run_times": true,
+        "overload_order": true, "duplicates": true, "remote_factor": REMOTE_FACTOR
+    })
+}
+
 /// Starts a relay to the store for one process, so that it can be cut off alone.
 async fn relay_to(store: SocketAddr) -> io::Result<Relay> {
     let listen = cluster::free_ports(1)?;
--- a/components/soak/src/lib.rs
+++ b/components/soak/src/lib.rs
@@ -11,7 +11,7 @@
 mod run;
 
 pub use callers::{SubmitOutcome, SubmittedJob};
-pub use check::{Breach, Promise, check};
+pub use check::{Breach, Evacuation, Promise, check, check_evacuation};
 pub use fault::{AgentLoss, Fault, FaultKind, plan_faults};
 pub use options::Options;
 pub use phase_durations::PhaseDurations;
--- a/components/soak/src/main.rs
+++ b/components/soak/src/main.rs
@@ -44,6 +44,11 @@
             "1",
             "Number of agents that are lost for good in a run",
         ))
+        .arg(number(
+            "evacuations",
+            "1",
+            "Number of failure domains that are evacuated in a run",
+        ))
         .arg(number(
             "large-tasks",
             "0",
@@ -84,6 +89,7 @@
         deadly_percent: number(matches, "deadly-percent"),
         limit_percent: number(matches, "limit-percent"),
         lost_agents: number(matches, "lost-agents") as usize,
+        evacuations: number(matches, "evacuations") as usize,
         large_tasks: number(matches, "large-tasks") as u32,
         durations: PhaseDurations::for_load(number(matches, "load-ms")),
     })
--- a/components/soak/src/options.rs
+++ b/components/soak/src/options.rs
@@ -22,6 +22,8 @@
     pub limit_percent: u64,
     /// Number of agents that are lost for good.
     pub lost_agents: usize,
+    /// Number of failure domains that are evacuated.
+    pub evacuations: usize,
     /// Number of tasks of a large job that ends while all processes are restarted; 0 for none.
     pub large_tasks: u32,
     /// Durations of the phases of the run.
--- a/components/soak/src/run.rs
+++ b/components/soak/src/run.rs
@@ -1,7 +1,7 @@
 //! One run: load with faults, then a wait until every accepted job has ended, then the checks.
 
 use crate::callers::{Callers, SubmitOutcome, SubmittedJob};
-use crate::check::{Breach, Promise, check};
+use crate::check::{Breach, Promise, check, check_evacuation};
 use crate::fleet::Fleet;
 use crate::{Fault, Options, plan_faults};
 use platform_standin::worker::WorkerStandIn;
@@ -66,6 +66,9 @@
     let runs = fleet.workers.iter().flat_map(WorkerStandIn::executions);
     let runs: Vec<_> = runs.collect();
     breaches.extend(check(&runs, &jobs));
+    let evacuations = fleet.evacuations();
+    let late = evacuations.iter();
+    breaches.extend(late.flat_map(|(evacuation, runs)| check_evacuation(evacuation, runs)));
     let refusals = jobs.iter().map(|job| job.slowest_refusal);
     Ok(Outcome {
         faults,
--- a/components/soak/tests/check.rs
+++ b/components/soak/tests/check.rs
@@ -1,7 +1,7 @@
 //! Each check of the soak detects the broken promise that it is written for, and no other.
 
 use platform_standin::worker::Execution;
-use soak::{Promise, SubmitOutcome, SubmittedJob, check};
+use soak::{Evacuation, Promise, SubmitOutcome, SubmittedJob, check, check_evacuation};
 use std::time::{Duration, Instant};
 
 /// A successful run of a task whose end is not acknowledged; its times are relative to `base`.
@@ -140,3 +140,30 @@
     let other = [submitted(SubmitOutcome::Accepted, None)];
     assert_eq!(broken_promises(&broken, &other), []);
 }
+
+/// Guards against a check that misses a start in an evacuated failure domain after the bound, or that
+/// reports one before the bound or after the end of the evacuation.
+#[test]
+fn a_late_start_in_an_evacuated_domain_is_detected() {
+    let base = Instant::now();
+    let evacuation = |ended_ms: Option<u64>| Evacuation {
+        domain: "d1",
+        stored: base + Duration::from_millis(1_000),
+        ended: ended_ms.map(|ended_ms| base + Duration::from_millis(ended_ms)),
+    };
+    let runs = [
+        run(base, "j.0.0.0", 1, 900, 7_000),
+        run(base, "j.0.0.1", 1, 6_000, 7_000),
+        run(base, "j.0.0.2", 1, 6_001, 7_000),
+        run(base, "j.0.0.3", 1, 9_001, 9_100),
+    ];
+    let late = |ended_ms: Option<u64>| -> Vec<(Promise, bool)> {
+        let breaches = check_evacuation(&evacuation(ended_ms), &runs).into_iter();
+        let found = breaches.map(|breach| (breach.promise, breach.detail.contains("j.0.0.2")));
+        found.collect()
+    };
+    let promise = Promise::EvacuatedStartsNothing;
+    assert_eq!(late(Some(9_000)), [(promise, true)]);
+    assert_eq!(late(None), [(promise, true), (promise, false)]);
+    assert_eq!(late(Some(5_000)), []);
+}
