--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -18,6 +18,7 @@
         deadly_percent,
         limit_percent: 0,
         lost_agents: 0,
+        evacuations: 0,
         large_tasks: 0,
         durations: PhaseDurations::for_load(load_ms),
     };
@@ -80,9 +81,32 @@
             deadly_percent: 0,
             limit_percent: 10,
             lost_agents: 1,
+            evacuations: 0,
             large_tasks: 620,
             durations: PhaseDurations::for_load(6_000),
         };
         soak_with(seed, options).await;
     }
 }
+
+/// Guards against tasks that start in an evacuated failure domain after the bound, and against jobs
+/// that wait for ever after an evacuation, while processes, workers and the store fail.
+#[actix_rt::test]
+async fn evacuations_beside_seeded_faults_break_no_promise() {
+    for seed in [81, 82] {
+        let options = Options {
+            program: env!("CARGO_BIN_EXE_parsleythread").into(),
+            folder: PathBuf::new(),
+            entries: 3,
+            agents: 4,
+            faults: 4,
+            deadly_percent: 0,
+            limit_percent: 0,
+            lost_agents: 0,
+            evacuations: 2,
+            large_tasks: 0,
+            durations: PhaseDurations::for_load(10_000),
+        };
+        soak_with(seed, options).await;
+    }
+}
