--- a/components/flow/src/scoring.rs
+++ b/components/flow/src/scoring.rs
@@ -13,9 +13,6 @@
 const NO_LATENCY_CRITICAL_PENALTY: f64 = 1.0;
 /// Penalty of a filler that uses up all slack of a latency-critical task on the worker.
 const USED_SLACK_PENALTY: f64 = 0.5;
-/// Penalty of a filler on a worker that could bear fillers of another image which few workers can bear and
-/// which wait; greater than all other terms of a filler's score.
-const SCARCE_WORKER_PENALTY: f64 = 2.0;
 /// Least pace that is told apart where a filler is placed regardless of its pace.
 const MIN_SCORED_PACE: f64 = 0.02;
 /// Penalty of a latency-critical task for each other latency-critical image on the worker.
