--- a/components/job_order/src/large_jobs.rs
+++ b/components/job_order/src/large_jobs.rs
@@ -10,8 +10,8 @@
 const KEPT_RATE_PERCENT: usize = 100;
 /// Rate at which late jobs of each band are served relative to all late jobs, in percent.
 const LATE_RATE_PERCENT: usize = 75;
-/// Greatest share of the room that protected jobs take, in percent. With 50, the largest jobs were served at
-/// less than half of the rate in trials at 200 % of the room; with 100, the utility was 0.03 less.
+/// Greatest share of the room that protected jobs take, in percent. Less would let the largest jobs fall below
+/// half of the rate at twice the room; without a limit they would displace many small ones.
 const MAX_PROTECTED_ROOM_PERCENT: u128 = 70;
 
 /// Protects contenders of each size band, the cheapest first, so that the same share of them is kept
--- a/components/job_order/src/selection.rs
+++ b/components/job_order/src/selection.rs
@@ -8,12 +8,11 @@
 /// take is lost if the job is deferred afterwards.
 const BEGUN_FACTOR: f64 = 1.5;
 
-/// Share of the room from which on it counts as too little, in percent. In trials at 80 % of the room, deferring
-/// jobs from 50 % on cost 0.01 of the utility of earliest due first.
+/// Share of the room from which on it counts as too little, in percent. Below it, earliest due first serves
+/// nearly all jobs in time, and deferring some would only delay them.
 pub(crate) const OVERLOAD_PERCENT: u128 = 80;
 /// Share of the room up to which jobs are kept then, in percent; the rest is lost to tasks that don't fit into
-/// what is free, and to wrong estimates. In trials like tests/overload.rs with ten lists, 65 gave up to 0.02
-/// less utility at 130 to 200 % of the room, and 80 up to 0.04 less.
+/// what is free, and to wrong estimates.
 pub(crate) const USABLE_PERCENT: u128 = 50;
 
 /// A job that may end in time.
