Evacuation: each move checks the disruption budget anew

Cause: the bound on searches had the runs to move collected before the first move, so that several tasks of one step were moved at once although its budget allows one. The test long_running_tasks_move_within_their_disruption_budget failed.

Change: the budget is checked again right before each move.

--- a/components/flow/src/evacuation.rs
+++ b/components/flow/src/evacuation.rs
@@ -284,6 +284,10 @@
             if moves == MAX_MOVES || searches == MAX_SEARCHES {
                 return;
             }
+            // An earlier move of this search may have used up the disruption budget of the step.
+            if !self.is_evacuation_move_due(now_ms, agent, key) {
+                continue;
+            }
             searches += 1;
             self.evacuations.searched_run = Some((agent.clone(), key.clone()));
             let percent = self.placement(key).map_or(0, |placement| placement.percent);
