--- a/components/flow_entry/tests/common/mod.rs
+++ b/components/flow_entry/tests/common/mod.rs
@@ -246,6 +246,7 @@
             keep_ended_ms: 1_500,
             grace_ms: 1_000,
             policies: settings::PolicySettings::default(),
+            platform_bounds: Default::default(),
         };
         change(&mut settings);
         let dependencies = Dependencies {
--- a/components/flow_entry/tests/slow_load.rs
+++ b/components/flow_entry/tests/slow_load.rs
@@ -89,6 +89,7 @@
         keep_ended_ms: 1_500,
         grace_ms: 1_000,
         policies: settings::PolicySettings::default(),
+        platform_bounds: Default::default(),
     };
     let table = Rc::new(SlowScans(table.clone()));
     let dependencies = Dependencies {
--- a/components/settings/src/flow.rs
+++ b/components/settings/src/flow.rs
@@ -4,6 +4,7 @@
 use garde::Validate;
 use model::{AgentId, DomainName, EntryId};
 use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
 /// Settings of an entry that accepts flows and may become their scheduler (role `flow-entry`).
@@ -59,6 +60,11 @@
     #[serde(default)]
     #[garde(dive)]
     pub policies: PolicySettings,
+    /// Bounds of the deployment in the words of its platform; the adapter to the platform takes from them
+    /// what the policies leave open.
+    #[serde(default)]
+    #[garde(skip)]
+    pub platform_bounds: BTreeMap<String, serde_json::Value>,
 }
 
 /// Policies of the scheduler that a deployment switches on; all are off by default.
