Test: without a recent read of the evacuations nothing is placed either

Cause: undone as a trial, the demand for a recent read failed no test, as the lease in the start order stops the start too. Then tasks would be placed and committed again and again without a start. Change: the test counts placements without a start. Result: fails with the rule undone, passes with it.

--- a/components/flow/tests/evacuation.rs
+++ b/components/flow/tests/evacuation.rs
@@ -147,7 +147,8 @@
 }
 
 /// Guards against a scheduler that was paused or cut off, so that its reads were not answered, and that
-/// starts tasks in a domain whose evacuation it can't know.
+/// starts tasks in a domain whose evacuation it can't know, or places tasks again and again whose starts
+/// come too late.
 #[test]
 fn without_a_recent_read_nothing_starts_after_the_bound() {
     let mut sim = sim(2);
@@ -157,6 +158,10 @@
     submit_for(&mut sim, 8_000, "a");
     let latest_ms = sim.started.iter().map(|(_, _, at_ms)| *at_ms).max();
     assert!(latest_ms < Some(last_read_ms + BOUND_MS));
+    assert!(sim.ended_ms.len() < sim.jobs.len(), "no flow waits");
+    let tasks = sim.scheduler.flows().flat_map(|flow| flow.tasks());
+    let unstarted = tasks.filter(|(_, task)| !task.done && task.run > 0);
+    assert_eq!(unstarted.count(), 0, "a placement had no start");
     sim.evacuations_are_read = true;
     sim.run_for(2_000);
     assert_eq!(starts_in(&sim, "d0", last_read_ms + BOUND_MS), 0);
