--- a/components/flow/tests/evacuation.rs
+++ b/components/flow/tests/evacuation.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::{Mode, STEP_MS, Sim, step};
-use flow::{LeaseLimit, Policies, StepSpec};
+use flow::{FlowState, LeaseLimit, Policies, StepSpec};
 use model::{AgentId, JobId};
 
 /// Time after the request from which no task may start in the domain, in milliseconds.
@@ -159,7 +159,7 @@
     let latest_ms = sim.started.iter().map(|(_, _, at_ms)| *at_ms).max();
     assert!(latest_ms < Some(last_read_ms + BOUND_MS));
     assert!(sim.ended_ms.len() < sim.jobs.len(), "no flow waits");
-    let tasks = sim.scheduler.flows().flat_map(|flow| flow.tasks());
+    let tasks = sim.scheduler.flows().flat_map(FlowState::tasks);
     let unstarted = tasks.filter(|(_, task)| !task.done && task.run > 0);
     assert_eq!(unstarted.count(), 0, "a placement had no start");
     sim.evacuations_are_read = true;
