Flow: queues of equal priority take turns by their shares (policies.fair_shares)

Cause: flows of a priority were ordered by due times alone, so that those of a busy queue stood before those of the others. Change: each 100 ms the pass observes what each queue has placed and waits for. Flows of queues with a debt come after the others of their priority; long-running flows keep their place. The first observation of a new scheduler counts the restored placements for the whole window. Metrics by queue, for ten queues and the others together; events 750 and 751. The policy is off unless the setting is present.

--- a/components/flow/src/due_order.rs
+++ b/components/flow/src/due_order.rs
@@ -1,4 +1,5 @@
-//! Order of the flows in a scheduling pass: earliest due first.
+//! Order of the flows in a scheduling pass: earliest due first, and behind others if their queue has used more
+//! than its share.
 
 use crate::{FlowState, Queue, Scheduler, StepState};
 use model::JobId;
@@ -11,6 +12,8 @@
 struct Rank {
     /// Priority of the queue; 0 is the most urgent.
     priority: u32,
+    /// Debt of the queue, in thousandths of its share; 0 for long-running flows.
+    debt_milli: u64,
     /// Whether the flow has exceeded its objective by [`OVERDUE_FACTOR`].
     is_overdue: bool,
     /// When the flow should end, in milliseconds; 0 for long-running flows.
@@ -53,6 +56,7 @@
             due_ms > 0.0 && (now_ms as f64) > first_seen_ms + OVERDUE_FACTOR * objective_ms;
         Some(Rank {
             priority,
+            debt_milli: self.debt_milli(state),
             is_overdue,
             due_ms,
         })
--- a/components/flow/src/effect.rs
+++ b/components/flow/src/effect.rs
@@ -31,6 +31,22 @@
         /// Time from the first to the last pass that deferred flows, in milliseconds.
         lasted_ms: u64,
     },
+    /// Log that a queue has used a whole share more than its own within the window while others waited.
+    QueueInDebt {
+        /// Name of the queue.
+        queue: String,
+        /// Its debt, in percent of its share.
+        debt_percent: u64,
+        /// Mean part of the pool that it used within the window, in percent.
+        share_percent: u64,
+    },
+    /// Log that such a queue has no debt any more, or is no longer configured.
+    QueueDebtPaid {
+        /// Name of the queue.
+        queue: String,
+        /// Time since its debt was logged, in milliseconds.
+        lasted_ms: u64,
+    },
     /// Count what became of a duplicate.
     Duplicate(DuplicateOutcome),
     /// Count where a task was placed that is faster near its data or its gang.
--- a/components/flow/src/job.rs
+++ b/components/flow/src/job.rs
@@ -44,7 +44,13 @@
     }
 }
 
-/// Identity of a queue: the address by which callers reach it.
+/// Identity of a queue: the address by which callers reach it. Its text form is the name of the queue in
+/// settings and metrics.
+///
+/// ```
+/// let key = flow::QueueKey { host: "a.example".to_owned(), prefix: "/q/".to_owned() };
+/// assert_eq!(key.to_string(), "a.example/q/");
+/// ```
 #[derive(Debug, Clone, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct QueueKey {
     /// Host name in the request.
@@ -53,6 +59,13 @@
     pub prefix: String,
 }
 
+impl std::fmt::Display for QueueKey {
+    /// Host and prefix as one text; a prefix begins with a slash.
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(formatter, "{}{}", self.host, self.prefix)
+    }
+}
+
 /// Phase of a flow, as reported to callers.
 #[derive(
     Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize, strum::Display, strum::EnumString,
--- a/components/flow/src/learned.rs
+++ b/components/flow/src/learned.rs
@@ -367,8 +367,7 @@
 
 /// Queue of a flow as one text.
 fn queue_name(state: &FlowState) -> String {
-    let queue = &state.job.queue;
-    format!("{}{}", queue.host, queue.prefix)
+    state.job.queue.to_string()
 }
 
 fn class_of<'a>(queue: &'a str, spec: &'a StepSpec, step: u32) -> TaskClass<'a> {
--- a/components/flow/src/overload.rs
+++ b/components/flow/src/overload.rs
@@ -64,6 +64,9 @@
     views: Vec<JobView>,
 }
 
+/// Flows of a pool, fillers or ordinary ones.
+type Groups = BTreeMap<(ServiceName, bool), Competitors>;
+
 /// Sort key of a flow; the lowest is placed first.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
 struct Position {
@@ -92,7 +95,9 @@
     pub(crate) fn order_by_outlook(&self, now_ms: u64, wall_ms: u64) -> (Vec<JobId>, Outlooks) {
         let mut order = Vec::new();
         let mut outlooks = Outlooks::default();
-        for ((pool, is_filler), competitors) in self.competitors(now_ms, wall_ms) {
+        let mut groups = self.competitors(now_ms, wall_ms);
+        self.rank_by_debt(&mut groups);
+        for ((pool, is_filler), competitors) in groups {
             let room = if is_filler {
                 self.filler_room(now_ms, &pool)
             } else {
@@ -125,8 +130,8 @@
     }
 
     /// Open flows that are not closed, by the room that they compete for.
-    fn competitors(&self, now_ms: u64, wall_ms: u64) -> BTreeMap<(ServiceName, bool), Competitors> {
-        let mut groups: BTreeMap<(ServiceName, bool), Competitors> = BTreeMap::new();
+    fn competitors(&self, now_ms: u64, wall_ms: u64) -> Groups {
+        let mut groups = Groups::new();
         for state in self.flows.values().filter(|state| !state.is_closed()) {
             let Some((view, remaining)) = self.job_view(now_ms, wall_ms, state) else {
                 continue;
@@ -142,6 +147,34 @@
         groups
     }
 
+    /// Makes flows of queues in debt less urgent than the others of their priority, and the more so the
+    /// greater the debt. The order by outlook then serves each of these groups in what the former leave.
+    fn rank_by_debt(&self, groups: &mut Groups) {
+        if !self.has_debts() {
+            return;
+        }
+        let debt_milli = |job: &JobId| {
+            self.flows
+                .get(job)
+                .map_or(0, |state| self.debt_milli(state))
+        };
+        let mut ranks: BTreeMap<(u32, u64), u32> = BTreeMap::new();
+        for competitors in groups.values() {
+            for ((job, _), view) in competitors.flows.iter().zip(&competitors.views) {
+                ranks.insert((view.priority, debt_milli(job)), 0);
+            }
+        }
+        for (number, rank) in ranks.values_mut().enumerate() {
+            *rank = number as u32;
+        }
+        for competitors in groups.values_mut() {
+            for ((job, _), view) in competitors.flows.iter().zip(&mut competitors.views) {
+                let rank = ranks.get(&(view.priority, debt_milli(job)));
+                view.priority = rank.copied().unwrap_or(view.priority);
+            }
+        }
+    }
+
     /// Notes how many flows are deferred, and reports the begin and the end of an overload.
     pub(crate) fn observe_overload(&mut self, now_ms: u64, outlooks: Outlooks) {
         self.overload.outlooks = outlooks;
--- a/components/flow/src/pass.rs
+++ b/components/flow/src/pass.rs
@@ -4,7 +4,8 @@
 //!    runs now (`candidates`). Capacity and the rules of a step filter the workers again for each task
 //!    (`best_candidate`, `may_run`).
 //! 2. **Order:** the flows, by what they can still achieve (overload.rs) or by their due times
-//!    (due_order.rs). Suspects come first, as they are isolated.
+//!    (due_order.rs); among flows of equal priority, those of queues that have used more than their share
+//!    come last (shares.rs). Suspects come first, as they are isolated.
 //! 3. **Score:** the best candidate of each queued task (`best_candidate`, candidate.rs). A gang chooses
 //!    one for each member, or none at all (gang.rs).
 //! 4. **Commit:** the placement (`assign`). It takes capacity from the candidate, and its start is sent once
@@ -40,6 +41,7 @@
         let stuck = self.stuck_tasks_if_due(now_ms);
         let is_idle = order.is_empty() && starved.is_empty() && slow.is_empty() && stuck.is_empty();
         if is_idle && !self.has_evacuations() {
+            self.observe_shares_if_due(now_ms, wall_ms);
             return;
         }
         for job in &order {
@@ -55,6 +57,7 @@
         self.move_evacuated(now_ms, &mut candidates);
         self.move_stuck_tasks(now_ms, stuck, &mut candidates);
         self.place_duplicates(now_ms, slow, &mut candidates);
+        self.observe_shares_if_due(now_ms, wall_ms);
     }
 
     /// Activates due occurrences, and drops states that the last pass left behind.
--- a/components/flow/src/remaining.rs
+++ b/components/flow/src/remaining.rs
@@ -116,7 +116,7 @@
 
 /// When a flow, or an occurrence of a recurring one, arrived, in milliseconds. A scheduler that took over
 /// learns of a flow later than it arrived; then the time of acceptance counts.
-fn arrived_ms(now_ms: u64, wall_ms: u64, state: &FlowState, occurrence: u32) -> u64 {
+pub(crate) fn arrived_ms(now_ms: u64, wall_ms: u64, state: &FlowState, occurrence: u32) -> u64 {
     let by_wall = |then_wall_ms| now_ms.saturating_sub(wall_ms.saturating_sub(then_wall_ms));
     if state.job.spec.schedule.is_some() {
         return by_wall(state.job.spec.due_wall_ms(occurrence));
--- a/components/flow/src/scheduler.rs
+++ b/components/flow/src/scheduler.rs
@@ -7,6 +7,7 @@
 use crate::learned::Learned;
 use crate::overload::Overload;
 use crate::placed_runs::{allocation_for, placements, run_ref};
+use crate::shares::Shares;
 use crate::suspects::suspects;
 use crate::view::{Fleet, WorkerView};
 use crate::{
@@ -63,6 +64,8 @@
     pub(crate) filler_failures: FillerFailures,
     /// Whether the order defers flows, and how many.
     pub(crate) overload: Overload,
+    /// Use and debts of the queues.
+    pub(crate) shares: Shares,
     /// When every lease that former schedulers granted is guaranteed to have expired, in milliseconds.
     pub(crate) former_leases_expired_ms: u64,
     /// Memory for flows in progress.
@@ -94,6 +97,7 @@
     pub fn set_policies(&mut self, policies: Policies) {
         self.policies = policies;
         self.overload = Overload::default();
+        self.shares = Shares::default();
     }
 
     /// Version of the configuration in force; 0 before the first.
--- a/components/flow/tests/common/mod.rs
+++ b/components/flow/tests/common/mod.rs
@@ -76,6 +76,8 @@
     pub scheduler: Scheduler,
     /// Policies of this scheduler and of those that take over.
     pub policies: Policies,
+    /// Configuration of this scheduler and of those that take over.
+    pub config: FlowConfig,
     /// Workers, by their agents.
     pub workers: BTreeMap<AgentId, ModelWorker>,
     /// Accepted flows.
@@ -160,6 +162,8 @@
     pub localities: BTreeMap<&'static str, u32>,
     /// Details of the tasks that gave up waiting for a near worker.
     pub given_up: Vec<String>,
+    /// Queues whose debt began or was paid, each with the time in milliseconds and whether it began.
+    pub debt_events: Vec<(u64, String, bool)>,
 }
 
 /// Key of the only queue.
@@ -238,6 +242,7 @@
             now_ms: 1_000,
             scheduler,
             policies: Policies::default(),
+            config: config(),
             workers: workers.collect(),
             jobs: BTreeMap::new(),
             records: BTreeMap::new(),
@@ -279,12 +284,20 @@
             remote_factor: 1.0,
             localities: BTreeMap::new(),
             given_up: Vec::new(),
+            debt_events: Vec::new(),
         }
     }
 
+    /// Puts a configuration in force, as its next version.
+    pub fn set_queues(&mut self, queues: Vec<Queue>) {
+        self.config.version += 1;
+        self.config.queues = queues;
+        self.scheduler.set_config(self.config.clone());
+    }
+
     /// Puts policies in force.
     pub fn set_policies(&mut self, policies: Policies) {
-        self.policies = policies;
+        self.policies = policies.clone();
         self.scheduler.set_policies(policies);
     }
 
@@ -299,10 +312,21 @@
         id: &str,
         steps: Vec<StepSpec>,
         schedule: Option<Schedule>,
+    ) -> JobId {
+        self.submit_to(queue(), id, steps, schedule)
+    }
+
+    /// Accepts a flow in a queue.
+    pub fn submit_to(
+        &mut self,
+        queue: QueueKey,
+        id: &str,
+        steps: Vec<StepSpec>,
+        schedule: Option<Schedule>,
     ) -> JobId {
         let job = FlowJob {
             id: id.into(),
-            queue: queue(),
+            queue,
             spec: FlowSpec {
                 payload: "p".to_owned(),
                 steps,
@@ -325,7 +349,7 @@
     pub fn allow_duplicates(&mut self) {
         self.set_policies(Policies {
             duplicates: true,
-            ..self.policies
+            ..self.policies.clone()
         });
     }
 
@@ -350,8 +374,8 @@
     fn take_over_reading(&mut self, read: impl Fn(&mut serde_json::Value)) {
         self.commit = None;
         let mut scheduler = Scheduler::default();
-        scheduler.set_config(config());
-        scheduler.set_policies(self.policies);
+        scheduler.set_config(self.config.clone());
+        scheduler.set_policies(self.policies.clone());
         let former_leases_expired_ms = self.now_ms + LEASE_TERMS.longest_ms();
         scheduler.set_former_leases_expired_ms(former_leases_expired_ms);
         for (agent, expired_ms) in &self.away {
@@ -618,6 +642,12 @@
                 | Effect::PressureLearned(..)
                 | Effect::OverloadBegan(..)
                 | Effect::OverloadEnded { .. } => {}
+                Effect::QueueInDebt { queue, .. } => {
+                    self.debt_events.push((self.now_ms, queue, true));
+                }
+                Effect::QueueDebtPaid { queue, .. } => {
+                    self.debt_events.push((self.now_ms, queue, false));
+                }
                 Effect::LocalityChosen(outcome) => {
                     *self.localities.entry(outcome.into()).or_default() += 1;
                 }
--- a/components/flow/tests/interleavings.rs
+++ b/components/flow/tests/interleavings.rs
@@ -4,8 +4,8 @@
 
 mod common;
 
-use common::{Mode, Sim, step};
-use flow::{FlowPhase, Policies, StepSpec};
+use common::{Mode, Sim, queue, step};
+use flow::{FairSharePolicy, FlowPhase, Policies, Queue, QueueKey, StepSpec};
 use model::{AgentId, Resources};
 use proptest::prelude::*;
 
@@ -119,7 +119,13 @@
             if sim.policies.remote_factor.is_some() {
                 localize(&mut steps);
             }
-            sim.submit(&id, steps);
+            let queue = match sim.policies.fair_shares {
+                Some(_) => sim.config.queues[sim.jobs.len() % sim.config.queues.len()]
+                    .key
+                    .clone(),
+                None => queue(),
+            };
+            sim.submit_to(queue, &id, steps, None);
         }
         Event::Slow { worker, factor } => {
             sim.slow_workers.insert(agent(worker), factor);
@@ -248,4 +254,22 @@
         sim.set_policies(Policies { remote_factor: Some(2.5), ..Policies::default() });
         assert_all_flows_end(sim, &events, gone);
     }
+
+    /// Guards against flows that are lost, and runs that break an invariant, under any order of faults while
+    /// queues have shares.
+    #[test]
+    fn no_flow_is_lost_with_shares(
+        events in prop::collection::vec(event(), 1..60),
+        gone in 0_usize..3,
+        overload_order in any::<bool>(),
+    ) {
+        let mut sim = Sim::new(4);
+        let first = sim.config.queues[0].clone();
+        let key = QueueKey { prefix: "/r/".to_owned(), ..queue() };
+        sim.set_queues(vec![Queue { key, ..first.clone() }, first]);
+        let weights = [(queue().to_string(), 3.0)].into();
+        let fair_shares = Some(FairSharePolicy { weights });
+        sim.set_policies(Policies { fair_shares, overload_order, ..Policies::default() });
+        assert_all_flows_end(sim, &events, gone);
+    }
 }
--- a/components/flow/tests/learned.rs
+++ b/components/flow/tests/learned.rs
@@ -14,6 +14,7 @@
     overload_order: false,
     duplicates: false,
     remote_factor: None,
+    fair_shares: None,
 };
 
 /// Moves that one search begins at most.
--- a/components/flow_entry/src/commits.rs
+++ b/components/flow_entry/src/commits.rs
@@ -76,6 +76,8 @@
         let waiting = leadership.wait_watch.observe(now_ms, &leadership.scheduler);
         self.metrics.flows_waiting.set(waiting.len() as i64);
         self.metrics.set_outlooks(leadership.scheduler.outlooks());
+        self.metrics
+            .set_queue_shares(leadership.scheduler.queue_shares());
         for flow in waiting {
             let agent = flow.agent.as_ref().map_or("", |agent| agent.as_str());
             log_event!(warn, Event::FlowWaiting, job = %flow.task.job, task = %flow.task,
--- a/components/flow_entry/src/effects.rs
+++ b/components/flow_entry/src/effects.rs
@@ -53,6 +53,16 @@
                 Effect::OverloadEnded { lasted_ms } => {
                     log_event!(info, Event::OverloadEnded, lasted_ms = lasted_ms);
                 }
+                Effect::QueueInDebt {
+                    queue,
+                    debt_percent,
+                    share_percent,
+                } => {
+                    log_event!(warn, Event::QueueInDebt, queue, debt_percent, share_percent);
+                }
+                Effect::QueueDebtPaid { queue, lasted_ms } => {
+                    log_event!(info, Event::QueueDebtPaid, queue, lasted_ms);
+                }
                 Effect::Duplicate(outcome) => Metrics::count(&self.metrics.duplicates, &outcome),
                 Effect::LocalityChosen(outcome) => {
                     Metrics::count(&self.metrics.locality_waits, &outcome);
--- a/components/flow_entry/src/leadership.rs
+++ b/components/flow_entry/src/leadership.rs
@@ -21,8 +21,8 @@
 use admission::Backlog;
 use backing::{Row, StoreError, TableStore, Transaction};
 use flow::{
-    AwayWorker, FlowEnd, FlowJob, FlowPhase, FlowRow, LeaseLimit, LeaseTerms, Policies,
-    RecordFault, Scheduler, WaitWatch,
+    AwayWorker, FairSharePolicy, FlowEnd, FlowJob, FlowPhase, FlowRow, LeaseLimit, LeaseTerms,
+    Policies, RecordFault, Scheduler, WaitWatch,
 };
 use model::{AgentId, JobId};
 use settings::PolicySettings;
@@ -306,6 +306,7 @@
         self.metrics.evacuations.set(0);
         self.metrics.evacuation_runs_left.set(0);
         self.metrics.set_outlooks(flow::Outlooks::default());
+        self.metrics.set_queue_shares(&[]);
         for kind in [MemoryUse::Flows, MemoryUse::Tasks, MemoryUse::Ended] {
             self.metrics.set_memory(kind, 0);
         }
@@ -322,6 +323,9 @@
         overload_order: settings.overload_order,
         duplicates: settings.duplicates,
         remote_factor: settings.remote_factor,
+        fair_shares: settings.fair_shares.as_ref().map(|shares| FairSharePolicy {
+            weights: shares.weights.clone(),
+        }),
     }
 }
 
--- a/components/flow_entry/src/metrics.rs
+++ b/components/flow_entry/src/metrics.rs
@@ -2,7 +2,7 @@
 
 use crate::memory::MemoryShares;
 use admission::Backlog;
-use flow::{LearnedView, Outlooks};
+use flow::{LearnedView, Outlooks, QueueShare};
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
@@ -53,6 +53,13 @@
     pub outlook: &'static str,
 }
 
+/// Label by which shares of queues are measured.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct QueueLabel {
+    /// Name of the queue; `other` for all but the [`flow::MAX_QUEUE_LABELS`] with the highest use.
+    pub queue: String,
+}
+
 /// Label by which refusals are counted.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub(crate) struct PriorityLabel {
@@ -96,6 +103,13 @@
     /// Flows that have not ended by what they can still achieve, by the scheduler; 0 while the order under
     /// overload is off.
     pub(crate) jobs_by_outlook: Family<OutlookLabel, Gauge>,
+    /// Mean part of its pool that a queue used within the window, in percent, by the scheduler; nothing while
+    /// queues don't have shares.
+    pub(crate) queue_share_percent: Family<QueueLabel, Gauge<f64, AtomicU64>>,
+    /// What a queue used beyond its share while others waited, in percent of its share.
+    pub(crate) queue_debt_percent: Family<QueueLabel, Gauge<f64, AtomicU64>>,
+    /// Longest wait of a queue's flows of which no task has started, in seconds.
+    pub(crate) queue_wait_seconds: Family<QueueLabel, Gauge<f64, AtomicU64>>,
     /// Classes of tasks with learned run times, by the scheduler.
     pub(crate) estimate_classes: Gauge,
     /// Mean errors of run times, in percent of the measured ones, by the scheduler.
@@ -142,6 +156,9 @@
             evacuation_runs_left: Gauge::default(),
             evacuation_seconds: Histogram::new(exponential_buckets(0.1, 2.0, 14)),
             jobs_by_outlook: Family::default(),
+            queue_share_percent: Family::default(),
+            queue_debt_percent: Family::default(),
+            queue_wait_seconds: Family::default(),
             estimate_classes: Gauge::default(),
             estimate_error_percent: Family::default(),
             workers_slow: Gauge::default(),
@@ -180,6 +197,27 @@
         }
     }
 
+    /// Sets the use of queues, and removes the labels of queues that are not among them.
+    pub(crate) fn set_queue_shares(&self, shares: &[QueueShare]) {
+        self.queue_share_percent.clear();
+        self.queue_debt_percent.clear();
+        self.queue_wait_seconds.clear();
+        for share in shares {
+            let label = QueueLabel {
+                queue: share.queue.clone(),
+            };
+            self.queue_share_percent
+                .get_or_create(&label)
+                .set(share.share_percent);
+            self.queue_debt_percent
+                .get_or_create(&label)
+                .set(share.debt_percent);
+            self.queue_wait_seconds
+                .get_or_create(&label)
+                .set(share.wait_ms as f64 / 1_000.0);
+        }
+    }
+
     /// Counts a flow that was refused because it could not end in time.
     pub(crate) fn count_refusal(&self, priority: u32) {
         let label = PriorityLabel { priority };
@@ -306,6 +344,21 @@
             "Flows that are not over, by what they can still achieve",
             self.jobs_by_outlook.clone(),
         );
+        registry.register(
+            "flow_queue_share_percent",
+            "Mean part of its pool that a queue used within the last 10 s, in percent",
+            self.queue_share_percent.clone(),
+        );
+        registry.register(
+            "flow_queue_debt_percent",
+            "What a queue used beyond its share while others waited, in percent of its share",
+            self.queue_debt_percent.clone(),
+        );
+        registry.register(
+            "flow_queue_wait_seconds",
+            "Longest wait of a queue's flows of which no task has started",
+            self.queue_wait_seconds.clone(),
+        );
         registry.register(
             "flow_estimate_classes",
             "Classes of tasks with learned run times",
--- a/components/settings/src/flow.rs
+++ b/components/settings/src/flow.rs
@@ -68,7 +68,7 @@
 }
 
 /// Policies of the scheduler that a deployment switches on; all are off by default.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Serialize, Deserialize, Validate)]
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize, Validate)]
 #[serde(deny_unknown_fields, default)]
 pub struct PolicySettings {
     /// Time after the request for an evacuation from which no task may start in the failure domain,
@@ -91,6 +91,31 @@
     /// wait for a near worker.
     #[garde(inner(range(min = 1.0, max = 100.0)))]
     pub remote_factor: Option<f64>,
+    /// Shares of the queues of equal priority in the pool that they have in common; absent if queues don't
+    /// have shares.
+    #[garde(dive)]
+    pub fair_shares: Option<FairShareSettings>,
+}
+
+/// Shares of queues.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize, Validate)]
+#[serde(deny_unknown_fields, default)]
+pub struct FairShareSettings {
+    /// Weights by the names of queues, which are their hosts and path prefixes; queues that are not named
+    /// have weight 1.
+    #[garde(length(max = 1_000), custom(check_weights))]
+    pub weights: BTreeMap<String, f64>,
+}
+
+/// Checks that each weight is within the bounds that the scheduler applies.
+fn check_weights(weights: &BTreeMap<String, f64>, _: &()) -> garde::Result {
+    for (queue, weight) in weights {
+        if !(0.01..=100.0).contains(weight) {
+            let fault = format!("the weight of {queue} is {weight}, not within 0.01 and 100");
+            return Err(garde::Error::new(fault));
+        }
+    }
+    Ok(())
 }
 
 /// Limits on what one flow may ask for; a flow beyond them is refused when it is submitted.
--- a/components/settings/src/lib.rs
+++ b/components/settings/src/lib.rs
@@ -18,7 +18,8 @@
 pub use entry::EntrySettings;
 pub use error::{FieldError, SettingsErrors};
 pub use flow::{
-    FlowAgentSettings, FlowEntrySettings, FlowLimitSettings, LeaseSettings, PolicySettings,
+    FairShareSettings, FlowAgentSettings, FlowEntrySettings, FlowLimitSettings, LeaseSettings,
+    PolicySettings,
 };
 pub use load::{Settings, load, parse};
 pub use platform::PlatformSettings;
--- a/components/settings/tests/settings.rs
+++ b/components/settings/tests/settings.rs
@@ -99,3 +99,29 @@
         );
     }
 }
+
+/// Guards against weights that the scheduler does not apply as they are written, and against a section that is
+/// on without being stated.
+#[test]
+fn weights_of_queues_are_checked() {
+    let root = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../examples");
+    let file = root.join("dunmore/flow-entry.json");
+    let text = std::fs::read_to_string(file).expect("the example");
+    let parse_with = |policies: &str| {
+        let changed = text.replacen('{', &format!("{{ \"policies\": {policies},"), 1);
+        parse("flow-entry.json", &changed)
+    };
+    let shares = |policies: &str| match parse_with(policies) {
+        Ok(Settings::FlowEntry(settings)) => settings.policies.fair_shares.clone(),
+        other => panic!("{policies}: {other:?}"),
+    };
+    assert_eq!(shares("{}"), None);
+    assert_eq!(shares(r#"{ "fair_shares": {} }"#), Some(Default::default()));
+    let weighted = shares(r#"{ "fair_shares": { "weights": { "a.example/q/": 2.0 } } }"#);
+    assert_eq!(weighted.unwrap().weights["a.example/q/"], 2.0);
+    for weight in ["0", "-1", "0.001", "1000", "\"two\""] {
+        let policies = format!(r#"{{ "fair_shares": {{ "weights": {{ "q": {weight} }} }} }}"#);
+        assert!(parse_with(&policies).is_err(), "{weight}");
+    }
+    assert!(parse_with(r#"{ "fair_shares": { "weight": {} } }"#).is_err());
+}
--- a/components/telemetry/src/event.rs
+++ b/components/telemetry/src/event.rs
@@ -185,6 +185,10 @@
     DomainNotEmpty = 743,
     /// A placement was taken back before its start was sent, as its failure domain is evacuated.
     StartRevoked = 744,
+    /// A queue has used a whole share more than its own while others waited.
+    QueueInDebt = 750,
+    /// Such a queue has no debt any more.
+    QueueDebtPaid = 751,
     /// A span ended.
     Span = 900,
 }
