Bench: a start with shares of queues

Cause: the cost of the policy was not measured. Change: case `shares` of `bench policy`: ten queues with 10,000 tasks, a quarter of which find room, with shares and without. Lines for the policy in the cases `deciding` and `waiting`.

--- a/components/bench/src/deciding.rs
+++ b/components/bench/src/deciding.rs
@@ -3,8 +3,8 @@
 use crate::bounds::bound;
 use crate::results::{Bound, Results};
 use flow::{
-    CommitLimits, FlowConfig, FlowJob, FlowSpec, Incarnation, Policies, Pool, Queue, QueueKey,
-    ReportTimes, Scheduler, StepSpec, WorkerInfo, WorkerReport,
+    CommitLimits, FairSharePolicy, FlowConfig, FlowJob, FlowSpec, Incarnation, Policies, Pool,
+    Queue, QueueKey, ReportTimes, Scheduler, StepSpec, WorkerInfo, WorkerReport,
 };
 use model::Resources;
 use std::time::Instant;
@@ -36,24 +36,29 @@
 /// Time between two scheduling passes, in milliseconds.
 pub(crate) const PASS_INTERVAL_MS: u64 = 20;
 
-fn queue() -> QueueKey {
+fn key() -> QueueKey {
     QueueKey {
         host: "a.example".to_owned(),
         prefix: "/q/".to_owned(),
     }
 }
 
+/// Queue with this key, whose flows run in the only pool.
+pub(crate) fn queue(key: QueueKey) -> Queue {
+    Queue {
+        key,
+        service: "pool".into(),
+        priority: 0,
+        max_attempts: 3,
+        stretch: 2.0,
+        latency_target_ms: 500,
+    }
+}
+
 fn config() -> FlowConfig {
     FlowConfig {
         version: 1,
-        queues: vec![Queue {
-            key: queue(),
-            service: "pool".into(),
-            priority: 0,
-            max_attempts: 3,
-            stretch: 2.0,
-            latency_target_ms: 500,
-        }],
+        queues: vec![queue(key())],
         pools: vec![Pool {
             name: "pool".into(),
             rejects_overload: true,
@@ -81,7 +86,7 @@
 pub(crate) fn add(scheduler: &mut Scheduler, now_ms: u64, id: String, spec: FlowSpec) {
     let job = FlowJob {
         id: id.into(),
-        queue: queue(),
+        queue: key(),
         spec,
         accepted_wall_ms: 0,
     };
@@ -194,6 +199,14 @@
     }
 }
 
+/// Policies with shares of queues.
+pub(crate) fn with_shares() -> Policies {
+    Policies {
+        fair_shares: Some(FairSharePolicy::default()),
+        ..Policies::default()
+    }
+}
+
 /// Measures each number of workers.
 pub fn run(results: &mut Results) {
     let mut points = Vec::new();
@@ -205,9 +218,11 @@
         results.add("deciding", &subject, "a start, us", took_us, most);
         points.push((workers as f64, took_us));
     }
-    let took_us = measure(PLANNED_WORKERS, by_outlook());
-    let most = Bound::AtMost(bound("deciding", "start_us_at_620"));
-    let subject = format!("{PLANNED_WORKERS} workers, by outlook");
-    results.add("deciding", &subject, "a start, us", took_us, Some(most));
+    for (policies, name) in [(by_outlook(), "by outlook"), (with_shares(), "shares")] {
+        let took_us = measure(PLANNED_WORKERS, policies);
+        let most = Bound::AtMost(bound("deciding", "start_us_at_620"));
+        let subject = format!("{PLANNED_WORKERS} workers, {name}");
+        results.add("deciding", &subject, "a start, us", took_us, Some(most));
+    }
     results.plot("a start of a flow's task, us, by workers", "ours", points);
 }
--- a/components/bench/src/main.rs
+++ b/components/bench/src/main.rs
@@ -16,6 +16,7 @@
 mod requests;
 mod results;
 mod routes;
+mod shares;
 mod starts;
 mod stats;
 mod takeover;
--- a/components/bench/src/waiting.rs
+++ b/components/bench/src/waiting.rs
@@ -1,7 +1,7 @@
 //! Case `waiting`: time of a scheduling pass beside many flows that wait for room.
 
 use crate::bounds::bound;
-use crate::deciding::{PASS_INTERVAL_MS, add, by_outlook, loaded_scheduler, step};
+use crate::deciding::{PASS_INTERVAL_MS, add, by_outlook, loaded_scheduler, step, with_shares};
 use crate::results::{Bound, Results};
 use flow::{FlowSpec, Policies};
 use std::time::Instant;
@@ -53,9 +53,11 @@
         results.add("waiting", &subject, "a pass, ms", took_ms, most);
         points.push((flows as f64, took_ms));
     }
-    let took_ms = measure(BOUND_FLOWS, by_outlook());
-    let most = Bound::AtMost(bound("waiting", "pass_ms_at_7000"));
-    let subject = format!("{BOUND_FLOWS} waiting flows, by outlook");
-    results.add("waiting", &subject, "a pass, ms", took_ms, Some(most));
+    for (policies, name) in [(by_outlook(), "by outlook"), (with_shares(), "shares")] {
+        let took_ms = measure(BOUND_FLOWS, policies);
+        let most = Bound::AtMost(bound("waiting", "pass_ms_at_7000"));
+        let subject = format!("{BOUND_FLOWS} waiting flows, {name}");
+        results.add("waiting", &subject, "a pass, ms", took_ms, Some(most));
+    }
     results.plot("a pass, ms, by waiting flows", "ours", points);
 }
