--- a/components/fair_share/tests/properties.rs
+++ b/components/fair_share/tests/properties.rs
@@ -184,3 +184,17 @@
     }
     assert_eq!(shares.debt(26_000, "a"), 0.0, "paid by use below the share");
 }
+
+/// Guards against a debt that forgets for how long others waited: a tenth of the window makes a tenth of the debt.
+#[test]
+fn a_debt_grows_with_the_time_for_which_others_wait() {
+    let uses = [queue_use("a", 1.0, 0.9, 1.0), queue_use("b", 1.0, 0.1, 1.0)];
+    let debt = |lasted_ms| {
+        let mut shares = FairShares::default();
+        shares.observe(20_000, lasted_ms, &uses);
+        shares.debt(20_000, "a")
+    };
+    assert!((debt(WINDOW_MS) - 0.8).abs() < ROUNDING);
+    assert!((debt(WINDOW_MS / 10) - 0.08).abs() < ROUNDING);
+    assert_eq!(debt(3 * WINDOW_MS), debt(WINDOW_MS), "the window bounds it");
+}
--- a/components/flow/tests/common/mod.rs
+++ b/components/flow/tests/common/mod.rs
@@ -5,6 +5,7 @@
 mod advance;
 mod checks;
 mod polls;
+pub mod queues;
 pub mod slow_pool;
 mod worker;
 
--- a/components/flow/tests/shares.rs
+++ b/components/flow/tests/shares.rs
@@ -1,14 +1,15 @@
-//! Shares of queues under the policy `fair_shares`, in virtual time.
+//! Shares of queues under load with the policy `fair_shares`, in virtual time.
 
 mod common;
 
+use common::queues::{
+    RUN_MS, debt_percent, fair, four_tasks, key, queue, sim_with, starts_of, submit,
+};
 use common::{Sim, step};
-use flow::{FairSharePolicy, MAX_QUEUE_LABELS, Policies, Queue, QueueKey, StepSpec};
-use model::{JobId, Resources};
+use flow::Policies;
+use model::JobId;
 use std::collections::BTreeMap;
 
-/// Run time of each task, in milliseconds.
-const RUN_MS: u64 = 1_000;
 /// Time between two flows of each ordinary queue, in milliseconds. Three of them need 15 of 32 processors.
 const INTERVAL_MS: u64 = 1_600;
 /// Number of ordinary queues.
@@ -16,62 +17,6 @@
 /// Simulated time under load, in milliseconds.
 const LOAD_MS: u64 = 24_000;
 
-fn key(name: &str) -> QueueKey {
-    QueueKey {
-        host: "a.example".to_owned(),
-        prefix: format!("/{name}/"),
-    }
-}
-
-fn queue(name: &str, priority: u32) -> Queue {
-    Queue {
-        key: key(name),
-        service: "pool".into(),
-        priority,
-        max_attempts: 3,
-        stretch: 2.0,
-        latency_target_ms: 500,
-    }
-}
-
-fn fair(weights: &[(&str, f64)]) -> Policies {
-    let named = weights.iter();
-    let weights = named.map(|(name, weight)| (key(name).to_string(), *weight));
-    Policies {
-        fair_shares: Some(FairSharePolicy {
-            weights: weights.collect(),
-        }),
-        ..Policies::default()
-    }
-}
-
-/// Two workers with 32 processors together and these queues of one priority.
-fn sim_with(names: &[&str], policies: Policies) -> Sim {
-    let mut sim = Sim::new(2);
-    sim.set_queues(names.iter().map(|name| queue(name, 0)).collect());
-    sim.set_policies(policies);
-    sim.run_for(500);
-    sim
-}
-
-fn submit(sim: &mut Sim, name: &str, id: &str, steps: Vec<StepSpec>) -> JobId {
-    sim.submit_to(key(name), id, steps, None)
-}
-
-/// A flow of four tasks of two processors.
-fn four_tasks() -> Vec<StepSpec> {
-    vec![step(4, 2_000, RUN_MS)]
-}
-
-/// Debt of a queue as of the last observation, in percent.
-fn debt_percent(sim: &Sim, name: &str) -> f64 {
-    let name = key(name).to_string();
-    let mut shares = sim.scheduler.queue_shares().iter();
-    shares
-        .find(|share| share.queue == name)
-        .map_or(0.0, |share| share.debt_percent)
-}
-
 /// Ordinary queues that each send a flow every [`INTERVAL_MS`], beside one that sends `factor` times as many.
 struct Load {
     sim: Sim,
@@ -262,13 +207,6 @@
     assert!(longest_ms <= 2 * RUN_MS, "{longest_ms} ms");
 }
 
-/// Number of starts of the flows whose names begin with `prefix`.
-fn starts_of(sim: &Sim, prefix: &str) -> usize {
-    let started = sim.started.iter();
-    let of_queue = started.filter(|(task, _, _)| task.job.as_str().starts_with(prefix));
-    of_queue.count()
-}
-
 /// Starts of two queues that both send more than the pool can do, with these weights.
 fn compete(weights: &[(&str, f64)]) -> (usize, usize) {
     let mut sim = sim_with(&["a", "b"], fair(weights));
@@ -300,66 +238,6 @@
     }
 }
 
-/// Guards against queues of other priorities that take part: an urgent queue owes nothing to a less urgent
-/// one, and goes on before it.
-#[test]
-fn queues_of_different_priorities_do_not_compete() {
-    let mut sim = sim_with(&[], fair(&[]));
-    sim.set_queues(vec![queue("urgent", 0), queue("batch", 1)]);
-    submit(&mut sim, "batch", "batch", four_tasks());
-    for number in 0..40 {
-        submit(&mut sim, "urgent", &format!("urgent{number}"), four_tasks());
-    }
-    sim.run_for(4_000);
-    assert_eq!(debt_percent(&sim, "urgent"), 0.0);
-    assert_eq!(starts_of(&sim, "batch"), 0);
-}
-
-/// Guards against long-running flows that lose their place before others because of their queue's debt, and
-/// against debts by their use.
-#[test]
-fn long_running_flows_keep_their_place() {
-    let long = || StepSpec {
-        long_running: true,
-        ..step(1, 8_000, RUN_MS)
-    };
-    let mut sim = sim_with(&["busy", "q0"], fair(&[]));
-    submit(&mut sim, "busy", "long", vec![step(16, 2_000, 5_000)]);
-    sim.run_for(500);
-    submit(&mut sim, "q0", "waits", vec![step(80, 2_000, RUN_MS)]);
-    sim.run_for(3_000);
-    assert!(debt_percent(&sim, "busy") > 0.0);
-    submit(&mut sim, "busy", "serving", vec![long()]);
-    sim.run_for(4_000);
-    let first_ms = |prefix: &str| {
-        let mut started = sim.started.iter();
-        let first = started.find(|(task, _, _)| task.job.as_str().starts_with(prefix));
-        first.map(|(_, _, at_ms)| *at_ms).unwrap()
-    };
-    // Both find room in the same pass, which has too little for all.
-    assert_eq!(first_ms("serving"), first_ms("waits"));
-    // Long-running flows alone are no use of a share.
-    let mut sim = sim_with(&["busy", "q0"], fair(&[]));
-    for number in 0..4 {
-        submit(&mut sim, "busy", &format!("serving{number}"), vec![long()]);
-    }
-    submit(&mut sim, "q0", "waits", four_tasks());
-    sim.run_for(3_000);
-    assert_eq!(debt_percent(&sim, "busy"), 0.0);
-}
-
-/// Guards against debts by tasks that never had a place: one that no worker has room for delays no queue.
-#[test]
-fn tasks_that_fit_no_worker_wait_for_nobody() {
-    let mut sim = sim_with(&["busy", "q0"], fair(&[]));
-    submit(&mut sim, "q0", "giant", vec![step(1, 90_000, RUN_MS)]);
-    for number in 0..20 {
-        submit(&mut sim, "busy", &format!("f{number}"), four_tasks());
-    }
-    sim.run_for(3_000);
-    assert_eq!(debt_percent(&sim, "busy"), 0.0);
-}
-
 /// Guards against a debt that begins or ends without a line in the log, or with one in each observation.
 #[test]
 fn the_begin_and_the_end_of_a_debt_are_reported_once() {
@@ -409,27 +287,3 @@
         "its flows go on once it is back"
     );
 }
-
-/// Guards against as many labels of metrics as there are queues.
-#[test]
-fn the_labels_of_queues_are_bounded() {
-    let names: Vec<String> = (0..2 * MAX_QUEUE_LABELS)
-        .map(|number| format!("q{number}"))
-        .collect();
-    let names: Vec<&str> = names.iter().map(String::as_str).collect();
-    let mut sim = sim_with(&names, fair(&[]));
-    assert!(sim.scheduler.queue_shares().is_empty());
-    for (number, name) in names.iter().enumerate() {
-        let mut one = step(1, 100 * (number as u32 + 1), 60_000);
-        one.need = Resources::new(one.need.processors_milli, 10, 0);
-        submit(&mut sim, name, name, vec![one]);
-    }
-    sim.run_for(2_000);
-    let shares = sim.scheduler.queue_shares();
-    assert_eq!(shares.len(), MAX_QUEUE_LABELS + 1);
-    assert_eq!(shares[0].queue, key("q19").to_string());
-    assert_eq!(shares[MAX_QUEUE_LABELS].queue, "other");
-    let sum: f64 = shares.iter().map(|share| share.share_percent).sum();
-    // 21 of 32 processors, for about 1.9 of the 10 s of the window.
-    assert!((10.0..14.0).contains(&sum), "{sum} %");
-}
--- a/components/flow_entry/src/acceptance.rs
+++ b/components/flow_entry/src/acceptance.rs
@@ -3,7 +3,8 @@
 use crate::coordinator::Coordinator;
 use crate::leadership::Leadership;
 use crate::messages::{PeerGrantRoom, RoomGranted, TakeRoom};
-use crate::metrics::{MemoryUse, Metrics};
+use crate::metric_labels::MemoryUse;
+use crate::metrics::Metrics;
 use crate::room::{Taken, grant};
 use crate::rows::flow_key;
 use actix::{Addr, AsyncContext, Context, Handler, MessageResult};
--- a/components/flow_entry/src/leadership.rs
+++ b/components/flow_entry/src/leadership.rs
@@ -11,7 +11,7 @@
 use crate::messages::{
     ChangedFlow, ClaimDone, FlowsLoaded, InFlightCommit, LearnedRows, StateLoaded, StoredRows,
 };
-use crate::metrics::MemoryUse;
+use crate::metric_labels::MemoryUse;
 use crate::reads::{read_all, read_flow_pages, read_row};
 use crate::record_reads::{group_records, parse_record};
 use crate::rows::{
--- a/components/flow_entry/src/lib.rs
+++ b/components/flow_entry/src/lib.rs
@@ -24,6 +24,7 @@
 mod limits;
 mod memory;
 mod messages;
+mod metric_labels;
 mod metrics;
 mod overlapping_reads;
 mod overload;
