Preemption: flow stops less urgent runs that save their progress for urgent tasks

Cause: with long batch runs on all workers, an urgent task waits for one of them to end and misses its objective, although the batch run could resume from its checkpoint. Change: policy preemption (off unless set). Victims are queued again; the number of preemptions of a task is stored in the optional field v of its flow's record. Metric flow_preemptions, decisions preempted and preemption-late.

--- a/components/flow/src/commit.rs
+++ b/components/flow/src/commit.rs
@@ -92,7 +92,7 @@
         let record = if self.set_aside.contains(job) {
             FlowRecord::failed()
         } else {
-            FlowRecord::of(state)
+            FlowRecord::of(state).with_preemptions(self.preemptions.records(state))
         };
         // Records are plain data, whose serialization does not fail.
         let text = serde_json::to_string(&record).unwrap_or_default();
--- a/components/flow/src/effect.rs
+++ b/components/flow/src/effect.rs
@@ -1,6 +1,8 @@
 //! Effects of the scheduler: orders to workers, reports and decision records.
 
-use crate::{FlowPhase, Incarnation, LocalityOutcome, Outlooks, RecordFault, TaskKey};
+use crate::{
+    FlowPhase, Incarnation, LocalityOutcome, Outlooks, PreemptionOutcome, RecordFault, TaskKey,
+};
 use interference::PressureChange;
 use model::{AgentId, JobId};
 use worker_speed::SpeedChange;
@@ -35,6 +37,8 @@
     Duplicate(DuplicateOutcome),
     /// Count where a task was placed that is faster near its data or its gang.
     LocalityChosen(LocalityOutcome),
+    /// Count what became of a preemption.
+    Preemption(PreemptionOutcome),
     /// Log that this agent's worker is slow or has recovered.
     SpeedChanged(AgentId, SpeedChange),
     /// Log a decision.
@@ -138,4 +142,8 @@
     GaveUpNear,
     /// A task is moved away from a slow worker.
     MovedFromSlow,
+    /// A run is stopped to make room for a more urgent task, and its task is queued again.
+    Preempted,
+    /// The run of a preempted task has not ended although its stop was ordered a while ago.
+    PreemptionLate,
 }
--- a/components/flow/src/forecast.rs
+++ b/components/flow/src/forecast.rs
@@ -55,6 +55,14 @@
         self.release(at_ms.saturating_add(run_ms), &allocation);
     }
 
+    /// No longer expects the end of a run at this time.
+    fn withdraw(&mut self, at_ms: u64, allocation: &Allocation) {
+        let is_end = |change: &Change| change.at_ms == at_ms && change.freed == allocation.reserved;
+        if let Some(at) = self.0.iter().position(is_end) {
+            self.0.remove(at);
+        }
+    }
+
     fn insert(&mut self, change: Change) {
         // Claims come before releases at the same time, so that each release counts for one claim.
         let order = |change: &Change| (change.at_ms, change.taken == Resources::default());
@@ -127,7 +135,43 @@
     }
 }
 
+impl Candidate {
+    /// Capacity that is expected to be free at a time, without what waiting tasks take by then.
+    pub(crate) fn free_at(&self, at_ms: u64) -> Resources {
+        let mut room = Room {
+            free: self.free,
+            taken: Resources::default(),
+            spare_milli: self.spare_milli,
+        };
+        let changes = self.forecast.iter().flat_map(|forecast| &forecast.0);
+        for change in changes.take_while(|change| change.at_ms <= at_ms) {
+            room.apply(change);
+        }
+        room.free.minus(&room.taken)
+    }
+
+    /// Expects that a waiting task runs here from `at_ms` for `run_ms`; see [`Forecast::claim`].
+    pub(crate) fn claim(&mut self, at_ms: u64, run_ms: u64, spec: &StepSpec) {
+        if let Some(forecast) = self.forecast.as_mut() {
+            forecast.claim(at_ms, run_ms, spec);
+        }
+    }
+}
+
 impl Scheduler {
+    /// Expects that a run on a candidate, which is about to be stopped, ends now.
+    pub(crate) fn expect_stop(&self, now_ms: u64, key: &TaskKey, candidate: &mut Candidate) {
+        let view = self.fleet.workers.get(&candidate.agent);
+        let allocation = view.and_then(|view| view.allocations.get(key));
+        let (Some(allocation), Some(forecast)) = (allocation, candidate.forecast.as_mut()) else {
+            return;
+        };
+        if let Some(left_ms) = self.remaining_run_ms(now_ms, key, allocation) {
+            forecast.withdraw(now_ms.saturating_add(left_ms), allocation);
+        }
+        forecast.release(now_ms, allocation);
+    }
+
     /// Determines when the runs on a candidate are expected to end, unless that is known.
     pub(crate) fn forecast_releases(&self, now_ms: u64, candidate: &mut Candidate) {
         if candidate.forecast.is_some() {
@@ -179,7 +223,12 @@
 
     /// Time until a placed run is expected to end, in milliseconds; `None` if that is not known, as of
     /// long-running tasks.
-    fn remaining_run_ms(&self, now_ms: u64, key: &TaskKey, allocation: &Allocation) -> Option<u64> {
+    pub(crate) fn remaining_run_ms(
+        &self,
+        now_ms: u64,
+        key: &TaskKey,
+        allocation: &Allocation,
+    ) -> Option<u64> {
         let state = self.flows.get(&key.job)?;
         let task = state.task(key)?;
         let placement = task.placement_of(allocation.run)?;
--- a/components/flow/src/lib.rs
+++ b/components/flow/src/lib.rs
@@ -41,6 +41,9 @@
 mod placed_runs;
 mod policies;
 mod pool_room;
+mod preempted;
+mod preemption;
+mod preemption_victims;
 mod progress;
 mod ranges;
 mod record;
@@ -87,6 +90,7 @@
 pub use names::{bounded_name, has_form};
 pub use overload::Outlooks;
 pub use policies::Policies;
+pub use preempted::PreemptionOutcome;
 pub use record::FlowRecord;
 pub use record_rows::{CommitLimits, RecordRows};
 pub use reports::ReportTimes;
--- a/components/flow/src/locality.rs
+++ b/components/flow/src/locality.rs
@@ -70,9 +70,7 @@
     ) {
         for (place, index) in places {
             let at_ms = now_ms.saturating_add(place.expected_free_ms.unwrap_or(0));
-            if let Some(forecast) = candidates[*index].1.forecast.as_mut() {
-                forecast.claim(at_ms, self.run_ms, spec);
-            }
+            candidates[*index].1.claim(at_ms, self.run_ms, spec);
         }
     }
 }
@@ -240,6 +238,12 @@
     /// Time by which a flow would end before its objective if a ready step of it began near its data
     /// now, in milliseconds; 0 if it would end later.
     fn remote_slack_ms(&self, now_ms: u64, state: &FlowState, key: &TaskKey) -> u64 {
+        self.start_slack_ms(now_ms, state, key).max(0) as u64
+    }
+
+    /// Time by which a flow would end before its objective if a ready step of it began now, in
+    /// milliseconds; negative if it would end later, and 0 if its queue is not known.
+    pub(crate) fn start_slack_ms(&self, now_ms: u64, state: &FlowState, key: &TaskKey) -> i64 {
         let Some(queue) = self.config.queue(&state.job.queue) else {
             return 0;
         };
@@ -253,7 +257,8 @@
         };
         let due_ms = begun_ms.saturating_add(objective_ms);
         let path_ms = self.path_ms(state, from);
-        due_ms.saturating_sub(now_ms.saturating_add(path_ms))
+        let signed_ms = |ms: u64| i64::try_from(ms).unwrap_or(i64::MAX);
+        signed_ms(due_ms).saturating_sub(signed_ms(now_ms.saturating_add(path_ms)))
     }
 
     /// Longest chain of run times that begins with a step, or with any if it is `None`, in milliseconds.
--- a/components/flow/src/pass.rs
+++ b/components/flow/src/pass.rs
@@ -10,7 +10,8 @@
 //! 4. **Commit:** the placement (`assign`). It takes capacity from the candidate, and its start is sent once
 //!    the flow's record is durable.
 //!
-//! Steps 3 and 4 alternate: each placement changes what the next task finds.
+//! Steps 3 and 4 alternate: each placement changes what the next task finds. Urgent tasks that find no room
+//! may then have runs stopped (preemption.rs), so that a later pass places them.
 
 use crate::candidate::{Candidate, FillerNeed, MIN_PLACED_PACE};
 use crate::full_pool::FullPools;
@@ -34,6 +35,7 @@
     /// are sent only after the records of the placements are durable.
     pub fn place(&mut self, now_ms: u64, wall_ms: u64) {
         self.prepare_flows(wall_ms);
+        self.settle_preemptions(now_ms);
         let order = self.order_flows(now_ms, wall_ms);
         let starved = self.starved_fillers_if_due(now_ms);
         let slow = self.slow_runs_if_due(now_ms);
@@ -48,9 +50,10 @@
         let mut candidates = self.candidates(now_ms);
         self.place_suspects(now_ms, &mut candidates);
         let mut full = FullPools::default();
-        for job in order {
-            self.place_flow(now_ms, &job, &mut candidates, &mut full);
+        for job in &order {
+            self.place_flow(now_ms, job, &mut candidates, &mut full);
         }
+        self.preempt_for_urgent(now_ms, &order, &mut candidates);
         self.move_fillers(now_ms, starved, &mut candidates);
         self.move_evacuated(now_ms, &mut candidates);
         self.move_stuck_tasks(now_ms, stuck, &mut candidates);
@@ -336,6 +339,7 @@
             pace: 100,
             is_pace_known: true,
             pace_changed_ms: 0,
+            saved_ms: 0,
         });
         self.uncommitted.insert(key.job.clone());
         let allocation = allocation_for(now_ms, &spec, run);
--- a/components/flow/src/record.rs
+++ b/components/flow/src/record.rs
@@ -3,6 +3,7 @@
 //! Its size depends on the tasks that have been placed and are not done, and hardly on those that
 //! are done: finished occurrences, and finished tasks of a step, are stored as ranges.
 
+use crate::preempted::PreemptionRecord;
 use crate::ranges::Ranges;
 use crate::record_former::FormerTasks;
 use crate::{
@@ -41,6 +42,9 @@
     /// Runs of tasks that have, or had, a duplicate. Versions without duplicates don't read them.
     #[serde(rename = "p", default, skip_serializing_if = "Vec::is_empty")]
     duplicates: Vec<RunsRecord>,
+    /// Tasks that were preempted and are not done. Versions without preemption don't read them.
+    #[serde(rename = "v", default, skip_serializing_if = "Vec::is_empty")]
+    preemptions: Vec<PreemptionRecord>,
     /// Tasks as former versions recorded them; read, and never written.
     #[serde(rename = "o", default, skip_serializing)]
     former: FormerTasks,
@@ -136,6 +140,19 @@
         record
     }
 
+    /// Adds the numbers of preemptions of the flow's tasks, which the scheduler holds.
+    pub(crate) fn with_preemptions(self, preemptions: Vec<PreemptionRecord>) -> Self {
+        Self {
+            preemptions,
+            ..self
+        }
+    }
+
+    /// Numbers of preemptions of the flow's tasks.
+    pub(crate) fn preemptions(&self) -> &[PreemptionRecord] {
+        &self.preemptions
+    }
+
     /// Adds the steps of an occurrence of which any task was placed.
     fn add_steps(&mut self, occurrence: u32, state: &OccurrenceState) {
         for (number, step) in state.steps.iter().enumerate() {
@@ -328,6 +345,7 @@
             pace: 100,
             is_pace_known: false,
             pace_changed_ms: 0,
+            saved_ms: 0,
         })
     }
 }
--- a/components/flow/src/remaining.rs
+++ b/components/flow/src/remaining.rs
@@ -89,7 +89,7 @@
     }
 
     /// What is left of an occurrence.
-    fn remaining(&self, state: &FlowState, occurrence: &OccurrenceState) -> Remaining {
+    pub(crate) fn remaining(&self, state: &FlowState, occurrence: &OccurrenceState) -> Remaining {
         let specs = &state.job.spec.steps;
         let mut remaining = Remaining::default();
         let mut ends_ms: Vec<u64> = Vec::with_capacity(specs.len());
--- a/components/flow/src/reports.rs
+++ b/components/flow/src/reports.rs
@@ -211,6 +211,9 @@
                 }
                 let percent = placement.percent;
                 if found.checkpoint.is_some() && task.is_furthest(percent) {
+                    if task.checkpoint != found.checkpoint {
+                        task.note_saved(agent, times.now_ms);
+                    }
                     task.checkpoint.clone_from(&found.checkpoint);
                 }
                 self.confirm_run(times.now_ms, &key, run);
--- a/components/flow/src/scheduler.rs
+++ b/components/flow/src/scheduler.rs
@@ -7,6 +7,7 @@
 use crate::learned::Learned;
 use crate::overload::Overload;
 use crate::placed_runs::{allocation_for, placements, run_ref};
+use crate::preempted::Preemptions;
 use crate::suspects::suspects;
 use crate::view::{Fleet, WorkerView};
 use crate::{
@@ -65,6 +66,8 @@
     pub(crate) overload: Overload,
     /// When every lease that former schedulers granted is guaranteed to have expired, in milliseconds.
     pub(crate) former_leases_expired_ms: u64,
+    /// Runs that are being preempted, and how often tasks were.
+    pub(crate) preemptions: Preemptions,
     /// Memory for flows in progress.
     pub(crate) progress: ProgressLimit,
     /// Effects since the last call of [`Scheduler::take_effects`].
@@ -141,6 +144,7 @@
     /// Adds a flow that has ended according to the table.
     pub fn add_ended(&mut self, job: JobId, phase: FlowPhase) {
         self.flows.remove(&job);
+        self.preemptions.forget_flow(&job);
         self.ended.insert(job, phase);
     }
 
@@ -151,6 +155,7 @@
             return;
         };
         record.restore(state, now_ms);
+        self.preemptions.restore(now_ms, job, record.preemptions());
         state.is_end_restored = !state.exceeds_limits && state.end().is_some();
         let placed: Vec<(TaskKey, u32, AgentId)> = placements(state)
             .map(|(key, run, placement)| (key, run, placement.agent.clone()))
@@ -308,6 +313,7 @@
         self.flows.remove(job);
         self.dirty.remove(job);
         self.uncommitted.remove(job);
+        self.preemptions.forget_flow(job);
         self.ended.insert(job.clone(), end);
         self.effects.push(Effect::Ended(job.clone(), end));
     }
--- a/components/flow/src/state.rs
+++ b/components/flow/src/state.rs
@@ -58,6 +58,8 @@
     pub is_pace_known: bool,
     /// When the pace was last changed, in milliseconds; 0 before the first change.
     pub pace_changed_ms: u64,
+    /// When the newest checkpoint of the run was first reported, in milliseconds; 0 before the first.
+    pub saved_ms: u64,
 }
 
 /// State of a flow.
--- a/components/flow/src/task_runs.rs
+++ b/components/flow/src/task_runs.rs
@@ -61,6 +61,13 @@
             .find(|placement| placement.agent == *agent)
     }
 
+    /// Notes that the run on a worker has reported a new checkpoint.
+    pub(crate) fn note_saved(&mut self, agent: &AgentId, now_ms: u64) {
+        if let Some(placement) = self.placement_on_mut(agent) {
+            placement.saved_ms = now_ms;
+        }
+    }
+
     /// Whether no placed run of the task has made more progress than this, in percent.
     pub(crate) fn is_furthest(&self, percent: u32) -> bool {
         self.placements()
--- a/components/flow/tests/records.rs
+++ b/components/flow/tests/records.rs
@@ -82,6 +82,7 @@
         pace: 100,
         is_pace_known: false,
         pace_changed_ms: 0,
+        saved_ms: 0,
     }
 }
 
--- a/components/flow_entry/src/effects.rs
+++ b/components/flow_entry/src/effects.rs
@@ -57,6 +57,7 @@
                 Effect::LocalityChosen(outcome) => {
                     Metrics::count(&self.metrics.locality_waits, &outcome);
                 }
+                Effect::Preemption(outcome) => Metrics::count(&self.metrics.preemptions, &outcome),
                 Effect::SpeedChanged(agent, change) => log_speed_change(&agent, change),
                 Effect::Decided(decision) => self.log_decision(&decision),
             }
@@ -96,6 +97,8 @@
             DecisionKind::Duplicated => Event::RunDuplicated,
             DecisionKind::GaveUpNear => Event::NearWaitGivenUp,
             DecisionKind::MovedFromSlow => Event::RunMoved,
+            DecisionKind::Preempted => Event::RunPreempted,
+            DecisionKind::PreemptionLate => Event::PreemptionLate,
         };
         log_event!(info, event, job = %decision.task.job, task = %decision.task, run = decision.run,
             agent = %decision.agent, detail = %decision.detail);
--- a/components/flow_entry/src/metrics.rs
+++ b/components/flow_entry/src/metrics.rs
@@ -75,6 +75,8 @@
     pub(crate) duplicates: Family<OutcomeLabel, Counter>,
     /// Placed tasks that are faster near their data or their gang, by where they were placed.
     pub(crate) locality_waits: Family<OutcomeLabel, Counter>,
+    /// Preemptions of runs by outcome.
+    pub(crate) preemptions: Family<OutcomeLabel, Counter>,
     /// Flows that ended, by state.
     pub(crate) ends: Family<OutcomeLabel, Counter>,
     /// Group commits that took effect.
@@ -132,6 +134,7 @@
             decisions: Family::default(),
             duplicates: Family::default(),
             locality_waits: Family::default(),
+            preemptions: Family::default(),
             ends: Family::default(),
             commits: Counter::default(),
             is_scheduler: Gauge::default(),
@@ -268,6 +271,11 @@
             "Placed tasks that are faster near their data or their gang, by outcome",
             self.locality_waits.clone(),
         );
+        registry.register(
+            "flow_preemptions",
+            "Preemptions of runs by outcome",
+            self.preemptions.clone(),
+        );
         registry.register("flow_ends", "Flows that ended, by state", self.ends.clone());
         registry.register("flow_commits", "Group commits", self.commits.clone());
         registry.register(
--- a/components/preemption/src/decision.rs
+++ b/components/preemption/src/decision.rs
@@ -1,7 +1,7 @@
 //! Whether an urgent task preempts runs of one worker.
 
 use crate::choice::{choose, may_be_preempted};
-use crate::{MAX_PREEMPTING, PREEMPTION_MS, Victim, cost};
+use crate::{MAX_PREEMPTING, PREEMPTION_MS, START_MS, Victim, cost};
 
 /// A queued task that may take the place of others.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
@@ -93,7 +93,7 @@
 ///     ..Victim::default() };
 /// let verdict = decide(20_000, &urgent, Room::default(), &[victim]);
 /// assert_eq!(verdict, Verdict::Preempt { victims: vec![0], reason: Reason::WaitTooLong });
-/// let in_time = Urgent { expected_wait_ms: Some(700), ..urgent };
+/// let in_time = Urgent { expected_wait_ms: Some(500), ..urgent };
 /// let verdict = decide(20_000, &in_time, Room::default(), &[victim]);
 /// assert_eq!(verdict, Verdict::Wait(Reason::InTimeAnyway));
 /// ```
@@ -102,10 +102,8 @@
         return Verdict::Wait(Reason::TooLate);
     }
     let slack_ms = urgent.slack_ms.max(0) as u64;
-    if urgent
-        .expected_wait_ms
-        .is_some_and(|wait_ms| wait_ms <= slack_ms)
-    {
+    let is_in_time = |wait_ms: u64| wait_ms.saturating_add(START_MS) <= slack_ms;
+    if urgent.expected_wait_ms.is_some_and(is_in_time) {
         return Verdict::Wait(Reason::InTimeAnyway);
     }
     let missing = Missing::of(urgent, free);
--- a/components/preemption/src/lib.rs
+++ b/components/preemption/src/lib.rs
@@ -19,6 +19,9 @@
 /// Time from the decision until the urgent task runs, in milliseconds: the stop and its report, the commit
 /// and the start.
 pub const PREEMPTION_MS: u64 = 500;
+/// Time from the release of room until a task that is placed there runs, in milliseconds: the report of the
+/// release, the commit and the start.
+pub const START_MS: u64 = 300;
 /// Least time by which a preemption delays the preempted task, in milliseconds: its stop, and its start
 /// where there is room at once.
 pub const MIN_DELAY_MS: u64 = 1_000;
--- a/components/settings/src/flow.rs
+++ b/components/settings/src/flow.rs
@@ -91,6 +91,9 @@
     /// wait for a near worker.
     #[garde(inner(range(min = 1.0, max = 100.0)))]
     pub remote_factor: Option<f64>,
+    /// Whether urgent tasks may take the place of less urgent ones that save their progress.
+    #[garde(skip)]
+    pub preemption: bool,
 }
 
 /// Limits on what one flow may ask for; a flow beyond them is refused when it is submitted.
--- a/components/telemetry/src/event.rs
+++ b/components/telemetry/src/event.rs
@@ -185,6 +185,10 @@
     DomainNotEmpty = 743,
     /// A placement was taken back before its start was sent, as its failure domain is evacuated.
     StartRevoked = 744,
+    /// A run is stopped to make room for a more urgent task, and resumes later.
+    RunPreempted = 753,
+    /// A preempted run has not ended a while after its stop was ordered.
+    PreemptionLate = 754,
     /// A span ended.
     Span = 900,
 }
