--- a/components/bench/src/deciding.rs
+++ b/components/bench/src/deciding.rs
@@ -28,7 +28,7 @@
 /// Number of measured flows of each kind, plain and filler.
 const FLOWS: usize = 20;
 /// Limits of a commit: none.
-const COMMIT_LIMITS: CommitLimits = CommitLimits {
+pub(crate) const COMMIT_LIMITS: CommitLimits = CommitLimits {
     rows: usize::MAX,
     bytes: usize::MAX,
     row_bytes: 65_536,
@@ -36,7 +36,7 @@
 /// Time between two scheduling passes, in milliseconds.
 pub(crate) const PASS_INTERVAL_MS: u64 = 20;
 
-fn queue() -> QueueKey {
+pub(crate) fn queue() -> QueueKey {
     QueueKey {
         host: "a.example".to_owned(),
         prefix: "/q/".to_owned(),
@@ -62,6 +62,18 @@
     }
 }
 
+/// The configuration with a second queue, which is less urgent.
+pub(crate) fn two_priorities(less_urgent: QueueKey) -> FlowConfig {
+    let mut config = config();
+    config.version = 2;
+    config.queues.push(Queue {
+        key: less_urgent,
+        priority: 2,
+        ..config.queues[0].clone()
+    });
+    config
+}
+
 fn info(number: usize) -> WorkerInfo {
     WorkerInfo {
         incarnation: Incarnation {
@@ -79,9 +91,20 @@
 
 /// Submits a flow.
 pub(crate) fn add(scheduler: &mut Scheduler, now_ms: u64, id: String, spec: FlowSpec) {
+    add_to(scheduler, queue(), now_ms, id, spec);
+}
+
+/// Submits a flow of a queue.
+pub(crate) fn add_to(
+    scheduler: &mut Scheduler,
+    queue: QueueKey,
+    now_ms: u64,
+    id: String,
+    spec: FlowSpec,
+) {
     let job = FlowJob {
         id: id.into(),
-        queue: queue(),
+        queue,
         spec,
         accepted_wall_ms: 0,
     };
--- a/components/bench/src/main.rs
+++ b/components/bench/src/main.rs
@@ -12,6 +12,7 @@
 mod order;
 mod placement;
 mod policy;
+mod preempting;
 mod report;
 mod requests;
 mod results;
--- a/components/bench/src/policy.rs
+++ b/components/bench/src/policy.rs
@@ -1,7 +1,7 @@
 //! Command `policy`: cases on the scheduler of flows alone, without a network.
 
 use crate::results::Results;
-use crate::{deciding, near, waiting};
+use crate::{deciding, near, preempting, waiting};
 
 /// Runs the cases in `only`, or all if it is empty, and saves the results. Returns whether every
 /// bound holds.
@@ -14,6 +14,9 @@
     if is_selected("near") {
         near::run(&mut results);
     }
+    if is_selected("preempting") {
+        preempting::run(&mut results);
+    }
     if is_selected("waiting") {
         waiting::run(&mut results);
     }
