Preemption: a search skips steps for which one like them found nothing

Change: a step that needs as much as one that failed, for as little gain, is skipped and not counted.

--- a/components/flow/src/lib.rs
+++ b/components/flow/src/lib.rs
@@ -43,6 +43,7 @@
 mod pool_room;
 mod preempted;
 mod preemption;
+mod preemption_search;
 mod preemption_victims;
 mod progress;
 mod ranges;
--- a/components/flow/src/preemption.rs
+++ b/components/flow/src/preemption.rs
@@ -4,14 +4,13 @@
 
 use crate::candidate::Candidate;
 use crate::crashes::Isolation;
+use crate::preemption_search::{MadeRoom, PreemptionSearch, SuitableWorker, UrgentStep};
 use crate::worker_rules::may_run;
-use crate::{Queue, Scheduler, StepSpec, TaskKey};
+use crate::{Queue, Scheduler, TaskKey};
 use ::preemption::{
-    Cost, MAX_PREEMPTING, PREEMPTION_MS, Reason, Room, Urgent, Verdict, Victim, cost, decide,
-    is_too_late,
+    MAX_PREEMPTING, PREEMPTION_MS, Reason, Room, Urgent, Verdict, Victim, cost, decide, is_too_late,
 };
 use model::{JobId, ServiceName};
-use utils::Map;
 
 /// Interval between two searches for urgent tasks that wait, in milliseconds. Reports of a busy worker come
 /// every 400 ms or more often.
@@ -19,56 +18,6 @@
 /// Most urgent tasks for which one search examines the workers.
 const MAX_SEARCHED: usize = 16;
 
-/// A search for urgent tasks that wait.
-#[derive(Debug, Default)]
-struct PreemptionSearch {
-    /// Number of tasks for which the workers were examined.
-    examined: usize,
-    /// Runs that may have to make room, by the index of their worker's candidate.
-    runs: Map<usize, Vec<(TaskKey, Victim)>>,
-}
-
-/// What the queued tasks of an urgent step have in common.
-#[derive(Debug)]
-struct UrgentStep {
-    spec: StepSpec,
-    service: ServiceName,
-    priority: u32,
-    /// Expected run time, in milliseconds.
-    run_ms: u64,
-    /// Time by which the flow would end before its objective if a task began now, in milliseconds.
-    slack_ms: i64,
-}
-
-/// A worker that may run an urgent task.
-#[derive(Debug, Clone, Copy)]
-struct SuitableWorker {
-    /// Index of its candidate.
-    index: usize,
-    /// Time until it is expected to have room, in milliseconds; `None` if that is not known.
-    wait_ms: Option<u64>,
-    /// Time by which the task takes longer there, in milliseconds.
-    extra_ms: u64,
-}
-
-impl SuitableWorker {
-    /// Time by which the task ends later there than if it began at once on a near worker, in milliseconds.
-    fn delay_ms(&self) -> Option<u64> {
-        Some(self.wait_ms?.saturating_add(self.extra_ms))
-    }
-}
-
-/// Runs of one worker that make room for an urgent task.
-#[derive(Debug)]
-struct MadeRoom {
-    /// Index of the worker's candidate.
-    index: usize,
-    /// Indices of the runs among those of the worker that may have to make room.
-    victims: Vec<usize>,
-    cost: Cost,
-    reason: Reason,
-}
-
 impl Scheduler {
     /// Searches for urgent tasks that were not placed in this pass, in the order of their flows, and
     /// preempts runs for them where that is worthwhile; does nothing if they were searched for a moment
@@ -117,8 +66,13 @@
                 if !self.may_displace(now_ms, &key) {
                     continue;
                 }
+                let work_left = self.work_left(&key);
+                let value = work_left.saturating_sub(self.preemptions.spent(job));
+                if search.is_hopeless(&urgent, value) {
+                    break;
+                }
                 search.examined += 1;
-                if !self.preempt_for_task(now_ms, &key, &urgent, search, candidates) {
+                if !self.preempt_for_task(now_ms, &key, &urgent, value, search, candidates) {
                     // The other tasks of the step need the same.
                     break;
                 }
@@ -180,20 +134,20 @@
         now_ms: u64,
         key: &TaskKey,
         step: &UrgentStep,
+        value: u64,
         search: &mut PreemptionSearch,
         candidates: &mut [(ServiceName, Candidate)],
     ) -> bool {
         let workers = self.suitable_workers(now_ms, key, step, candidates);
         let known = workers.iter().filter(|worker| worker.delay_ms().is_some());
         let soonest = known.min_by_key(|worker| worker.delay_ms()).copied();
-        let work_left = self.work_left(key);
         let urgent = Urgent {
             priority: step.priority,
             cores_milli: step.spec.reserved().processors_milli,
             memory_mb: step.spec.reserved().memory_mb.into(),
             slack_ms: step.slack_ms,
             expected_wait_ms: soonest.and_then(|worker| worker.delay_ms()),
-            value: work_left.saturating_sub(self.preemptions.spent(&key.job)),
+            value,
         };
         let without_victims = decide(now_ms, &urgent, self.preemption_room(now_ms, None), &[]);
         if let (Verdict::Wait(Reason::InTimeAnyway), Some(soonest)) = (without_victims, soonest) {
@@ -209,6 +163,12 @@
             self.made_room(now_ms, &urgent, step, worker.index, candidate, search)
         });
         let Some(best) = options.min_by_key(|option| (option.cost, option.index)) else {
+            let avoids_worker = self
+                .task(key)
+                .is_some_and(|task| task.avoided_agent.is_some());
+            if !avoids_worker {
+                search.note_failed(step, value);
+            }
             return false;
         };
         let candidate = &mut candidates[best.index].1;
