--- a/components/flow/src/preemption.rs
+++ b/components/flow/src/preemption.rs
@@ -17,6 +17,8 @@
 const SEARCH_INTERVAL_MS: u64 = 100;
 /// Most urgent tasks for which one search examines the workers.
 const MAX_SEARCHED: usize = 16;
+/// Most steps with queued tasks that one search looks at.
+const MAX_STEPS: usize = 1_000;
 
 impl Scheduler {
     /// Searches for urgent tasks that were not placed in this pass, in the order of their flows, and
@@ -35,7 +37,7 @@
         self.preemptions.searched_ms = now_ms;
         let mut search = PreemptionSearch::default();
         for job in order {
-            let is_exhausted = search.examined >= MAX_SEARCHED;
+            let is_exhausted = search.examined >= MAX_SEARCHED || search.steps > MAX_STEPS;
             if is_exhausted || self.preemptions.count_pending() >= MAX_PREEMPTING {
                 return;
             }
@@ -59,6 +61,13 @@
             let Some(urgent) = self.urgent_step(now_ms, job, occurrence, step) else {
                 continue;
             };
+            search.steps += 1;
+            if search.steps > MAX_STEPS {
+                return;
+            }
+            if search.is_hopeless(&urgent, self.value(&urgent.first)) {
+                continue;
+            }
             for key in self.queued_tasks(now_ms, job, occurrence, step) {
                 if search.examined >= MAX_SEARCHED {
                     return;
@@ -66,13 +75,8 @@
                 if !self.may_displace(now_ms, &key) {
                     continue;
                 }
-                let work_left = self.work_left(&key);
-                let value = work_left.saturating_sub(self.preemptions.spent(job));
-                if search.is_hopeless(&urgent, value) {
-                    break;
-                }
                 search.examined += 1;
-                if !self.preempt_for_task(now_ms, &key, &urgent, value, search, candidates) {
+                if !self.preempt_for_task(now_ms, &key, &urgent, search, candidates) {
                     // The other tasks of the step need the same.
                     break;
                 }
@@ -106,6 +110,7 @@
             return None;
         }
         Some(UrgentStep {
+            first: key,
             spec: spec.clone(),
             service: queue.service.clone(),
             priority: queue.priority,
@@ -134,7 +139,6 @@
         now_ms: u64,
         key: &TaskKey,
         step: &UrgentStep,
-        value: u64,
         search: &mut PreemptionSearch,
         candidates: &mut [(ServiceName, Candidate)],
     ) -> bool {
@@ -147,7 +151,7 @@
             memory_mb: step.spec.reserved().memory_mb.into(),
             slack_ms: step.slack_ms,
             expected_wait_ms: soonest.and_then(|worker| worker.delay_ms()),
-            value,
+            value: self.value(key),
         };
         let without_victims = decide(now_ms, &urgent, self.preemption_room(now_ms, None), &[]);
         if let (Verdict::Wait(Reason::InTimeAnyway), Some(soonest)) = (without_victims, soonest) {
@@ -163,12 +167,7 @@
             self.made_room(now_ms, &urgent, step, worker.index, candidate, search)
         });
         let Some(best) = options.min_by_key(|option| (option.cost, option.index)) else {
-            let avoids_worker = self
-                .task(key)
-                .is_some_and(|task| task.avoided_agent.is_some());
-            if !avoids_worker {
-                search.note_failed(step, value);
-            }
+            search.note_failed(step, urgent.value);
             return false;
         };
         let candidate = &mut candidates[best.index].1;
@@ -177,19 +176,21 @@
         true
     }
 
-    /// Work that is left of an occurrence of a flow, in core-milliseconds. All of it is late if one of its
-    /// tasks is.
-    fn work_left(&self, key: &TaskKey) -> u64 {
+    /// Work of an occurrence of a flow that is in time thanks to a preemption for a task, in core-milliseconds:
+    /// all that is left, as the occurrence is late if one of its tasks is, without what preemptions for the
+    /// flow have cost.
+    fn value(&self, key: &TaskKey) -> u64 {
         let state = self.flows.get(&key.job);
-        let occurrence = state.and_then(|state| {
+        let work_left = state.and_then(|state| {
             let occurrence = state.occurrences.get(key.occurrence as usize)?;
             Some(self.remaining(state, occurrence).work)
         });
-        occurrence.unwrap_or(0)
+        let spent = self.preemptions.spent(&key.job);
+        work_left.unwrap_or(0).saturating_sub(spent)
     }
 
-    /// Workers that may run a task, apart from their room. Left out are those that are slow, that the
-    /// task failed on, or that are late to stop a preempted run.
+    /// Workers that may run a task, apart from their room. Left out are those that are slow or cold, or
+    /// that are late to stop a preempted run.
     fn suitable_workers(
         &self,
         now_ms: u64,
@@ -197,7 +198,6 @@
         step: &UrgentStep,
         candidates: &mut [(ServiceName, Candidate)],
     ) -> Vec<SuitableWorker> {
-        let avoided = self.task(key).and_then(|task| task.avoided_agent.as_ref());
         let factor = self.policies.remote_factor.unwrap_or(1.0);
         let mut workers = Vec::new();
         for (index, (pool, candidate)) in candidates.iter_mut().enumerate() {
@@ -207,7 +207,6 @@
             };
             let is_usual = !candidate.is_cold
                 && candidate.speed_rank.penalty(&step.spec) <= 0.0
-                && avoided != Some(&candidate.agent)
                 && !self.preemptions.is_late_on(now_ms, &candidate.agent);
             let may_run = is_usual
                 && candidate.admits(key, Isolation::None)
--- a/components/flow/src/preemption_search.rs
+++ b/components/flow/src/preemption_search.rs
@@ -8,6 +8,8 @@
 /// A search for urgent tasks that wait.
 #[derive(Debug, Default)]
 pub(crate) struct PreemptionSearch {
+    /// Number of steps with queued tasks that were looked at.
+    pub steps: usize,
     /// Number of tasks for which the workers were examined.
     pub examined: usize,
     /// Runs that may have to make room, by the index of their worker's candidate.
@@ -66,6 +68,8 @@
 /// What the queued tasks of an urgent step have in common.
 #[derive(Debug)]
 pub(crate) struct UrgentStep {
+    /// Its first task.
+    pub first: TaskKey,
     pub spec: StepSpec,
     pub service: ServiceName,
     pub priority: u32,
--- a/components/preemption/tests/decisions.rs
+++ b/components/preemption/tests/decisions.rs
@@ -214,3 +214,29 @@
         Verdict::Wait(Reason::NoVictims)
     );
 }
+
+/// Guards against sets of runs that make a flow late, or stop a more urgent run, to lose less work.
+#[test]
+fn sets_of_runs_spare_timely_flows_and_urgent_runs() {
+    let half = Victim {
+        cores_milli: 1_000,
+        memory_mb: 500,
+        ..VICTIM
+    };
+    let free_of_cost = Victim {
+        lost_work: 0,
+        ..half
+    };
+    let made_late = Victim {
+        slack_ms: MIN_DELAY_MS as i64 - 1,
+        ..free_of_cost
+    };
+    let verdict = decided(URGENT, FULL, &[made_late, half, half]);
+    assert_eq!(verdict, preempt(&[1, 2]));
+    let less_urgent = Victim {
+        priority: 3,
+        ..half
+    };
+    let verdict = decided(URGENT, FULL, &[free_of_cost, less_urgent, less_urgent]);
+    assert_eq!(verdict, preempt(&[1, 2]));
+}
