--- a/components/flow/src/lib.rs
+++ b/components/flow/src/lib.rs
@@ -41,6 +41,10 @@
 mod placed_runs;
 mod policies;
 mod pool_room;
+mod preempted;
+mod preemption;
+mod preemption_search;
+mod preemption_victims;
 mod progress;
 mod ranges;
 mod record;
@@ -88,6 +92,7 @@
 pub use names::{bounded_name, has_form};
 pub use overload::Outlooks;
 pub use policies::{FairSharePolicy, Policies};
+pub use preempted::PreemptionOutcome;
 pub use record::FlowRecord;
 pub use record_rows::{CommitLimits, RecordRows};
 pub use reports::ReportTimes;
--- a/components/flow/src/policies.rs
+++ b/components/flow/src/policies.rs
@@ -24,6 +24,8 @@
     /// Shares of the queues of equal priority in the pool that they have in common; `None` if queues don't
     /// have shares.
     pub fair_shares: Option<FairSharePolicy>,
+    /// Whether urgent tasks may take the place of less urgent ones that save their progress.
+    pub preemption: bool,
 }
 
 /// Shares of queues.
--- a/components/flow/tests/common/mod.rs
+++ b/components/flow/tests/common/mod.rs
@@ -5,6 +5,7 @@
 mod advance;
 mod checks;
 mod polls;
+pub mod preemptions;
 pub mod queues;
 pub mod slow_pool;
 mod worker;
@@ -75,10 +76,10 @@
     pub now_ms: u64,
     /// Scheduler under test; replaced by [`Sim::take_over`].
     pub scheduler: Scheduler,
-    /// Policies of this scheduler and of those that take over.
-    pub policies: Policies,
     /// Configuration of this scheduler and of those that take over.
     pub config: FlowConfig,
+    /// Policies of this scheduler and of those that take over.
+    pub policies: Policies,
     /// Workers, by their agents.
     pub workers: BTreeMap<AgentId, ModelWorker>,
     /// Accepted flows.
@@ -165,6 +166,16 @@
     pub given_up: Vec<String>,
     /// Queues whose debt began or was paid, each with the time in milliseconds and whether it began.
     pub debt_events: Vec<(u64, String, bool)>,
+    /// Preempted runs, each with the time in milliseconds.
+    pub preempted: Vec<(u64, Decision)>,
+    /// Number of the first preemption by the present scheduler.
+    pub first_preemption: usize,
+    /// Number of takeovers.
+    pub takeovers: usize,
+    /// Preempted runs whose stop was late, each with the time in milliseconds.
+    pub late_preemptions: Vec<(u64, Decision)>,
+    /// Number of preemptions by what became of them.
+    pub preemption_outcomes: BTreeMap<&'static str, u32>,
 }
 
 /// Key of the only queue.
@@ -242,8 +253,8 @@
         Self {
             now_ms: 1_000,
             scheduler,
-            policies: Policies::default(),
             config: config(),
+            policies: Policies::default(),
             workers: workers.collect(),
             jobs: BTreeMap::new(),
             records: BTreeMap::new(),
@@ -286,6 +297,11 @@
             localities: BTreeMap::new(),
             given_up: Vec::new(),
             debt_events: Vec::new(),
+            preempted: Vec::new(),
+            first_preemption: 0,
+            takeovers: 0,
+            late_preemptions: Vec::new(),
+            preemption_outcomes: BTreeMap::new(),
         }
     }
 
@@ -302,6 +318,13 @@
         self.scheduler.set_policies(policies);
     }
 
+    /// Durable record of a flow; empty if there is none.
+    pub fn record_text(&self, job: &JobId) -> String {
+        let rows = self.records.get(job).map_or(&[][..], Vec::as_slice);
+        let numbered: Vec<(usize, &str)> = rows.iter().map(String::as_str).enumerate().collect();
+        join(&numbered).unwrap_or_default()
+    }
+
     /// Accepts a flow.
     pub fn submit(&mut self, id: &str, steps: Vec<StepSpec>) -> JobId {
         self.submit_scheduled(id, steps, None)
@@ -317,7 +340,7 @@
         self.submit_to(queue(), id, steps, schedule)
     }
 
-    /// Accepts a flow in a queue.
+    /// Accepts a flow of a queue. The time of day is always 0.
     pub fn submit_to(
         &mut self,
         queue: QueueKey,
@@ -407,6 +430,8 @@
         }
         self.scheduler = scheduler;
         self.confirmed_ms = self.now_ms;
+        self.first_preemption = self.preempted.len();
+        self.takeovers += 1;
     }
 
     /// Crashes a worker and restarts it as a new incarnation.
@@ -652,6 +677,9 @@
                 Effect::LocalityChosen(outcome) => {
                     *self.localities.entry(outcome.into()).or_default() += 1;
                 }
+                Effect::Preemption(outcome) => {
+                    *self.preemption_outcomes.entry(outcome.into()).or_default() += 1;
+                }
                 Effect::SpeedChanged(agent, change) => self.speed_changes.push((agent, change)),
                 Effect::Decided(decision) => self.note_decision(decision),
             }
@@ -665,6 +693,11 @@
                 let moved = (self.now_ms, decision.task, decision.agent);
                 self.moved_from_slow.push(moved);
             }
+            DecisionKind::Preempted => {
+                self.preempted.push((self.now_ms, decision));
+                self.check_preemptions();
+            }
+            DecisionKind::PreemptionLate => self.late_preemptions.push((self.now_ms, decision)),
             _ => {}
         }
     }
--- a/components/flow/tests/learned.rs
+++ b/components/flow/tests/learned.rs
@@ -15,6 +15,7 @@
     duplicates: false,
     remote_factor: None,
     fair_shares: None,
+    preemption: false,
 };
 
 /// Moves that one search begins at most.
--- a/components/flow_entry/src/leadership.rs
+++ b/components/flow_entry/src/leadership.rs
@@ -326,6 +326,7 @@
         fair_shares: settings.fair_shares.as_ref().map(|shares| FairSharePolicy {
             weights: shares.weights.clone(),
         }),
+        preemption: settings.preemption,
     }
 }
 
--- a/components/settings/src/flow.rs
+++ b/components/settings/src/flow.rs
@@ -95,6 +95,9 @@
     /// have shares.
     #[garde(dive)]
     pub fair_shares: Option<FairShareSettings>,
+    /// Whether urgent tasks may take the place of less urgent ones that save their progress.
+    #[garde(skip)]
+    pub preemption: bool,
 }
 
 /// Shares of queues.
--- a/components/telemetry/src/event.rs
+++ b/components/telemetry/src/event.rs
@@ -189,6 +189,10 @@
     QueueInDebt = 750,
     /// Such a queue has no debt any more.
     QueueDebtPaid = 751,
+    /// A run is stopped to make room for a more urgent task, and resumes later.
+    RunPreempted = 753,
+    /// A preempted run has not ended a while after its stop was ordered.
+    PreemptionLate = 754,
     /// A span ended.
     Span = 900,
 }
