Admission: refusals stay true beside attempts at other entries

Cause: a caller's attempts share the job's identifier and nothing else, so that an entry can't tell a first attempt from a repeated one. It refused by a read of the job's row alone. Two gaps were found: of two attempts that arrive at once, the first could be accepted (in its turn) while the second was refused, as the submission was noted only when it was stored; and a row that is not there shows little while the store leaves calls without answers, as a write of another entry may take effect later.

Change: the entry notes a submission in the same turn in which it decides to accept it. Where the store doesn't answer in time, the submission goes on, as before.

--- a/components/flow_entry/src/overload.rs
+++ b/components/flow_entry/src/overload.rs
@@ -166,6 +166,19 @@
         }
     }
 
+    /// Whether an earlier attempt of a submission may be stored although the table does not show it yet: this entry
+    /// began to store it, or calls of the table get no answers.
+    fn may_be_stored(&self, now_ms: u64, job: &JobId) -> bool {
+        self.overload.submitted.contains(job.as_str()) || self.store_health.has_lost_answers(now_ms)
+    }
+
+    /// A flow that is not refused. Another attempt of its submission that is being decided about is not refused
+    /// either.
+    fn accepted(&mut self, job: FlowJob) -> FlowJob {
+        self.note_submitted(&job.id);
+        job
+    }
+
     /// Notes that a flow is about to be stored, so that a repetition of its submission is not refused.
     pub(crate) fn note_submitted(&mut self, job: &JobId) {
         if self.settings.policies.admission {
@@ -209,30 +222,37 @@
         let now_ms = boot_ms();
         let is_decided_elsewhere = now_ms >= until_ms
             || self.store_health.is_unavailable(now_ms)
-            || self.overload.submitted.contains(job.id.as_str());
+            || self.may_be_stored(now_ms, &job.id);
         let refusal = match is_decided_elsewhere {
             true => None,
             false => self.refusal(now_ms, &job),
         };
         let Some(overloaded) = refusal else {
-            return Box::pin(ready(Ok(job)));
+            return Box::pin(ready(Ok(self.accepted(job))));
         };
         let (table, caller_calls) = (self.table.clone(), self.caller_calls.clone());
-        let is_known_absent = async move {
+        let stored = async move {
             // The other half of the caller's time is left for the submission.
             let read_until_ms = now_ms + until_ms.saturating_sub(now_ms) / 2;
             let turn = caller_calls.turn(read_until_ms).await;
             let left_ms = read_until_ms.saturating_sub(boot_ms());
             let limit = MAX_READ.min(Duration::from_millis(left_ms));
-            let is_absent = turn.is_some() && is_absent(table.as_ref(), &job.id, limit).await;
-            (job, is_absent)
+            let stored = match turn {
+                Some(_turn) => read_stored(table.as_ref(), &job.id, limit).await,
+                None => Stored::NotAsked,
+            };
+            (job, stored)
         };
         Box::pin(
-            is_known_absent
+            stored
                 .into_actor(self)
-                .map(move |(job, is_absent), coordinator, _| {
-                    if !is_absent || coordinator.overload.submitted.contains(job.id.as_str()) {
-                        return Ok(job);
+                .map(move |(job, stored), coordinator, _| {
+                    let now_ms = boot_ms();
+                    if stored == Stored::Unanswered {
+                        coordinator.store_health.note_lost_answer(now_ms);
+                    }
+                    if stored != Stored::No || coordinator.may_be_stored(now_ms, &job.id) {
+                        return Ok(coordinator.accepted(job));
                     }
                     coordinator.note_refusal(&job);
                     Err(overloaded)
@@ -241,13 +261,28 @@
     }
 }
 
-/// Whether the table answers within `limit` that it has no row of a flow. A flow that is stored must be
-/// accepted, and without an answer its submission goes on.
-async fn is_absent(table: &dyn TableStore, job: &JobId, limit: Duration) -> bool {
+/// Whether the table has the row of a flow.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Stored {
+    /// It has.
+    Yes,
+    /// It answered that it has not.
+    No,
+    /// It gave no answer in time.
+    Unanswered,
+    /// It was not asked, or refused to answer.
+    NotAsked,
+}
+
+/// Reads within `limit` whether a flow is stored: a caller's attempts have nothing but the flow's identifier in
+/// common, so that only its row shows an earlier attempt at another entry.
+async fn read_stored(table: &dyn TableStore, job: &JobId, limit: Duration) -> Stored {
     let keys = [flow_key(job)];
     match tokio::time::timeout(limit, table.read(&keys)).await {
-        Ok(Ok(rows)) => rows.is_empty(),
-        Ok(Err(_)) | Err(_) => false,
+        Ok(Ok(rows)) if rows.is_empty() => Stored::No,
+        Ok(Ok(_)) => Stored::Yes,
+        Ok(Err(error)) if !error.is_ambiguous() => Stored::NotAsked,
+        Ok(Err(_)) | Err(_) => Stored::Unanswered,
     }
 }
 
--- a/components/flow_entry/tests/admission.rs
+++ b/components/flow_entry/tests/admission.rs
@@ -2,111 +2,16 @@
 
 mod common;
 
-use admission::Backlog;
-use backing::Transaction;
+use common::overload::{
+    LIMIT_MS, backlog, config, flow, is_stored, slow_table_with_scheduler, start, start_as, submit,
+    table_with_scheduler, wait_for_refusal,
+};
 use common::scheduler::{Answers, StandIn, serve_earlier_version};
-use common::{Entry, Reads, SlowTable, lease, pause};
-use flow::{FlowConfig, FlowJob, FlowSpec, Queue, QueueKey, Schedule, StepSpec};
-use flow_entry::Overloaded;
-use model::Resources;
-use serde_json::json;
-use std::net::SocketAddr;
-use std::rc::Rc;
+use common::{Entry, Reads, lease, pause};
+use flow::Schedule;
 use std::time::{Duration, Instant};
 use wire::SubmitOutcome;
 
-/// Time limit of each call, in milliseconds.
-const LIMIT_MS: u64 = 1_000;
-/// Longest wait for an entry, with room for a busy machine.
-const WAIT_LIMIT: Duration = Duration::from_secs(10);
-
-/// A configuration with one queue, in which a flow of a second has an objective of 1.75 s.
-fn config() -> FlowConfig {
-    let queue = Queue {
-        key: QueueKey::default(),
-        service: "pool".into(),
-        priority: 0,
-        max_attempts: 3,
-        stretch: 1.5,
-        latency_target_ms: 250,
-    };
-    FlowConfig {
-        version: 1,
-        queues: vec![queue],
-        ..FlowConfig::default()
-    }
-}
-
-/// A backlog of a full pool that takes `wait_ms`.
-fn backlog(wait_ms: u64) -> Backlog {
-    let mut backlog = Backlog::default();
-    let kind = &mut backlog.pool_mut("pool").unwrap().ordinary;
-    kind.cores_milli = 10_000;
-    kind.add_running(0, wait_ms * 10);
-    backlog
-}
-
-fn flow(id: &str) -> FlowJob {
-    let step = StepSpec {
-        tasks: 2,
-        need: Resources::new(500, 64, 0),
-        estimate_ms: 1_000,
-        ..StepSpec::default()
-    };
-    FlowJob {
-        id: id.into(),
-        queue: QueueKey::default(),
-        spec: FlowSpec {
-            steps: vec![step],
-            ..FlowSpec::default()
-        },
-        accepted_wall_ms: 0,
-    }
-}
-
-/// Table whose lease belongs to a scheduler at this address.
-fn table_with_scheduler(control: SocketAddr) -> Rc<SlowTable> {
-    slow_table_with_scheduler(control, 5)
-}
-
-/// The same with commits that take effect after `commit_ms`.
-fn slow_table_with_scheduler(control: SocketAddr, commit_ms: u64) -> Rc<SlowTable> {
-    let table = common::table(commit_ms);
-    let row = json!({ "owner": "stand-in", "incarnation": 1, "control": control, "epoch": 1,
-        "sequence": 1, "released": false, "longest_lease_ms": 6_000, "away": [] });
-    let txn = Transaction::default().put("lease/scheduler/owner", row.to_string());
-    table.rows.commit_now(&txn).unwrap();
-    table
-}
-
-async fn start(table: &Rc<SlowTable>) -> Entry {
-    let is_on = |settings: &mut settings::FlowEntrySettings| settings.policies.admission = true;
-    Entry::start_with("a", table, config(), is_on).await
-}
-
-async fn submit(entry: &Entry, id: &str) -> Result<SubmitOutcome, Overloaded> {
-    entry.handle.submit_if_admitted(flow(id), LIMIT_MS).await
-}
-
-fn is_stored(table: &SlowTable, id: &str) -> bool {
-    let rows = table.rows.rows("flows/");
-    rows.iter().any(|row| row.key.ends_with(id))
-}
-
-/// Submits flows with new identifiers until one is refused, and returns its identifier.
-async fn wait_for_refusal(entry: &Entry) -> (String, Overloaded) {
-    let started = Instant::now();
-    for number in 0.. {
-        let id = format!("{number:016x}");
-        if let Err(overloaded) = submit(entry, &id).await {
-            return (id, overloaded);
-        }
-        assert!(started.elapsed() < WAIT_LIMIT, "nothing is refused");
-        pause(50).await;
-    }
-    unreachable!("the loop ends by a refusal or by the limit");
-}
-
 /// Guards against a refusal that is not true, one without a bounded time for a retry, and against stored,
 /// recurring or long-running flows that are refused.
 #[actix_rt::test]
@@ -122,7 +27,7 @@
         .submit(flow("00000000000000aa"), LIMIT_MS)
         .await;
     assert_eq!(stored, SubmitOutcome::Accepted);
-    for entry in [&entry, &start_other(&table).await] {
+    for entry in [&entry, &start_as("b", &table).await] {
         wait_for_refusal(entry).await;
         let again = submit(entry, "00000000000000aa").await;
         assert_eq!(again, Ok(SubmitOutcome::Accepted), "it is stored");
@@ -148,12 +53,6 @@
     assert!(metrics.contains(seconds), "{metrics}");
 }
 
-/// A second entry beside the first.
-async fn start_other(table: &Rc<SlowTable>) -> Entry {
-    let is_on = |settings: &mut settings::FlowEntrySettings| settings.policies.admission = true;
-    Entry::start_with("b", table, config(), is_on).await
-}
-
 /// Guards against refusals by what a scheduler said before it was paused.
 #[actix_rt::test]
 async fn a_paused_scheduler_means_that_flows_are_accepted() {
--- a/components/flow_entry/tests/common/mod.rs
+++ b/components/flow_entry/tests/common/mod.rs
@@ -1,6 +1,7 @@
 //! Entries in the test's process that share an in-memory table with configurable delays.
 #![allow(dead_code)]
 
+pub mod overload;
 pub mod scheduler;
 
 use async_trait::async_trait;
@@ -30,6 +31,8 @@
     Failed,
     /// Not at all.
     Silent,
+    /// With an error that leaves open whether a call took effect.
+    Lost,
 }
 
 /// In-memory table with delayed commits and answers, which can refuse the commits of an entry.
@@ -46,6 +49,8 @@
     reads: Cell<Reads>,
     /// Names of entries whose commits of the lease are refused.
     refused: RefCell<Vec<String>>,
+    /// Number of calls that read or write the rows of flows.
+    flow_calls: Cell<u32>,
     /// Keys of rows that can't be written: a transaction that does is invalid.
     invalid: RefCell<Vec<String>>,
 }
@@ -56,11 +61,27 @@
         self.lost_after_ms.set(Some(lost_ms));
     }
 
+    /// Answers commits again from now on.
+    pub fn keep_answers(&self) {
+        self.lost_after_ms.set(None);
+    }
+
     /// Sets how reads of single rows are answered from now on.
     pub fn set_reads(&self, reads: Reads) {
         self.reads.set(reads);
     }
 
+    /// Number of calls that read or wrote the rows of flows so far.
+    pub fn flow_calls(&self) -> u32 {
+        self.flow_calls.get()
+    }
+
+    fn count_flow_call(&self, key: Option<&String>) {
+        let is_of_flow = key.is_some_and(|key| key.starts_with("flows/"));
+        self.flow_calls
+            .set(self.flow_calls.get() + u32::from(is_of_flow));
+    }
+
     /// Refuses every commit of the lease by the entry with this name from now on.
     pub fn refuse_commits_of(&self, entry: &str) {
         self.refused.borrow_mut().push(entry.to_owned());
@@ -109,12 +130,14 @@
         reads: Cell::default(),
         refused: RefCell::default(),
         invalid: RefCell::default(),
+        flow_calls: Cell::default(),
     })
 }
 
 #[async_trait(?Send)]
 impl TableStore for SlowTable {
     async fn commit(&self, txn: &Transaction) -> Result<u64, StoreError> {
+        self.count_flow_call(txn.writes.first().map(|write| &write.key));
         pause(self.commit_ms).await;
         if self.is_refused(txn) {
             return Err(StoreError::Unavailable(
@@ -134,9 +157,11 @@
     }
 
     async fn read(&self, keys: &[String]) -> Result<Vec<Row>, StoreError> {
+        self.count_flow_call(keys.first());
         match self.reads.get() {
             Reads::Whole => self.rows.read(keys).await,
             Reads::Failed => Err(StoreError::Unavailable("reads fail".to_owned())),
+            Reads::Lost => Err(StoreError::Unknown("answers are lost".to_owned())),
             Reads::Silent => std::future::pending().await,
         }
     }
@@ -155,8 +180,11 @@
     }
 }
 
-/// Source of a configuration that never changes.
-struct FixedConfig(FlowConfig);
+/// Source of a configuration that never changes; its answers are lost when those of the table are.
+struct FixedConfig {
+    config: FlowConfig,
+    table: Rc<SlowTable>,
+}
 
 #[async_trait(?Send)]
 impl ConfigSource for FixedConfig {
@@ -164,8 +192,11 @@
         if cursor.is_some() {
             pause(wait_ms).await;
         }
+        if let Reads::Lost = self.table.reads.get() {
+            return Err(StoreError::Unknown("answers are lost".to_owned()));
+        }
         Ok(ConfigUpdate {
-            config: Ok(cursor.is_none().then(|| self.0.clone())),
+            config: Ok(cursor.is_none().then(|| self.config.clone())),
             evacuations: Default::default(),
             cursor: 1,
         })
@@ -252,7 +283,10 @@
         let dependencies = Dependencies {
             table: table.clone(),
             feed: table.clone(),
-            configs: Rc::new(FixedConfig(config)),
+            configs: Rc::new(FixedConfig {
+                config,
+                table: table.clone(),
+            }),
         };
         let handle = flow_entry::start(&settings, dependencies).await.unwrap();
         Self { handle }
