Duplicates: learned speeds of workers count, and searches are bounded

Cause: the decision about a duplicate took each worker's speed as 1, so that a run on a worker that is known to be slow had to show it once more by its progress, and its siblings there made slow runs elsewhere look usual. A search looked for a worker for each slow run until eight were placed: with 2,790 slow runs that fit nowhere it took 7 ms, ten times a second.

Change: with learned_run_times, the worker's speed is passed to the decision. A run whose own progress is not above 75 % of the usual is judged after 150 ms, and its rest is at least what is left to do at the worker's speed (reason slow-worker). Times of siblings count as on a worker of normal speed, and no duplicate starts on a slow worker. Without that policy the speed stays 1. A search examines 256 slow runs and looks for a worker for 32 of them; the next one goes on after the last run examined. The room of a pool is summed up once for a search and after each start.

Each rule undone failed a test: the speed that is fed, only where it is learned and not where most workers are slow; the early judgement, its least time, the run's own progress, the expected end and rest by the speed; times of running and ended siblings at normal speed; no slow worker; both bounds; going on after either.

The assertion that a run on a slow worker gets a duplicate for "overtime" now names "slow-worker", which is a reason of its own.

--- a/components/duplicates/src/decision.rs
+++ b/components/duplicates/src/decision.rs
@@ -17,6 +17,9 @@
 const LATE_WORTH: f64 = 0.15;
 /// Least speed of a worker that is told apart, as a share of the normal speed.
 const MIN_SPEED: f64 = 0.05;
+/// Greatest speed that a run's progress may show for the run to count as slowed by its worker. Above it,
+/// the run is not affected by what makes the worker slow, or the worker has recovered.
+const MAX_SLOWED_SPEED: f64 = 0.75;
 
 /// A run in progress, as of its worker's last report.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -43,8 +46,10 @@
 pub enum Reason {
     /// The run progresses so slowly that a second one is expected to end first.
     SlowProgress,
-    /// The run reports no progress and has taken longer than expected, or its worker is slow.
+    /// The run reports no progress and has taken longer than expected.
     Overtime,
+    /// The run's worker is so slow that a second run is expected to end first.
+    SlowWorker,
     /// Tasks of the same or a more urgent priority are queued.
     OthersQueued,
     /// As many duplicates run as the room allows.
@@ -69,26 +74,64 @@
 }
 
 impl RunView {
-    /// Expected time until the run ends, in milliseconds, and the reason to give for a duplicate.
-    fn remaining(&self) -> (u64, Reason) {
+    /// Speed of its worker, if that is known to be slow and the run's progress doesn't show otherwise.
+    fn slowed_to(&self) -> Option<f64> {
+        // Progress is rounded down, so that a run may be one percent further.
+        let done = u64::from(self.percent) + 1;
+        let done_ms = self.median_ms.saturating_mul(done) as f64 / 100.0;
+        let is_slowed = done_ms <= self.elapsed_ms as f64 * MAX_SLOWED_SPEED;
+        (self.worker_speed < 1.0 && is_slowed).then_some(self.worker_speed.max(MIN_SPEED))
+    }
+
+    /// Time after which its progress says how long it will take, in milliseconds.
+    fn judged_after_ms(&self) -> u64 {
+        let least_ms = self.median_ms.saturating_mul(MIN_ELAPSED_PERCENT) / 100;
+        least_ms.max(MIN_ELAPSED_MS)
+    }
+
+    /// Expected time until the run ends, in milliseconds, and the reason to give for a duplicate; `None` if
+    /// it is too early to tell.
+    fn remaining(&self) -> Option<(u64, Reason)> {
+        let is_judged = self.elapsed_ms >= self.judged_after_ms();
+        let by_run = is_judged.then(|| self.remaining_by_run());
+        let speed = self
+            .slowed_to()
+            .filter(|_| self.elapsed_ms >= MIN_ELAPSED_MS);
+        let by_worker = speed.map(|speed| (self.remaining_at(speed), Reason::SlowWorker));
+        by_worker
+            .into_iter()
+            .chain(by_run)
+            .max_by_key(|(remaining_ms, _)| *remaining_ms)
+    }
+
+    /// The same by the run's own progress, or by the time that it has taken if it reports none.
+    fn remaining_by_run(&self) -> (u64, Reason) {
         if self.percent > 0 {
             // Progress is rounded down, so that a run may be one percent further.
             let left = u64::from(100_u32.saturating_sub(self.percent));
             let done = u64::from(self.percent) + 1;
-            return (
-                self.elapsed_ms.saturating_mul(left) / done,
-                Reason::SlowProgress,
-            );
+            let remaining_ms = self.elapsed_ms.saturating_mul(left) / done;
+            return (remaining_ms, Reason::SlowProgress);
         }
-        let speed = self.worker_speed.clamp(MIN_SPEED, 1.0);
-        let by_speed_ms = (self.median_ms as f64 / speed) as u64;
-        let mut remaining_ms = by_speed_ms.saturating_sub(self.elapsed_ms);
-        if self.elapsed_ms > self.expected_ms {
+        let expected_ms = (self.expected_ms as f64 / self.slowed_to().unwrap_or(1.0)) as u64;
+        let mut remaining_ms = self.median_ms.saturating_sub(self.elapsed_ms);
+        if self.elapsed_ms > expected_ms {
             // The longer a run has taken beyond what is usual, the longer it is likely to take.
             remaining_ms = remaining_ms.max(self.elapsed_ms);
         }
         (remaining_ms, Reason::Overtime)
     }
+
+    /// Time until the run ends on a worker of this speed, in milliseconds.
+    fn remaining_at(&self, speed: f64) -> u64 {
+        if self.percent > 0 {
+            let left = u64::from(100_u32.saturating_sub(self.percent));
+            let left_ms = self.median_ms.saturating_mul(left) / 100;
+            return (left_ms as f64 / speed) as u64;
+        }
+        let whole_ms = (self.median_ms as f64 / speed) as u64;
+        whole_ms.saturating_sub(self.elapsed_ms)
+    }
 }
 
 /// Whether a duplicate of a run starts that needs `need_milli` processors in thousandths. `slack_ms` is
@@ -112,11 +155,9 @@
     if room.duplicates >= budget(room, need_milli) {
         return Verdict::Keep(Reason::BudgetSpent);
     }
-    let least_ms = run.median_ms.saturating_mul(MIN_ELAPSED_PERCENT) / 100;
-    if run.elapsed_ms < least_ms.max(MIN_ELAPSED_MS) {
+    let Some((remaining_ms, reason)) = run.remaining() else {
         return Verdict::Keep(Reason::TooEarly);
-    }
-    let (remaining_ms, reason) = run.remaining();
+    };
     let new_ms = run.median_ms.saturating_add(START_MS);
     let gain_ms = remaining_ms.saturating_sub(new_ms);
     if gain_ms <= run.median_ms.saturating_mul(MIN_GAIN_PERCENT) / 100 {
--- a/components/flow/src/duplicates.rs
+++ b/components/flow/src/duplicates.rs
@@ -6,7 +6,9 @@
 
 use crate::candidate::{Candidate, FillerNeed};
 use crate::crashes::Isolation;
-use crate::slow_runs::{FIRST_RUN, SlowRun, allows_duplicates, duplicable_run};
+use crate::slow_runs::{
+    FIRST_RUN, SlowRun, SlowRuns, allows_duplicates, at_normal_speed, duplicable_run,
+};
 use crate::task_runs::Removed;
 use crate::{
     DecisionKind, DuplicateOutcome, Effect, EndedRun, FlowState, Placement, RunEnd, RunStage,
@@ -18,6 +20,8 @@
 
 /// Most duplicates that one search starts, so that the workers' reports catch up.
 const MAX_STARTS: usize = 8;
+/// Greatest number of runs for which one search looks for a worker; each examines all workers.
+const MAX_SEARCHES: usize = 32;
 
 /// What duplicates compete for, during one scheduling pass.
 #[derive(Debug, Default)]
@@ -26,39 +30,55 @@
     queued_milli: BTreeMap<(ServiceName, u32), u64>,
     /// Number of duplicates in progress, by pool.
     duplicates: BTreeMap<ServiceName, u32>,
+    /// Free and all processors of the candidates, by pool, in thousandths.
+    processors: BTreeMap<ServiceName, (u64, u64)>,
 }
 
 impl Scheduler {
-    /// Starts duplicates of slow runs as far as their budgets and the pools' workers allow.
+    /// Starts duplicates of slow runs as far as their budgets and the pools' workers allow. If there are too many
+    /// for one search, the next one goes on where this one ended, as the first runs may fit nowhere.
     pub(crate) fn place_duplicates(
         &mut self,
         now_ms: u64,
-        slow: Vec<SlowRun>,
+        slow: SlowRuns,
         candidates: &mut [(ServiceName, Candidate)],
     ) {
-        if slow.is_empty() {
+        if slow.runs.is_empty() {
             return;
         }
-        let mut demand = self.demand();
-        let mut starts = 0;
-        for run in slow {
+        let mut demand = self.demand(candidates);
+        let (mut starts, mut searches) = (0, 0);
+        let examined = slow.runs.len();
+        for (number, run) in slow.runs.into_iter().enumerate() {
             let running: u32 = demand.duplicates.values().sum();
             if starts == MAX_STARTS || running >= self.duplicate_history.limit() {
                 return;
             }
-            if self.place_duplicate(now_ms, &run, &demand, candidates) {
-                *demand.duplicates.entry(run.service).or_default() += 1;
-                starts += 1;
+            let room = demand.room(&run);
+            let slack_ms = run.due_ms.saturating_sub(now_ms as i64);
+            let verdict = decide(&run.view, run.need_milli, slack_ms, &room);
+            if let Verdict::Start(reason) = verdict {
+                searches += 1;
+                if self.place_duplicate(now_ms, &run, candidates) {
+                    self.log_duplicate(&run, slack_ms, reason);
+                    *demand.duplicates.entry(run.service.clone()).or_default() += 1;
+                    demand.processors = processors(candidates);
+                    starts += 1;
+                }
+            }
+            let is_last = number + 1 == examined;
+            if (searches == MAX_SEARCHES && !is_last) || (is_last && slow.has_more) {
+                self.continue_slow_search_after(run.rank());
+                return;
             }
         }
     }
 
-    /// Starts a duplicate of a slow run if it is worth its capacity. Returns whether it was placed.
+    /// Starts a duplicate of a slow run. Returns whether a worker had room for it.
     fn place_duplicate(
         &mut self,
         now_ms: u64,
         run: &SlowRun,
-        demand: &Demand,
         candidates: &mut [(ServiceName, Candidate)],
     ) -> bool {
         let key = &run.key;
@@ -66,15 +86,11 @@
         let (Some(spec), Some(first)) = (spec, self.first_run(key)) else {
             return false;
         };
-        let room = demand.room(run, candidates);
-        let verdict = decide(&run.view, spec.need.processors_milli, run.slack_ms, &room);
-        let Verdict::Start(reason) = verdict else {
-            return false;
-        };
-        // A run away from its data would hardly end first.
+        // A run away from its data, or on a slow worker, would hardly end first.
         let rack = spec.data_rack.as_deref();
         let admits = |candidate: &Candidate| {
-            candidate.agent != first.agent && candidate.admits(key, Isolation::None)
+            let is_fast = candidate.speed_rank.penalty(spec) <= 0.0;
+            is_fast && candidate.agent != first.agent && candidate.admits(key, Isolation::None)
         };
         let need = FillerNeed::default();
         let found = self.best_admitting(key, &run.service, candidates, rack, &need, admits);
@@ -82,12 +98,11 @@
             return false;
         };
         self.assign(now_ms, key, &mut candidates[index].1, None, None);
-        self.log_duplicate(run, reason);
         true
     }
 
     /// Logs and counts a duplicate that was placed.
-    fn log_duplicate(&mut self, run: &SlowRun, reason: Reason) {
+    fn log_duplicate(&mut self, run: &SlowRun, slack_ms: i64, reason: Reason) {
         let task = self.task(&run.key);
         let placed = task.and_then(|task| task.duplicate.as_deref());
         let Some((number, agent)) = placed.map(|placed| (placed.run, placed.agent.clone())) else {
@@ -97,11 +112,15 @@
             percent,
             elapsed_ms,
             median_ms,
+            worker_speed,
             ..
         } = run.view;
-        let slack_ms = run.slack_ms;
+        let at_speed = match worker_speed < 1.0 {
+            true => format!(" at {:.0}% of the normal speed", worker_speed * 100.0),
+            false => String::new(),
+        };
         let detail = format!(
-            "{reason}: {percent}% after {elapsed_ms} ms; usual run time {median_ms} ms, slack {slack_ms} ms"
+            "{reason}: {percent}% after {elapsed_ms} ms{at_speed}; usual run time {median_ms} ms, slack {slack_ms} ms"
         );
         self.log_decision(DecisionKind::Duplicated, &run.key, number, &agent, detail);
         self.effects
@@ -121,8 +140,11 @@
     }
 
     /// What duplicates compete for.
-    fn demand(&self) -> Demand {
-        let mut demand = Demand::default();
+    fn demand(&self, candidates: &[(ServiceName, Candidate)]) -> Demand {
+        let mut demand = Demand {
+            processors: processors(candidates),
+            ..Demand::default()
+        };
         for state in self.flows.values().filter(|state| !state.is_closed()) {
             let Some(queue) = self.config.queue(&state.job.queue) else {
                 continue;
@@ -187,8 +209,10 @@
         let RunStage::Running { since_ms } = placement.stage else {
             return;
         };
+        let view = self.worker(&placement.agent);
+        let speed = view.map_or(1.0, |view| self.learned_speed(view));
+        let run_ms = at_normal_speed(now_ms.saturating_sub(since_ms), speed);
         if let Some(task) = self.task_mut(key).filter(|_| is_needed && is_whole) {
-            let run_ms = now_ms.saturating_sub(since_ms);
             task.run_ms = u32::try_from(run_ms).unwrap_or(u32::MAX);
         }
     }
@@ -196,12 +220,14 @@
 
 impl Demand {
     /// Room in the pool of a slow run, as the present pass leaves it.
-    fn room(&self, run: &SlowRun, candidates: &[(ServiceName, Candidate)]) -> Room {
-        let mut room = Room::default();
-        for (_, candidate) in candidates.iter().filter(|(pool, _)| *pool == run.service) {
-            room.free_milli += u64::from(candidate.free.processors_milli);
-            room.total_milli += u64::from(candidate.capacity.processors_milli);
-        }
+    fn room(&self, run: &SlowRun) -> Room {
+        let processors = self.processors.get(&run.service).copied();
+        let (free_milli, total_milli) = processors.unwrap_or_default();
+        let mut room = Room {
+            free_milli,
+            total_milli,
+            ..Room::default()
+        };
         let most_urgent = (run.service.clone(), 0);
         let own = (run.service.clone(), run.priority);
         room.queued_milli = self
@@ -214,16 +240,33 @@
     }
 }
 
+/// Free and all processors of the candidates, by pool, in thousandths.
+fn processors(candidates: &[(ServiceName, Candidate)]) -> BTreeMap<ServiceName, (u64, u64)> {
+    let mut processors: BTreeMap<ServiceName, (u64, u64)> = BTreeMap::new();
+    for (service, candidate) in candidates {
+        let of_pool = match processors.get_mut(service) {
+            Some(of_pool) => of_pool,
+            None => processors.entry(service.clone()).or_default(),
+        };
+        of_pool.0 += u64::from(candidate.free.processors_milli);
+        of_pool.1 += u64::from(candidate.capacity.processors_milli);
+    }
+    processors
+}
+
 /// Processors that the queued tasks of a flow need whose turn has come, in thousandths.
 fn queued_milli(state: &FlowState) -> u64 {
     let steps = state.ready_steps().into_iter();
     let needs = steps.filter_map(|(occurrence, step)| {
         let spec = state.step_spec(step as u32)?;
         let step = state.occurrences.get(occurrence)?.steps.get(step)?;
-        let queued = step
-            .all_tasks()
-            .filter(|(_, task)| task.is_queued())
-            .count() as u64;
+        let never_placed = u64::from(step.count).saturating_sub(step.tasks.len() as u64);
+        let queued = step.tasks.iter().filter(|task| task.is_queued()).count() as u64;
+        let queued = if step.is_released {
+            0
+        } else {
+            queued + never_placed
+        };
         Some(queued * u64::from(spec.need.processors_milli.max(1)))
     });
     needs.sum()
--- a/components/flow/src/pass.rs
+++ b/components/flow/src/pass.rs
@@ -38,7 +38,8 @@
         let starved = self.starved_fillers_if_due(now_ms);
         let slow = self.slow_runs_if_due(now_ms);
         let stuck = self.stuck_tasks_if_due(now_ms);
-        let is_idle = order.is_empty() && starved.is_empty() && slow.is_empty() && stuck.is_empty();
+        let has_slow = !slow.runs.is_empty();
+        let is_idle = order.is_empty() && starved.is_empty() && !has_slow && stuck.is_empty();
         if is_idle && !self.has_evacuations() {
             return;
         }
--- a/components/flow/src/scheduler.rs
+++ b/components/flow/src/scheduler.rs
@@ -7,6 +7,7 @@
 use crate::learned::Learned;
 use crate::overload::Overload;
 use crate::placed_runs::{allocation_for, placements, run_ref};
+use crate::slow_runs::SlowSearch;
 use crate::suspects::suspects;
 use crate::view::{Fleet, WorkerView};
 use crate::{
@@ -51,8 +52,8 @@
     pub(crate) open_until_ms: BTreeMap<AgentId, u64>,
     /// Results of the newest duplicates.
     pub(crate) duplicate_history: History,
-    /// When slow runs were last searched for, in milliseconds.
-    pub(crate) slow_searched_ms: u64,
+    /// Searches for slow runs.
+    pub(crate) slow_search: SlowSearch,
     /// Learned pressures of fillers on latency-critical tasks.
     pub(crate) pressures: PressureModel,
     /// Learned run times of tasks and speeds of workers.
