Bench: time of a search for duplicates beside many slow runs

Change: bench policy has a case duplicates: 620 workers, 5,580 runs of which half are slow, 10,000 waiting tasks of a less urgent priority; with room for duplicates, and with none in memory.

--- a/components/bench/src/deciding.rs
+++ b/components/bench/src/deciding.rs
@@ -43,7 +43,8 @@
     }
 }
 
-fn config() -> FlowConfig {
+/// Configuration with one queue of the most urgent priority.
+pub(crate) fn config() -> FlowConfig {
     FlowConfig {
         version: 1,
         queues: vec![Queue {
--- a/components/bench/src/main.rs
+++ b/components/bench/src/main.rs
@@ -3,6 +3,7 @@
 mod bounds;
 mod cost;
 mod deciding;
+mod duplicates;
 mod homes;
 mod hops;
 mod load;
--- a/components/bench/src/policy.rs
+++ b/components/bench/src/policy.rs
@@ -1,7 +1,7 @@
 //! Command `policy`: cases on the scheduler of flows alone, without a network.
 
 use crate::results::Results;
-use crate::{deciding, near, waiting};
+use crate::{deciding, duplicates, near, waiting};
 
 /// Runs the cases in `only`, or all if it is empty, and saves the results. Returns whether every
 /// bound holds.
@@ -17,6 +17,9 @@
     if is_selected("waiting") {
         waiting::run(&mut results);
     }
+    if is_selected("duplicates") {
+        duplicates::run(&mut results);
+    }
     results.save("policy");
     results.all_hold()
 }
