--- a/components/bench/src/deciding.rs
+++ b/components/bench/src/deciding.rs
@@ -55,7 +55,8 @@
     }
 }
 
-fn config() -> FlowConfig {
+/// Configuration with one queue of the most urgent priority.
+pub(crate) fn config() -> FlowConfig {
     FlowConfig {
         version: 1,
         queues: vec![queue(queue_key())],
