Evacuation: new runs take a growing share of a cold worker after its domain returns

A worker that is slow after its start got one new run in 500 ms whatever its size, so that a large one was nearly idle when it was warm. With a bound on evacuations, the share of its capacity that new runs may take now grows in proportion to the time since the return; one new run is admitted at any time, and until the worker has answered for how long it is slow it gets only that one. Without the bound the interval stays.

evacuation.rs is split: cold.rs, and evacuation_moves.rs, which names the cause for which a run stays. The test of a cold worker moves to evacuation_return.rs and now runs without a bound, as what it asserts holds there; it also checks the time between two starts.

--- a/components/flow/src/candidate.rs
+++ b/components/flow/src/candidate.rs
@@ -1,6 +1,7 @@
 //! Scoring of candidate workers for a task by free capacity, placement rules, locality and
 //! interference between fillers and latency-critical tasks. The lowest score wins.
 
+use crate::cold::Warmth;
 use crate::crashes::Isolation;
 use crate::forecast::Forecast;
 use crate::placed_runs::allocation_for;
@@ -54,8 +55,8 @@
 pub(crate) struct Candidate {
     /// Agent of the worker.
     pub agent: AgentId,
-    /// Whether the worker is slow after its start, so that it gets one run in a pass.
-    pub is_cold: bool,
+    /// How many new runs the worker accepts if it is slow after its start.
+    pub warmth: Warmth,
     /// Capacity that is not reserved.
     pub free: Resources,
     /// Total capacity.
@@ -104,7 +105,7 @@
                 let mut candidate = candidate(agent, view, info.capacity);
                 candidate.spare_milli += self.unused_by_pace_milli(view);
                 candidate.held_for = self.held_for(now_ms, agent);
-                candidate.is_cold = now_ms < view.cold_until_ms;
+                candidate.warmth = self.warmth(now_ms, view, &info.capacity);
                 candidate.speed_rank = self.speed_rank(now_ms, view);
                 Some((info.service.clone(), candidate))
             })
@@ -200,6 +201,9 @@
         if !spec.reserved().fits_in(&candidate.free) {
             return Err(Exclusion::NoRoom);
         }
+        if !candidate.warmth.admits(spec) {
+            return Err(Exclusion::Cold);
+        }
         if !admits(candidate) {
             return Err(Exclusion::KeptFree);
         }
@@ -258,7 +262,7 @@
     /// Whether there is room for a task of a step, regardless of the rules of placement.
     pub(crate) fn has_room_for(&self, spec: &StepSpec) -> bool {
         let has_spare = !spec.filler || has_spare_for(self, spec);
-        has_spare && spec.reserved().fits_in(&self.free)
+        has_spare && spec.reserved().fits_in(&self.free) && self.warmth.admits(spec)
     }
 
     /// Takes up what a task needs that is to be placed here later.
@@ -270,10 +274,11 @@
 
     /// Takes up the capacity of a run.
     pub(crate) fn take_up(&mut self, allocation: &Allocation) {
-        self.free = match self.is_cold {
-            true => Resources::default(),
-            false => self.free.minus(&allocation.reserved),
+        self.free = match self.warmth {
+            Warmth::OneRun => Resources::default(),
+            Warmth::Warm | Warmth::Share(_) => self.free.minus(&allocation.reserved),
         };
+        self.warmth.take_up(allocation);
         self.spare_milli -= allocation.expected_milli();
         self.has_latency_critical |= allocation.latency_target_ms.is_some();
         self.speed_rank.count_run();
@@ -298,7 +303,7 @@
     let spare_milli = view.spare_milli(capacity.processors_milli);
     Candidate {
         agent: agent.clone(),
-        is_cold: false,
+        warmth: Warmth::default(),
         free,
         capacity,
         spare_milli,
--- a/components/flow/src/evacuation.rs
+++ b/components/flow/src/evacuation.rs
@@ -5,11 +5,8 @@
 //! have passed since; the lease in each start order ends at that time, too, so that a worker refuses an
 //! order that arrives later.
 
-use crate::candidate::Candidate;
 use crate::view::WorkerView;
-use crate::{
-    DecisionKind, LeaseLimit, RunStage, Scheduler, StepSpec, StepState, TaskKey, TaskState,
-};
+use crate::{DecisionKind, LeaseLimit, RunStage, Scheduler, StepState, TaskKey};
 use model::{AgentId, DomainName, ServiceName};
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -18,36 +15,21 @@
 /// Least time until the last start for which tasks are placed, in milliseconds. A placement is committed
 /// before its start is sent.
 const MIN_PLACING_MS: u64 = 700;
-/// Age of an evacuation from which runs are moved, in milliseconds. A request that is taken back at once
-/// moves nothing.
-const MOVE_AFTER_MS: u64 = 5_000;
-/// Remaining run time from which a run that saves its progress is moved, in milliseconds; others end
-/// soon.
-const MIN_MOVED_MS: u64 = 10_000;
-/// Interval between two searches for runs to move, in milliseconds.
-const SEARCH_INTERVAL_MS: u64 = 200;
-/// Greatest number of moves in one search, so that the other workers' reports catch up.
-const MAX_MOVES: usize = 8;
-/// Greatest number of runs for which a worker is searched at once.
-const MAX_SEARCHES: usize = 32;
-/// Least time between two new runs on a worker that is slow after its start, in milliseconds.
-const COLD_RUN_INTERVAL_MS: u64 = 500;
-/// Progress that a long-running task reports once it does its work, in percent.
-const READY_PERCENT: u32 = 100;
-/// Full pace of a run, in percent.
-const FULL_PACE_PERCENT: u64 = 100;
 
 /// Requested evacuations, as last read.
 #[derive(Debug, Default)]
 pub(crate) struct Evacuations {
     /// When each evacuated domain was first seen as such, in milliseconds.
-    since_ms: BTreeMap<DomainName, u64>,
+    pub since_ms: BTreeMap<DomainName, u64>,
     /// When the last answered read of the requests was sent, in milliseconds; `None` before the first.
     confirmed_ms: Option<u64>,
     /// When runs to move were last searched for, in milliseconds.
-    searched_ms: u64,
+    pub searched_ms: u64,
     /// Run for which a worker was last searched, with the agent of its worker.
-    searched_run: Option<(AgentId, TaskKey)>,
+    pub searched_run: Option<(AgentId, TaskKey)>,
+    /// Runs for which the last search found no room elsewhere, with the agents of their workers. Each search
+    /// removes those that are not to be moved any more. No decision depends on it.
+    pub without_room: BTreeSet<(AgentId, TaskKey)>,
 }
 
 /// Progress of one evacuation.
@@ -63,14 +45,6 @@
     pub runs_left: usize,
 }
 
-/// Whether a worker that may be slow after its start accepts a new run now.
-pub(crate) fn is_warm_enough(now_ms: u64, view: &WorkerView) -> bool {
-    let allocations = view.allocations.values();
-    let newest_ms = allocations.map(|allocation| allocation.since_ms).max();
-    let has_settled = newest_ms.is_none_or(|newest_ms| now_ms >= newest_ms + COLD_RUN_INTERVAL_MS);
-    now_ms >= view.cold_until_ms || has_settled
-}
-
 impl Evacuations {
     fn includes(&self, domain: &DomainName) -> bool {
         self.since_ms.contains_key(domain)
@@ -171,18 +145,6 @@
         self.evacuations.since_ms.iter().map(progress).collect()
     }
 
-    /// Records that a worker whose failure domain returned to service is slow until `until_ms`. It gets one
-    /// new run after the other until then.
-    ///
-    /// ```
-    /// let mut scheduler = flow::Scheduler::default();
-    /// scheduler.set_cold(&"a".into(), 5_000);
-    /// assert_eq!(scheduler.worker(&"a".into()).unwrap().cold_until_ms, 5_000);
-    /// ```
-    pub fn set_cold(&mut self, agent: &AgentId, until_ms: u64) {
-        self.worker_mut(agent).cold_until_ms = until_ms;
-    }
-
     /// Agents of the workers in these domains.
     pub fn agents_in(&self, domains: &BTreeSet<DomainName>) -> Vec<AgentId> {
         let in_domains = self.fleet.workers.iter().filter(|(_, view)| {
@@ -201,7 +163,7 @@
     }
 
     /// Runs that are placed on workers of evacuated domains, ordered by worker.
-    fn runs_in_evacuated(&self) -> Vec<(AgentId, TaskKey)> {
+    pub(crate) fn runs_in_evacuated(&self) -> Vec<(AgentId, TaskKey)> {
         if !self.has_evacuations() {
             return Vec::new();
         }
@@ -262,97 +224,4 @@
             })
             .collect()
     }
-
-    /// Moves runs out of evacuated domains for which other workers have room; none if they were
-    /// searched for a moment ago. What does not fit elsewhere stays.
-    pub(crate) fn move_evacuated(
-        &mut self,
-        now_ms: u64,
-        candidates: &mut [(ServiceName, Candidate)],
-    ) {
-        let is_due = now_ms >= self.evacuations.searched_ms + SEARCH_INTERVAL_MS;
-        if !is_due || !self.has_evacuations() {
-            return;
-        }
-        self.evacuations.searched_ms = now_ms;
-        let (mut moves, mut searches) = (0, 0);
-        let due = self.due_evacuation_moves(now_ms);
-        // The searches go on where the last ones ended, as the first runs may fit nowhere.
-        let after = self.evacuations.searched_run.take();
-        let begin = due.partition_point(|run| after.as_ref().is_some_and(|after| run <= after));
-        for (agent, key) in due[begin..].iter().chain(&due[..begin]) {
-            if moves == MAX_MOVES || searches == MAX_SEARCHES {
-                return;
-            }
-            // An earlier move of this search may have used up the disruption budget of the step.
-            if !self.is_evacuation_move_due(now_ms, agent, key) {
-                continue;
-            }
-            searches += 1;
-            self.evacuations.searched_run = Some((agent.clone(), key.clone()));
-            let percent = self.placement(key).map_or(0, |placement| placement.percent);
-            let detail = format!("its failure domain is evacuated; progress {percent}%");
-            if self.move_run(now_ms, key, detail, candidates) {
-                moves += 1;
-            }
-        }
-    }
-
-    /// Runs in evacuated domains that should go on elsewhere, ordered by worker.
-    fn due_evacuation_moves(&self, now_ms: u64) -> Vec<(AgentId, TaskKey)> {
-        let mut due = self.runs_in_evacuated();
-        due.retain(|(agent, key)| self.is_evacuation_move_due(now_ms, agent, key));
-        due
-    }
-
-    /// Whether a run in an evacuated domain should go on elsewhere. A task with a duplicate runs elsewhere
-    /// already.
-    fn is_evacuation_move_due(&self, now_ms: u64, agent: &AgentId, key: &TaskKey) -> bool {
-        let (Some(state), Some(spec)) = (self.flows.get(&key.job), self.step_spec(key)) else {
-            return false;
-        };
-        let task = state.task(key).filter(|task| task.duplicate.is_none());
-        let Some(placement) = task.and_then(|task| task.placement_on(agent)) else {
-            return false;
-        };
-        let since_ms = self.fleet.workers.get(&placement.agent).and_then(|view| {
-            let info = view.info.as_ref()?;
-            self.evacuations.since_ms.get(&info.domain)
-        });
-        let is_old = since_ms.is_some_and(|since_ms| now_ms >= since_ms + MOVE_AFTER_MS);
-        if !is_old || !matches!(placement.stage, RunStage::Running { .. }) || spec.gang {
-            return false;
-        }
-        if spec.long_running {
-            return self.may_interrupt(key, spec);
-        }
-        let left_percent = u64::from(100 - placement.percent.min(100));
-        let pace = u64::from(placement.pace.max(1));
-        let run_ms = self.run_time_ms(state, key.step);
-        let left_ms = run_ms * left_percent / 100 * FULL_PACE_PERCENT / pace;
-        spec.saves_progress && left_ms >= MIN_MOVED_MS
-    }
-
-    /// Whether the disruption budget of a step allows to interrupt one of its long-running tasks; tasks
-    /// that are not at work for any reason count against it.
-    fn may_interrupt(&self, key: &TaskKey, spec: &StepSpec) -> bool {
-        let Some(budget) = spec.disruption_budget else {
-            return false;
-        };
-        let step = self.flows.get(&key.job).and_then(|state| state.step(key));
-        let is_at_work = |task: &TaskState| {
-            let placement = task.placement.as_ref();
-            placement.is_some_and(|placement| {
-                let view = self.fleet.workers.get(&placement.agent);
-                matches!(placement.stage, RunStage::Running { .. })
-                    && placement.percent >= READY_PERCENT
-                    && view.is_some_and(WorkerView::is_synced)
-            })
-        };
-        let at_work = step.map_or(0, |step| {
-            let tasks = step.all_tasks();
-            tasks.filter(|(_, task)| is_at_work(task)).count() as u32
-        });
-        spec.tasks.saturating_sub(at_work) < budget
-    }
 }
--- a/components/flow/src/exclusion.rs
+++ b/components/flow/src/exclusion.rs
@@ -1,7 +1,6 @@
 //! Why a worker gets no task.
 
 use crate::Scheduler;
-use crate::evacuation::is_warm_enough;
 use crate::view::WorkerView;
 use model::ServiceName;
 use serde::{Deserialize, Serialize};
@@ -26,7 +25,7 @@
     Draining,
     /// Its failure domain is evacuated.
     Evacuated,
-    /// It is slow after its start, and got a run a moment ago.
+    /// It is slow after its start, and got a run a moment ago or has taken up the share for new runs.
     Cold,
     /// It is paused because runs failed or stalled there.
     Paused,
@@ -84,7 +83,7 @@
         if self.evacuations.includes_worker(view) {
             return Some(Exclusion::Evacuated);
         }
-        if !is_warm_enough(now_ms, view) {
+        if self.is_too_cold(now_ms, view) {
             return Some(Exclusion::Cold);
         }
         let allocations = view.allocations.values();
--- a/components/flow/src/full_pool.rs
+++ b/components/flow/src/full_pool.rs
@@ -50,6 +50,7 @@
             let view = self.fleet.workers.get(&candidate.agent);
             pool == service
                 && reserved.fits_in(&candidate.free)
+                && candidate.warmth.admits(spec)
                 && view.is_some_and(|view| has_label(view, spec))
         });
         if !may_fit && full.0.len() < MAX_NEEDS {
--- a/components/flow/src/view.rs
+++ b/components/flow/src/view.rs
@@ -3,7 +3,7 @@
 use crate::health::Health;
 use crate::interference::LatencyTrace;
 use crate::learned::ProgressPart;
-use crate::{ClockSample, Incarnation, Leases, StepSpec, TaskKey, WorkerInfo, has_form};
+use crate::{ClockSample, ColdTime, Incarnation, Leases, StepSpec, TaskKey, WorkerInfo, has_form};
 use model::{AgentId, JobId, Resources};
 use std::collections::{BTreeMap, VecDeque};
 use worker_speed::SpeedTrack;
@@ -119,9 +119,9 @@
     pub health: Health,
     /// Time before which nothing is placed on it, in milliseconds.
     pub not_before_ms: u64,
-    /// Until when it is slow after its start, in milliseconds; known only of workers whose failure domain
-    /// returned to service.
-    pub cold_until_ms: u64,
+    /// For how long it is slow after its start; known only of workers whose failure domain returned to
+    /// service.
+    pub cold: ColdTime,
     /// Latency traces of its latency-critical tasks.
     pub latencies: BTreeMap<TaskKey, LatencyTrace>,
     /// When a filler's run last ended on it, in milliseconds.
--- a/components/flow/tests/common/mod.rs
+++ b/components/flow/tests/common/mod.rs
@@ -4,6 +4,7 @@
 
 mod advance;
 mod checks;
+pub mod evacuated;
 mod polls;
 pub mod slow_pool;
 mod worker;
@@ -445,6 +446,16 @@
         worker.next_end += 1;
     }
 
+    /// Ends the runs of a flow's gang as their workers do when another member does not start in time.
+    pub fn end_alone(&mut self, job: &JobId) {
+        for worker in self.workers.values_mut() {
+            let members = worker.running.keys().filter(|key| key.job == *job);
+            for key in members.cloned().collect::<Vec<_>>() {
+                worker.end(&key, RunEnd::Alone);
+            }
+        }
+    }
+
     /// Advances the simulation by `span_ms`.
     pub fn run_for(&mut self, span_ms: u64) {
         let until_ms = self.now_ms + span_ms;
--- a/components/flow/tests/evacuation.rs
+++ b/components/flow/tests/evacuation.rs
@@ -2,66 +2,13 @@
 
 mod common;
 
+use common::evacuated::{
+    BOUND_MS, WORKERS_PER_DOMAIN, is_in, lasting, runs_in, saving, sim, starts_in,
+};
 use common::{Mode, STEP_MS, Sim, step};
-use flow::{FlowState, LeaseLimit, Policies, StepSpec};
+use flow::{FlowState, LeaseLimit, StepSpec};
 use model::{AgentId, JobId};
 
-/// Time after the request from which no task may start in the domain, in milliseconds.
-const BOUND_MS: u64 = 5_000;
-/// Workers in each domain.
-const WORKERS_PER_DOMAIN: usize = 2;
-
-/// A simulation with this number of domains, `d0` and so on.
-fn sim(domains: usize) -> Sim {
-    let mut sim = Sim::new(domains * WORKERS_PER_DOMAIN);
-    for (number, worker) in sim.workers.values_mut().enumerate() {
-        worker.domain = format!("d{}", number / WORKERS_PER_DOMAIN).into();
-    }
-    sim.set_policies(Policies {
-        evacuation_bound_ms: Some(BOUND_MS),
-        ..Policies::default()
-    });
-    sim.run_for(400);
-    sim
-}
-
-/// Whether a worker is in a domain.
-fn is_in(sim: &Sim, agent: &AgentId, domain: &str) -> bool {
-    sim.workers[agent].domain == domain.into()
-}
-
-/// Number of starts in a domain from `from_ms` on.
-fn starts_in(sim: &Sim, domain: &str, from_ms: u64) -> usize {
-    let starts = sim.started.iter();
-    starts
-        .filter(|(_, agent, at_ms)| *at_ms >= from_ms && is_in(sim, agent, domain))
-        .count()
-}
-
-/// Number of runs that the workers of a domain have now.
-fn runs_in(sim: &Sim, domain: &str) -> usize {
-    let in_domain = sim
-        .scheduler
-        .workers()
-        .filter(|(agent, _)| is_in(sim, agent, domain));
-    in_domain.map(|(_, view)| view.allocations.len()).sum()
-}
-
-fn saving(tasks: u32, estimate_ms: u64) -> StepSpec {
-    StepSpec {
-        saves_progress: true,
-        ..step(tasks, 1_000, estimate_ms)
-    }
-}
-
-fn lasting(tasks: u32, disruption_budget: Option<u32>) -> StepSpec {
-    StepSpec {
-        long_running: true,
-        disruption_budget,
-        ..step(tasks, 2_000, 500)
-    }
-}
-
 /// Submits jobs of short tasks all the time for `span_ms`.
 fn submit_for(sim: &mut Sim, span_ms: u64, prefix: &str) -> Vec<JobId> {
     let mut jobs = Vec::new();
@@ -253,24 +200,6 @@
     );
 }
 
-/// Guards against a rush to workers that are slow after their start, when their domain returns to
-/// service.
-#[test]
-fn a_cold_worker_gets_one_new_run_after_the_other() {
-    let mut sim = sim(1);
-    let agents: Vec<AgentId> = sim.workers.keys().cloned().collect();
-    let began_ms = sim.now_ms;
-    sim.scheduler.set_cold(&agents[0], began_ms + 3_000);
-    sim.submit("a", vec![step(30, 1_000, 400)]);
-    sim.run_for(2_000);
-    let starts = |sim: &Sim, at: usize| {
-        let starts = sim.started.iter();
-        starts.filter(|(_, agent, _)| *agent == agents[at]).count()
-    };
-    assert!((2..=5).contains(&starts(&sim, 0)), "{}", starts(&sim, 0));
-    assert!(starts(&sim, 1) > 10, "a warm worker gets runs at once");
-}
-
 /// Guards against a run that is lost between its domains when the evacuation ends in the middle of its
 /// move.
 #[test]
--- a/components/flow_entry/src/evacuations.rs
+++ b/components/flow_entry/src/evacuations.rs
@@ -3,7 +3,7 @@
 use crate::coordinator::Coordinator;
 use crate::messages::{ColdKnown, EvacuationsRead};
 use actix::{AsyncContext, Context, Handler};
-use flow::{EvacuationProgress, Scheduler};
+use flow::{ColdTime, EvacuationProgress, Scheduler};
 use model::DomainName;
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
@@ -116,25 +116,30 @@
             return;
         };
         let epoch = leadership.epoch;
-        let answered_ms = boot_ms() + COLD_TIMEOUT.as_millis() as u64;
+        let returned_ms = boot_ms();
+        let awaited = ColdTime {
+            returned_ms,
+            until_ms: returned_ms + COLD_TIMEOUT.as_millis() as u64,
+            is_reported: false,
+        };
         for agent in leadership.scheduler.agents_in(domains) {
             let Some(connection) = leadership.agents.get(&agent) else {
                 continue;
             };
             // Until the answer it counts as slow, so that the next pass does not fill it.
-            leadership.scheduler.set_cold(&agent, answered_ms);
+            leadership.scheduler.set_cold(&agent, awaited);
             let (link, control) = (connection.link.clone(), context.address());
             actix_rt::spawn(async move {
                 let call = link.call(COLD_TIMEOUT, |client, context| async move {
                     client.get_cold_remaining(context).await
                 });
                 let remaining_ms = call.await.unwrap_or(0).min(MAX_COLD_MS);
-                let until_ms = boot_ms() + remaining_ms;
-                control.do_send(ColdKnown {
-                    epoch,
-                    agent,
-                    until_ms,
-                });
+                let cold = ColdTime {
+                    returned_ms,
+                    until_ms: boot_ms() + remaining_ms,
+                    is_reported: true,
+                };
+                control.do_send(ColdKnown { epoch, agent, cold });
             });
         }
     }
@@ -146,7 +151,7 @@
     fn handle(&mut self, cold: ColdKnown, _: &mut Self::Context) {
         let leadership = self.leadership.as_mut();
         if let Some(leadership) = leadership.filter(|leadership| leadership.epoch == cold.epoch) {
-            leadership.scheduler.set_cold(&cold.agent, cold.until_ms);
+            leadership.scheduler.set_cold(&cold.agent, cold.cold);
         }
     }
 }
--- a/components/flow_entry/src/messages.rs
+++ b/components/flow_entry/src/messages.rs
@@ -8,7 +8,7 @@
 use actix::Message;
 use backing::{Row, StoreError};
 use flow::{
-    AwayWorker, Delivery, FlowConfig, FlowJob, OfferId, PollReply, QueueKey, RecordRows,
+    AwayWorker, ColdTime, Delivery, FlowConfig, FlowJob, OfferId, PollReply, QueueKey, RecordRows,
     StartOutcome, TaskKey,
 };
 use model::{AgentId, JobId};
@@ -379,8 +379,8 @@
     pub epoch: u64,
     /// Agent of the worker.
     pub agent: AgentId,
-    /// Until when the worker is slow, in milliseconds.
-    pub until_ms: u64,
+    /// For how long the worker is slow.
+    pub cold: ColdTime,
 }
 
 /// An order of a pace was not confirmed.
