Evacuation: status of a flow entry with the evacuated domains and the runs that stay, by cause

An operator could follow an evacuation only by two metrics and a log line every 5 s, none of which says why a domain does not get empty. The scheduler adds the runs left, whether the domain is empty, and the runs that can't be moved by cause. The causes are those of the decision to move a run.

The admin interface at which `status` asked so far belongs to entries for requests, which don't read the operator's rows; its answer is unchanged. An absent field has its default, and an entry of an earlier version, which answers 404, is named as such.

--- a/components/flow_entry/src/evacuations.rs
+++ b/components/flow_entry/src/evacuations.rs
@@ -25,6 +25,8 @@
 pub(crate) struct KnownEvacuations {
     /// Domains to be evacuated.
     domains: BTreeSet<DomainName>,
+    /// When this entry first read the request for each of them, in milliseconds.
+    since_ms: BTreeMap<DomainName, u64>,
     /// When the last answered read was sent, in milliseconds; `None` before the first.
     confirmed_ms: Option<u64>,
 }
@@ -37,6 +39,19 @@
             scheduler.confirm_evacuations(at_ms);
         }
     }
+
+    /// Domains to be evacuated in order, each with the time in milliseconds at which this entry first read the
+    /// request.
+    pub fn domains(&self) -> impl Iterator<Item = (&DomainName, u64)> {
+        self.since_ms
+            .iter()
+            .map(|(domain, since_ms)| (domain, *since_ms))
+    }
+
+    /// When the last answered read was sent, in milliseconds; `None` before the first.
+    pub fn confirmed_ms(&self) -> Option<u64> {
+        self.confirmed_ms
+    }
 }
 
 /// Progress of the evacuations, as last measured by the scheduler.
@@ -166,9 +181,11 @@
         read.update.apply(&mut known.domains);
         known.confirmed_ms = known.confirmed_ms.max(Some(read.at_ms));
         for domain in known.domains.difference(&before) {
+            known.since_ms.insert(domain.clone(), now_ms);
             log_event!(info, Event::EvacuationRequested, domain = %domain);
         }
         for domain in before.difference(&known.domains) {
+            known.since_ms.remove(domain);
             log_event!(info, Event::EvacuationEnded, domain = %domain);
         }
         let has_changed = known.domains != before;
--- a/components/flow_entry/src/handle.rs
+++ b/components/flow_entry/src/handle.rs
@@ -4,9 +4,12 @@
 use crate::coordinator::Coordinator;
 use crate::limits::{FlowTooLarge, check_size};
 use crate::memory::MemoryShares;
-use crate::messages::{Admit, Cancel, CountQueued, Explain, GetPhase, GetReadiness, Submit};
+use crate::messages::{
+    Admit, Cancel, CountQueued, Explain, GetPhase, GetReadiness, QueryStatus, Submit,
+};
 use crate::metrics::Metrics;
 use crate::overload::Overloaded;
+use crate::status::FlowEntryStatus;
 use actix::Addr;
 use flow::{FlowConfig, FlowJob, FlowLimits, FlowPhase, QueueKey, SpecFault};
 use model::JobId;
@@ -134,6 +137,11 @@
         sent.unwrap_or(ExplainReply::NotScheduler)
     }
 
+    /// State of the entry for operators; `None` while it is stopping.
+    pub async fn status(&self) -> Option<FlowEntryStatus> {
+        self.control.send(QueryStatus).await.ok()
+    }
+
     /// The metrics in the text format of Prometheus.
     pub fn metrics(&self) -> String {
         self.metrics.observe_memory(&self.memory);
--- a/components/flow_entry/src/lib.rs
+++ b/components/flow_entry/src/lib.rs
@@ -34,6 +34,7 @@
 mod rows;
 mod rpc;
 mod run;
+mod status;
 mod store_health;
 
 pub use config_source::{ConfigSource, ConfigUpdate, EvacuationChange, EvacuationUpdate};
@@ -44,3 +45,4 @@
 pub use metrics::Metrics;
 pub use overload::Overloaded;
 pub use run::start;
+pub use status::{EvacuationRuns, EvacuationStatus, FlowEntryStatus};
--- a/components/flow_entry/src/messages.rs
+++ b/components/flow_entry/src/messages.rs
@@ -5,6 +5,7 @@
 use crate::handle::PhaseAnswer;
 use crate::overload::Overloaded;
 use crate::room::Taken;
+use crate::status::FlowEntryStatus;
 use actix::Message;
 use backing::{Row, StoreError};
 use flow::{
@@ -383,6 +384,11 @@
     pub cold: ColdTime,
 }
 
+/// Query for the status of the entry.
+#[derive(Message)]
+#[rtype(result = "FlowEntryStatus")]
+pub(crate) struct QueryStatus;
+
 /// An order of a pace was not confirmed.
 #[derive(Message)]
 #[rtype(result = "()")]
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -42,6 +42,12 @@
                 Command::new("status")
                     .about("Show entries, workers, teams and the configuration in force"),
             )
+            .arg(
+                Arg::new("monitoring")
+                    .long("monitoring")
+                    .value_name("URL")
+                    .help("Show the evacuated domains that a flow entry knows instead; URL of its monitoring server (metrics_listen in its settings)"),
+            )
             .arg(json_arg()),
         )
         .subcommand(explain())
--- a/src/cmd/admin.rs
+++ b/src/cmd/admin.rs
@@ -21,6 +21,8 @@
     url: String,
     /// Bearer token; empty if the arguments give none.
     token: String,
+    /// Name of the argument that gives the URL, for messages.
+    option: &'static str,
     /// HTTP client, bound to the current thread.
     client: Client,
 }
@@ -29,11 +31,20 @@
     /// Creates a client from the arguments `--admin` and `--token`.
     pub fn new(args: &ArgMatches) -> Self {
         let text = |name| args.get_one::<String>(name).cloned().unwrap_or_default();
-        let client = Client::builder().timeout(CALL_TIMEOUT).finish();
+        Self::at(&text("admin"), "--admin", text("token"))
+    }
+
+    /// Creates a client of the monitoring server of a flow entry, which asks for no token.
+    pub fn monitoring(url: &str) -> Self {
+        Self::at(url, "--monitoring", String::new())
+    }
+
+    fn at(url: &str, option: &'static str, token: String) -> Self {
         Self {
-            url: text("admin").trim_end_matches('/').to_owned(),
-            token: text("token"),
-            client,
+            url: url.trim_end_matches('/').to_owned(),
+            token,
+            option,
+            client: Client::builder().timeout(CALL_TIMEOUT).finish(),
         }
     }
 
@@ -63,7 +74,10 @@
     async fn read_answer(&self, sent: SendClientRequest) -> AdminResult {
         let mut answer = sent.await.map_err(|error| {
             eprintln!("no answer from {}: {error}", self.url);
-            eprintln!("check --admin; it is safe to send the same request again");
+            eprintln!(
+                "check {}; it is safe to send the same request again",
+                self.option
+            );
             ExitStatus::Unreachable
         })?;
         let status = answer.status();
@@ -98,6 +112,9 @@
             serde_json::to_string_pretty(conflict).unwrap_or_default()
         );
     }
+    if status == StatusCode::NOT_FOUND && body.is_null() {
+        eprintln!("this process has no such call; it may be of an earlier version");
+    }
     if status == StatusCode::UNAUTHORIZED {
         eprintln!("pass the admin token with --token or PARSLEYTHREAD_TOKEN");
     }
--- a/src/cmd/status.rs
+++ b/src/cmd/status.rs
@@ -4,15 +4,20 @@
 use clap::ArgMatches;
 use entry::{AgentStatus, ClusterStatus, TeamStatus};
 use errors::ExitStatus;
+use flow::StayingRuns;
+use flow_entry::{EvacuationRuns, EvacuationStatus, FlowEntryStatus};
 use model::Resources;
 
 /// Prints the entries, workers with their slots, teams, the configuration in force and whether the
-/// table is available.
+/// table is available, or the evacuated domains that a flow entry knows.
 pub fn status(args: &ArgMatches) -> ExitStatus {
     block_on(show(args))
 }
 
 async fn show(args: &ArgMatches) -> Result<(), ExitStatus> {
+    if let Some(url) = args.get_one::<String>("monitoring") {
+        return show_flow_entry(url, args.get_flag("json")).await;
+    }
     let answer = Admin::new(args).get("/v1/status").await?;
     if args.get_flag("json") {
         print_json(&answer);
@@ -48,6 +53,79 @@
     Ok(())
 }
 
+async fn show_flow_entry(url: &str, json: bool) -> Result<(), ExitStatus> {
+    let answer = Admin::monitoring(url).get("/v1/status").await?;
+    if json {
+        print_json(&answer);
+        return Ok(());
+    }
+    let status: FlowEntryStatus = serde_json::from_value(answer).map_err(|_| ExitStatus::Failed)?;
+    let role = if status.scheduler {
+        "the scheduler"
+    } else {
+        "not the scheduler"
+    };
+    println!(
+        "{}: {role}; configuration {} in force",
+        status.entry, status.config
+    );
+    let read = status.evacuations_read_ago_ms.map_or_else(
+        || "not read yet".to_owned(),
+        |ago_ms| format!("read {} ago", format_seconds(ago_ms)),
+    );
+    println!("\nevacuated domains ({read})");
+    status.evacuations.iter().for_each(print_evacuation);
+    Ok(())
+}
+
+fn print_evacuation(evacuation: &EvacuationStatus) {
+    let runs = match &evacuation.runs {
+        None => "runs are known to the scheduler only".to_owned(),
+        Some(EvacuationRuns {
+            empty: true,
+            workers,
+            ..
+        }) => format!("{workers} workers, empty"),
+        Some(EvacuationRuns { workers, left, .. }) => {
+            format!("{workers} workers, {left} runs left")
+        }
+    };
+    println!(
+        "  {:<16} requested {} ago  {runs}",
+        evacuation.domain.as_str(),
+        format_seconds(evacuation.requested_ago_ms)
+    );
+    let staying = evacuation.runs.map(|runs| runs.staying).unwrap_or_default();
+    if staying.total() > 0 {
+        println!(
+            "    {} can't be moved now: {}",
+            staying.total(),
+            format_causes(&staying)
+        );
+    }
+}
+
+/// Causes with their numbers of runs; those without any are left out.
+fn format_causes(staying: &StayingRuns) -> String {
+    let causes = [
+        (staying.ends_soon, "end soon"),
+        (staying.saves_no_progress, "save no progress"),
+        (staying.gang, "in a gang"),
+        (staying.disruption_budget, "held by their disruption budget"),
+        (staying.duplicated, "with a second run"),
+        (staying.no_room, "without room elsewhere"),
+    ];
+    let present = causes.iter().filter(|(runs, _)| *runs > 0);
+    let named: Vec<String> = present
+        .map(|(runs, cause)| format!("{runs} {cause}"))
+        .collect();
+    named.join(", ")
+}
+
+fn format_seconds(milliseconds: u64) -> String {
+    format!("{:.1} s", milliseconds as f64 / 1_000.0)
+}
+
 fn print_agent(agent: &AgentStatus) {
     let flags = [
         (agent.draining, "draining"),
