--- a/components/flow/src/preemption.rs
+++ b/components/flow/src/preemption.rs
@@ -3,6 +3,7 @@
 //! Nothing is reserved for the urgent task: a later pass places it by its priority.
 
 use crate::candidate::Candidate;
+use crate::cold::Warmth;
 use crate::crashes::Isolation;
 use crate::preemption_search::{MadeRoom, PreemptionSearch, SuitableWorker, UrgentStep};
 use crate::worker_rules::may_run;
@@ -205,7 +206,7 @@
             let Some(view) = view.filter(|_| *pool == step.service) else {
                 continue;
             };
-            let is_usual = !candidate.is_cold
+            let is_usual = candidate.warmth == Warmth::Warm
                 && candidate.speed_rank.penalty(&step.spec) <= 0.0
                 && !self.preemptions.is_late_on(now_ms, &candidate.agent);
             let may_run = is_usual
--- a/components/flow/tests/preemption_stops.rs
+++ b/components/flow/tests/preemption_stops.rs
@@ -113,7 +113,12 @@
     sim.submit_batch("batch", vec![saving(1, 4_000, 20_000)]);
     sim.run_for(BEGIN_MS);
     let until_ms = sim.now_ms + 30_000;
-    sim.scheduler.set_cold(&"w0".into(), until_ms);
+    let cold = flow::ColdTime {
+        returned_ms: sim.now_ms,
+        until_ms,
+        is_reported: true,
+    };
+    sim.scheduler.set_cold(&"w0".into(), cold);
     sim.submit("urgent", vec![step(1, 4_000, 1_000)]);
     sim.run_for(2_000);
     assert!(sim.preempted.is_empty());
--- a/components/flow_entry/src/evacuations.rs
+++ b/components/flow_entry/src/evacuations.rs
@@ -3,7 +3,7 @@
 use crate::coordinator::Coordinator;
 use crate::messages::{ColdKnown, EvacuationsRead};
 use actix::{AsyncContext, Context, Handler};
-use flow::{EvacuationProgress, Scheduler};
+use flow::{ColdTime, EvacuationProgress, Scheduler};
 use model::DomainName;
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
@@ -25,6 +25,8 @@
 pub(crate) struct KnownEvacuations {
     /// Domains to be evacuated.
     domains: BTreeSet<DomainName>,
+    /// When this entry first read the request for each of them, in milliseconds.
+    since_ms: BTreeMap<DomainName, u64>,
     /// When the last answered read was sent, in milliseconds; `None` before the first.
     confirmed_ms: Option<u64>,
 }
@@ -37,6 +39,19 @@
             scheduler.confirm_evacuations(at_ms);
         }
     }
+
+    /// Domains to be evacuated in order, each with the time in milliseconds at which this entry first read the
+    /// request.
+    pub fn domains(&self) -> impl Iterator<Item = (&DomainName, u64)> {
+        self.since_ms
+            .iter()
+            .map(|(domain, since_ms)| (domain, *since_ms))
+    }
+
+    /// When the last answered read was sent, in milliseconds; `None` before the first.
+    pub fn confirmed_ms(&self) -> Option<u64> {
+        self.confirmed_ms
+    }
 }
 
 /// Progress of the evacuations, as last measured by the scheduler.
@@ -116,25 +131,30 @@
             return;
         };
         let epoch = leadership.epoch;
-        let answered_ms = boot_ms() + COLD_TIMEOUT.as_millis() as u64;
+        let returned_ms = boot_ms();
+        let awaited = ColdTime {
+            returned_ms,
+            until_ms: returned_ms + COLD_TIMEOUT.as_millis() as u64,
+            is_reported: false,
+        };
         for agent in leadership.scheduler.agents_in(domains) {
             let Some(connection) = leadership.agents.get(&agent) else {
                 continue;
             };
             // Until the answer it counts as slow, so that the next pass does not fill it.
-            leadership.scheduler.set_cold(&agent, answered_ms);
+            leadership.scheduler.set_cold(&agent, awaited);
             let (link, control) = (connection.link.clone(), context.address());
             actix_rt::spawn(async move {
                 let call = link.call(COLD_TIMEOUT, |client, context| async move {
                     client.get_cold_remaining(context).await
                 });
                 let remaining_ms = call.await.unwrap_or(0).min(MAX_COLD_MS);
-                let until_ms = boot_ms() + remaining_ms;
-                control.do_send(ColdKnown {
-                    epoch,
-                    agent,
-                    until_ms,
-                });
+                let cold = ColdTime {
+                    returned_ms,
+                    until_ms: boot_ms() + remaining_ms,
+                    is_reported: true,
+                };
+                control.do_send(ColdKnown { epoch, agent, cold });
             });
         }
     }
@@ -146,7 +166,7 @@
     fn handle(&mut self, cold: ColdKnown, _: &mut Self::Context) {
         let leadership = self.leadership.as_mut();
         if let Some(leadership) = leadership.filter(|leadership| leadership.epoch == cold.epoch) {
-            leadership.scheduler.set_cold(&cold.agent, cold.until_ms);
+            leadership.scheduler.set_cold(&cold.agent, cold.cold);
         }
     }
 }
@@ -161,9 +181,11 @@
         read.update.apply(&mut known.domains);
         known.confirmed_ms = known.confirmed_ms.max(Some(read.at_ms));
         for domain in known.domains.difference(&before) {
+            known.since_ms.insert(domain.clone(), now_ms);
             log_event!(info, Event::EvacuationRequested, domain = %domain);
         }
         for domain in before.difference(&known.domains) {
+            known.since_ms.remove(domain);
             log_event!(info, Event::EvacuationEnded, domain = %domain);
         }
         let has_changed = known.domains != before;
--- a/components/flow_entry/src/lib.rs
+++ b/components/flow_entry/src/lib.rs
@@ -35,6 +35,7 @@
 mod rows;
 mod rpc;
 mod run;
+mod status;
 mod store_health;
 
 pub use config_source::{ConfigSource, ConfigUpdate, EvacuationChange, EvacuationUpdate};
@@ -45,3 +46,4 @@
 pub use metrics::Metrics;
 pub use overload::Overloaded;
 pub use run::start;
+pub use status::{EvacuationRuns, EvacuationStatus, FlowEntryStatus};
--- a/components/flow_entry/src/messages.rs
+++ b/components/flow_entry/src/messages.rs
@@ -5,10 +5,11 @@
 use crate::handle::PhaseAnswer;
 use crate::overload::Overloaded;
 use crate::room::Taken;
+use crate::status::FlowEntryStatus;
 use actix::Message;
 use backing::{Row, StoreError};
 use flow::{
-    AwayWorker, Delivery, FlowConfig, FlowJob, OfferId, PollReply, QueueKey, RecordRows,
+    AwayWorker, ColdTime, Delivery, FlowConfig, FlowJob, OfferId, PollReply, QueueKey, RecordRows,
     StartOutcome, TaskKey,
 };
 use model::{AgentId, JobId};
@@ -379,10 +380,15 @@
     pub epoch: u64,
     /// Agent of the worker.
     pub agent: AgentId,
-    /// Until when the worker is slow, in milliseconds.
-    pub until_ms: u64,
+    /// For how long the worker is slow.
+    pub cold: ColdTime,
 }
 
+/// Query for the status of the entry.
+#[derive(Message)]
+#[rtype(result = "FlowEntryStatus")]
+pub(crate) struct QueryStatus;
+
 /// An order of a pace was not confirmed.
 #[derive(Message)]
 #[rtype(result = "()")]
