Test: retries, cancelled flows and duplicates in the shares of queues

Cause: on review, three rules of the observation had no test: tasks that wait for their next attempt and flows that are cancelled demand nothing, and a second run counts as use. Change: a test for each.

--- a/components/flow/tests/share_rules.rs
+++ b/components/flow/tests/share_rules.rs
@@ -5,7 +5,8 @@
 use common::queues::{
     RUN_MS, debt_percent, fair, four_tasks, key, queue, sim_with, starts_of, submit,
 };
-use common::step;
+use common::slow_pool::{count, duplicable, slow_pool};
+use common::{Sim, step};
 use flow::{
     Incarnation, MAX_QUEUE_LABELS, Policies, Queue, ReportTimes, StepSpec, WorkerInfo, WorkerReport,
 };
@@ -207,3 +208,57 @@
     // 21 of 32 processors, for about 1.9 of the 10 s of the window.
     assert!((10.0..14.0).contains(&sum), "{sum} %");
 }
+
+/// Guards against debts to tasks that wait for their next attempt beside free workers.
+#[test]
+fn tasks_that_wait_for_their_next_attempt_wait_for_nobody() {
+    let mut sim = sim_with(&["busy", "q0"], fair(&[]));
+    submit(&mut sim, "busy", "half", vec![step(8, 2_000, 60_000)]);
+    let job = submit(&mut sim, "q0", "fails", vec![step(1, 2_000, RUN_MS)]);
+    sim.always_failing.insert(job);
+    // After further failures it may wait for workers that are on probation.
+    while starts_of(&sim, "fails") < 2 {
+        sim.step();
+        assert_eq!(debt_percent(&sim, "busy"), 0.0);
+        assert!(sim.now_ms < 5_000, "the task is not started again");
+    }
+}
+
+/// Guards against debts to a cancelled flow whose runs are still being stopped.
+#[test]
+fn a_cancelled_flow_waits_for_nobody() {
+    let mut sim = sim_with(&["busy", "q0"], fair(&[]));
+    submit(&mut sim, "busy", "most", vec![step(12, 2_000, 60_000)]);
+    sim.run_for(200);
+    let cancelled = submit(&mut sim, "q0", "cancelled", vec![step(40, 2_000, 60_000)]);
+    sim.run_for(1_000);
+    assert!(debt_percent(&sim, "busy") > 0.0);
+    sim.stops_are_lost = true;
+    sim.cancel(&cancelled);
+    sim.run_for(11_000);
+    assert_eq!(sim.running(&cancelled), 4, "its runs are not stopped yet");
+    assert_eq!(debt_percent(&sim, "busy"), 0.0);
+}
+
+/// Guards against second runs that count for nothing: a queue pays for its duplicates.
+#[test]
+fn duplicates_count_as_use() {
+    let mut sim = slow_pool();
+    sim.set_policies(Policies {
+        duplicates: true,
+        ..fair(&[])
+    });
+    let job = sim.submit("slow", vec![duplicable()]);
+    while count(&sim, "started") == 0 {
+        sim.step();
+        assert!(sim.now_ms < 3_000, "no duplicate was started");
+    }
+    sim.run_for(100);
+    let used = |sim: &Sim| sim.scheduler.queue_shares()[0].share_percent;
+    let before = used(&sim);
+    sim.run_for(200);
+    assert_eq!(sim.running(&job), 5, "one of four tasks runs twice");
+    // Five runs of 2 of 80 processors, for 0.2 of the 10 s of the window.
+    let percent = used(&sim) - before;
+    assert!((0.24..0.26).contains(&percent), "{percent} %");
+}
