--- a/components/flow_entry/tests/slow_load.rs
+++ b/components/flow_entry/tests/slow_load.rs
@@ -6,9 +6,10 @@
 use backing::{Changes, Row, ScanRange, StoreError, TableFeed, TableStore, Transaction};
 use common::{SlowTable, pause};
 use flow::FlowConfig;
-use flow_entry::{ConfigSource, ConfigUpdate, Dependencies, EntryHandle};
+use flow_entry::{ConfigSource, ConfigUpdate, Dependencies, EntryHandle, EvacuationUpdate};
 use settings::{FlowEntrySettings, FlowLimitSettings, LeaseSettings, PlatformSettings};
 use std::rc::Rc;
+use std::time::{Duration, Instant};
 
 /// Time until a page of a scan is read, in milliseconds. Three are read one after the other.
 const SCAN_MS: u64 = 1_200;
@@ -47,7 +48,10 @@
         };
         Ok(ConfigUpdate {
             config: Ok(cursor.is_none().then_some(config)),
-            evacuations: Default::default(),
+            evacuations: match cursor {
+                Some(_) => EvacuationUpdate::default(),
+                None => EvacuationUpdate::Snapshot(["d9".into()].into()),
+            },
             cursor: 1,
         })
     }
@@ -112,3 +116,26 @@
     drop(entries);
     assert_eq!(lease.epoch, 1, "taken over while it loads: {lease:?}");
 }
+
+/// Guards against a domain that is shown as empty because the scheduler has not loaded its runs yet.
+#[actix_rt::test]
+async fn a_scheduler_states_no_runs_before_it_has_loaded_them() {
+    let table = common::table(5);
+    let entry = start("a", &table).await;
+    common::lease(&table).await;
+    let claimed = Instant::now();
+    let loaded = loop {
+        let status = entry.status().await.unwrap();
+        let mut runs = status.evacuations.iter().map(|one| one.runs);
+        if status.scheduler {
+            assert!(runs.all(|runs| runs.is_some_and(|runs| runs.empty)));
+            break status;
+        }
+        assert!(runs.all(|runs| runs.is_none()), "{status:?}");
+        let limit = Duration::from_secs(20);
+        assert!(claimed.elapsed() < limit, "it does not load");
+        pause(50).await;
+    };
+    assert!(claimed.elapsed() >= Duration::from_millis(SCAN_MS));
+    assert_eq!(loaded.evacuations.len(), 1);
+}
