Test: a stop that makes room for two tasks is counted for both, whatever the value of the flow

Cause: undoing expect_stop failed no test: the second stop was not worth its cost anyway. Change: the urgent flow has more work, so that only the forecast keeps it from a second stop. Result: both tests of preemption_room pass.

--- a/components/flow/tests/preemption_room.rs
+++ b/components/flow/tests/preemption_room.rs
@@ -30,7 +30,12 @@
 #[test]
 fn room_that_is_left_over_is_used() {
     let mut sim = tight_pool(2, saving(2, 4_000, 20_000));
-    let job = sim.submit("urgent", vec![step(2, 2_000, 1_000)]);
+    // The work of the second step makes two stops worthwhile.
+    let second = StepSpec {
+        after: vec![0],
+        ..step(200, 1_000, 100)
+    };
+    let job = sim.submit("urgent", vec![step(2, 2_000, 1_000), second]);
     sim.run_for(1_000);
     assert_eq!((sim.preempted.len(), sim.running(&job)), (1, 2));
 }
