Flow: paces of fillers can be damped, with a simulation of noisy latencies

Orders of a pace follow the noise of reported latencies. The simulation (two services and fillers on shared workers, latencies measured with 10 % noise) states the bounds of the specification: half of the orders, no more time over target, 95 % of the work, and the same time over target after a step of load and while reports are lost. interference::PaceDamping decides about one filler's pace; policy damped_pacing is off by default.

--- a/components/flow/src/effect.rs
+++ b/components/flow/src/effect.rs
@@ -1,8 +1,9 @@
 //! Effects of the scheduler: orders to workers, reports and decision records.
 
 use crate::{FlowPhase, Incarnation, LocalityOutcome, Outlooks, RecordFault, TaskKey};
-use interference::PressureChange;
+use interference::{PaceReason, PressureChange};
 use model::{AgentId, JobId};
+use std::cmp::Ordering;
 use worker_speed::SpeedChange;
 
 /// An action that the caller of the scheduler carries out.
@@ -14,6 +15,8 @@
     Stop(RunRef),
     /// Change the pace of a run, in percent of the full pace at which it works.
     Pace(RunRef, u32),
+    /// Count a pace that was ordered, and log why it was if paces are damped.
+    PaceOrdered(RunRef, PaceDirection, Option<PaceReason>),
     /// Acknowledge the ends reported by this agent's worker whose records became durable.
     Acknowledge(AgentId),
     /// Report the end of a flow; it is durable.
@@ -60,6 +63,42 @@
     Stopped,
 }
 
+/// How an ordered pace differs from the one that was ordered before.
+///
+/// ```
+/// assert_eq!(flow::PaceDirection::Halted.to_string(), "halted");
+/// ```
+#[derive(Debug, Clone, Copy, PartialEq, Eq, strum::Display, strum::IntoStaticStr)]
+#[strum(serialize_all = "kebab-case")]
+pub enum PaceDirection {
+    /// It is higher.
+    Raised,
+    /// It is lower.
+    Lowered,
+    /// It is 0.
+    Halted,
+    /// It is the same, as the former order may not have been carried out.
+    Repeated,
+}
+
+impl PaceDirection {
+    /// Direction from one pace to another, in percent of the full pace.
+    ///
+    /// ```
+    /// use flow::PaceDirection;
+    /// assert_eq!(PaceDirection::between(50, 60), PaceDirection::Raised);
+    /// assert_eq!(PaceDirection::between(50, 0), PaceDirection::Halted);
+    /// ```
+    pub fn between(former_percent: u32, percent: u32) -> Self {
+        match percent.cmp(&former_percent) {
+            Ordering::Equal => Self::Repeated,
+            Ordering::Greater => Self::Raised,
+            Ordering::Less if percent == 0 => Self::Halted,
+            Ordering::Less => Self::Lowered,
+        }
+    }
+}
+
 /// Reference to a run on a worker.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct RunRef {
--- a/components/flow/src/lib.rs
+++ b/components/flow/src/lib.rs
@@ -72,7 +72,9 @@
 pub use config::{FlowConfig, Pool, Queue};
 pub use contact::{LapsedWorker, LeaseOffer, PollPlan};
 pub use crashes::CrashCount;
-pub use effect::{Decision, DecisionKind, DuplicateOutcome, Effect, RunRef, StartInput};
+pub use effect::{
+    Decision, DecisionKind, DuplicateOutcome, Effect, PaceDirection, RunRef, StartInput,
+};
 pub use evacuation::EvacuationProgress;
 pub use exclusion::Exclusion;
 pub use explain::{ExplainFault, ExplainedLocality, ExplainedStep, ExplainedWorker, Explanation};
--- a/components/flow/src/pacing.rs
+++ b/components/flow/src/pacing.rs
@@ -3,8 +3,8 @@
 use crate::placed_runs::run_ref;
 use crate::slack::PlacedFiller;
 use crate::view::WorkerView;
-use crate::{Effect, RunStage, Scheduler, TaskKey};
-use interference::{PaceBudget, plan_paces};
+use crate::{Effect, PaceDirection, RunStage, Scheduler, TaskKey};
+use interference::{CurrentPace, PaceBudget, PaceDecision, PaceReason, plan_paces};
 use model::AgentId;
 
 /// Time over a target after which the pace of all fillers is set to 0, in milliseconds. The model is
@@ -46,7 +46,11 @@
             } else {
                 percent
             };
-            self.adjust_pace(now_ms, &filler.key, percent, is_halted);
+            if self.policies.damped_pacing {
+                self.adjust_damped_pace(now_ms, agent, &filler.key, percent);
+            } else {
+                self.adjust_pace(now_ms, &filler.key, percent, is_halted);
+            }
         }
     }
 
@@ -107,19 +111,44 @@
         let is_change = is_limit || difference >= MIN_PACE_CHANGE_PERCENT;
         let is_due = is_settled && (is_change || !placement.is_pace_known);
         if is_due || is_halt {
-            self.set_pace(now_ms, key, percent);
+            self.set_pace(now_ms, key, percent, None);
+        }
+    }
+
+    /// Orders a new pace of a running filler if the damping of its pace asks for it.
+    fn adjust_damped_pace(&mut self, now_ms: u64, agent: &AgentId, key: &TaskKey, percent: u32) {
+        let Some(placement) = self.placement(key) else {
+            return;
+        };
+        if !matches!(placement.stage, RunStage::Running { .. }) {
+            return;
+        }
+        let current = CurrentPace {
+            percent: placement.pace,
+            is_known: placement.is_pace_known,
+        };
+        let view = self.worker_mut(agent);
+        let damping = view.pace_dampings.entry(key.clone()).or_default();
+        match damping.decide(now_ms, current, percent) {
+            PaceDecision::Order(percent, reason) => {
+                self.set_pace(now_ms, key, percent, Some(reason));
+            }
+            PaceDecision::Keep(_) => {}
         }
     }
 
     /// Records a new pace for a placed run and orders it.
-    fn set_pace(&mut self, now_ms: u64, key: &TaskKey, pace: u32) {
+    fn set_pace(&mut self, now_ms: u64, key: &TaskKey, pace: u32, reason: Option<PaceReason>) {
         let task = self.task_mut(key);
         if let Some(placement) = task.and_then(|task| task.placement.as_mut()) {
+            let direction = PaceDirection::between(placement.pace, pace);
             placement.pace = pace;
             placement.is_pace_known = true;
             placement.pace_changed_ms = now_ms;
             let run = run_ref(key, placement.run, placement);
-            self.effects.push(Effect::Pace(run, pace));
+            self.effects.push(Effect::Pace(run.clone(), pace));
+            let ordered = Effect::PaceOrdered(run, direction, reason);
+            self.effects.push(ordered);
         }
     }
 }
--- a/components/flow/src/policies.rs
+++ b/components/flow/src/policies.rs
@@ -19,4 +19,6 @@
     /// Factor by which a task takes longer away from its data or its group; `None` if tasks don't
     /// wait for a near worker.
     pub remote_factor: Option<f64>,
+    /// Whether paces of fillers are raised late and in steps.
+    pub damped_pacing: bool,
 }
--- a/components/flow/src/view.rs
+++ b/components/flow/src/view.rs
@@ -4,6 +4,7 @@
 use crate::interference::LatencyTrace;
 use crate::learned::ProgressPart;
 use crate::{ClockSample, Incarnation, Leases, StepSpec, TaskKey, WorkerInfo, has_form};
+use interference::PaceDamping;
 use model::{AgentId, JobId, Resources};
 use std::collections::{BTreeMap, VecDeque};
 use worker_speed::SpeedTrack;
@@ -124,6 +125,8 @@
     pub cold_until_ms: u64,
     /// Latency traces of its latency-critical tasks.
     pub latencies: BTreeMap<TaskKey, LatencyTrace>,
+    /// Damping of the paces of its fillers; empty unless the policy is in force.
+    pub pace_dampings: BTreeMap<TaskKey, PaceDamping>,
     /// When a filler's run last ended on it, in milliseconds.
     pub filler_ended_ms: u64,
     /// Since when a latency target is missed on it; `None` while all are met.
@@ -261,6 +264,7 @@
             return;
         };
         let released = view.allocations.remove(task);
+        view.pace_dampings.remove(task);
         if released.is_some_and(|allocation| allocation.filler) {
             view.filler_ended_ms = now_ms;
         }
--- a/components/flow/tests/common/advance.rs
+++ b/components/flow/tests/common/advance.rs
@@ -1,5 +1,6 @@
 //! What the model workers do within one step of the simulation.
 
+use super::noisy::{RunningFiller, approach};
 use super::{Mode, STEP_MS, Sim};
 use flow::{RunEnd, StepSpec, TaskKey};
 use model::AgentId;
@@ -14,19 +15,22 @@
             let worker = self.workers.get_mut(&agent).unwrap();
             worker.expire_lease(self.now_ms);
             let keys: Vec<TaskKey> = self.workers[&agent].running.keys().cloned().collect();
-            let images: Vec<(String, u32)> = keys
+            let fillers: Vec<RunningFiller> = keys
                 .iter()
-                .filter(|key| self.spec(key).filler)
-                .map(|key| {
-                    let pace = self.workers[&agent].running[key].pace;
-                    (self.spec(key).image.unwrap_or_default(), pace)
+                .map(|key| (key, self.spec(key)))
+                .filter(|(_, spec)| spec.filler)
+                .map(|(key, spec)| RunningFiller {
+                    image: spec.image.unwrap_or_default(),
+                    pace: self.workers[&agent].running[key].pace,
+                    processors_milli: spec.need.processors_milli,
                 })
                 .collect();
+            self.count_filler_work(&fillers);
             for key in keys {
                 let spec = self.spec(&key);
                 let image = spec.image.clone().unwrap_or_default();
                 if let Some(target_ms) = spec.latency_target_ms {
-                    self.update_latency(&agent, &key, &image, target_ms, &images);
+                    self.update_latency(&agent, &key, &image, target_ms, &fillers);
                 }
                 let run_ms = *self
                     .run_ms
@@ -50,26 +54,35 @@
         key: &TaskKey,
         image: &str,
         target_ms: u32,
-        fillers: &[(String, u32)],
+        fillers: &[RunningFiller],
     ) {
         let pressure: u32 = fillers
             .iter()
-            .filter(|(filler, _)| self.disturbs.contains(&(filler.clone(), image.to_owned())))
-            .map(|(_, pace)| *pace)
+            .filter(|filler| {
+                let pair = (filler.image.clone(), image.to_owned());
+                self.disturbs.contains(&pair)
+            })
+            .map(|filler| filler.pace)
             .sum();
         let settled_ms = f64::from(BASE_LATENCY_MS) * (1.0 + f64::from(pressure) / 20.0);
+        let settled_ms = self
+            .settled_under_load_ms(agent, image, target_ms, fillers)
+            .unwrap_or(settled_ms);
         let worker = self.workers.get_mut(agent).unwrap();
         let latency = worker
             .latency_ms
             .entry(key.clone())
             .or_insert(f64::from(BASE_LATENCY_MS));
-        *latency += (settled_ms - *latency) * 0.1;
-        let is_over = *latency > f64::from(target_ms);
+        *latency = approach(*latency, settled_ms);
+        let latency_ms = *latency;
+        self.measure_latency(key, latency_ms);
+        let is_over = latency_ms > f64::from(target_ms);
         if is_over {
             self.over_target_ms += STEP_MS;
+            self.last_over_target_ms = self.now_ms;
         }
         let span_ms = self.interference_ms.entry(key.clone()).or_default();
-        let is_disturbed = is_over && fillers.iter().any(|(_, pace)| *pace > 0);
+        let is_disturbed = is_over && fillers.iter().any(|filler| filler.pace > 0);
         *span_ms = if is_disturbed { *span_ms + STEP_MS } else { 0 };
         self.longest_interference_ms = self.longest_interference_ms.max(*span_ms);
     }
--- a/components/flow/tests/common/mod.rs
+++ b/components/flow/tests/common/mod.rs
@@ -4,6 +4,7 @@
 
 mod advance;
 mod checks;
+pub mod noisy;
 mod polls;
 pub mod slow_pool;
 mod worker;
@@ -131,6 +132,16 @@
     pub starts: BTreeMap<JobId, u32>,
     /// Total time of latency-critical tasks over their target, in milliseconds.
     pub over_target_ms: u64,
+    /// When such a task was last over its target, in milliseconds.
+    pub last_over_target_ms: u64,
+    /// Load and fillers' influence on latencies with noisy measurements, instead of [`Sim::disturbs`].
+    pub noisy: Option<noisy::NoisyLoad>,
+    /// Work that fillers did, in core-milliseconds.
+    pub filler_work: u64,
+    /// Number of orders of a pace.
+    pub pace_orders: u32,
+    /// Number of orders of a pace by their direction.
+    pub pace_directions: BTreeMap<String, u32>,
     /// How long each latency-critical task has been over its target beside running fillers, in
     /// milliseconds.
     interference_ms: BTreeMap<TaskKey, u64>,
@@ -265,6 +276,11 @@
             ended_ms: BTreeMap::new(),
             starts: BTreeMap::new(),
             over_target_ms: 0,
+            last_over_target_ms: 0,
+            noisy: None,
+            filler_work: 0,
+            pace_orders: 0,
+            pace_directions: BTreeMap::new(),
             interference_ms: BTreeMap::new(),
             longest_interference_ms: 0,
             evacuated: BTreeSet::new(),
@@ -524,7 +540,9 @@
         };
         let running = worker.running.iter().map(|(key, run)| {
             let spec = &specs[key];
-            let latency = worker.latency_ms.get(key).copied().unwrap_or(0.0) as u32;
+            let latency = worker.latency_ms.get(key).copied().unwrap_or(0.0);
+            let noisy = self.noisy.as_ref();
+            let latency = noisy.map_or(latency, |noisy| noisy.reported_ms(key)) as u32;
             let used = spec.need.processors_milli * run.pace / 100;
             let is_ready = spec.long_running;
             RunningTask {
@@ -605,6 +623,10 @@
                 Effect::Start(run, input) => self.start(&run, input.checkpoint.as_deref()),
                 Effect::Stop(run) => self.stop(&run),
                 Effect::Pace(run, percent) => self.pace(&run, percent),
+                Effect::PaceOrdered(_, direction, _) => {
+                    let direction = direction.to_string();
+                    *self.pace_directions.entry(direction).or_default() += 1;
+                }
                 Effect::Ended(job, phase) => {
                     self.ended_ms.insert(job, (self.now_ms, phase));
                 }
@@ -745,6 +767,7 @@
     }
 
     fn pace(&mut self, run: &RunRef, percent: u32) {
+        self.pace_orders += 1;
         let view = self.scheduler.worker(&run.agent);
         let is_halted = view.is_some_and(|view| view.over_target_ms(self.now_ms) >= HALT_MS);
         self.paced_in_halts += u32::from(is_halted && percent > 0);
--- /dev/null
+++ b/components/flow/tests/damped_paces.rs
@@ -0,0 +1,237 @@
+//! Fillers beside latency-critical tasks with noisy latencies, with and without damped paces, in virtual
+//! time.
+
+mod common;
+
+use common::noisy::{Load, NoisyLoad};
+use common::{Mode, Sim, step};
+use flow::{Policies, StepSpec};
+use model::Resources;
+
+/// Noise of a measured latency: its standard deviation as a share of the latency.
+const NOISE: f64 = 0.1;
+/// Most orders of a pace with the policy, relative to those without it.
+const MAX_ORDERS: f64 = 0.5;
+/// Least work of the fillers with the policy, relative to that without it.
+const MIN_WORK: f64 = 0.95;
+/// Number of workers.
+const WORKERS: usize = 6;
+/// Number of filler flows that are kept open.
+const OPEN_FLOWS: usize = 8;
+/// Time in which the workers fill up and pressures are learned, in milliseconds.
+const WARM_UP_MS: u64 = 10_000;
+/// Time that is measured, in milliseconds.
+const MEASURED_MS: u64 = 40_000;
+/// Seeds of the noise.
+const SEEDS: [u64; 4] = [1, 2, 3, 4];
+/// Fillers' images with their pressures.
+const FILLERS: [(&str, f64); 3] = [("light", 1.0), ("medium", 4.0), ("heavy", 12.0)];
+
+/// What a run of the simulation measured.
+#[derive(Debug, Clone, Copy, Default)]
+struct Measured {
+    /// Orders of a pace.
+    orders: u64,
+    /// Time of latency-critical tasks over their target, in milliseconds.
+    over_target_ms: u64,
+    /// Work of the fillers, in core-milliseconds.
+    work: u64,
+    /// Time from an incident until no task is over its target, in milliseconds.
+    recovery_ms: u64,
+}
+
+impl Measured {
+    fn plus(self, other: Self) -> Self {
+        Self {
+            orders: self.orders + other.orders,
+            over_target_ms: self.over_target_ms + other.over_target_ms,
+            work: self.work + other.work,
+            recovery_ms: self.recovery_ms + other.recovery_ms,
+        }
+    }
+}
+
+/// What happens in the middle of the measured time.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Incident {
+    /// Nothing.
+    None,
+    /// The load of one service rises at once.
+    Step,
+    /// The load rises, and the reports of all workers are lost for 500 ms after it.
+    StepWithLostReports,
+}
+
+/// A pool in which two services, each on every worker, share the workers with fillers of a run time.
+struct Pool {
+    sim: Sim,
+    filler_ms: u64,
+    flows: usize,
+}
+
+impl Pool {
+    fn new(is_damped: bool, filler_ms: u64, seed: u64) -> Self {
+        let mut sim = Sim::new(WORKERS);
+        sim.set_policies(Policies {
+            damped_pacing: is_damped,
+            ..Policies::default()
+        });
+        sim.writes_checkpoints = true;
+        for worker in sim.workers.values_mut() {
+            worker.capacity = Resources::new(32_000, 125_000, 0);
+        }
+        let mut noisy = NoisyLoad::new(seed, NOISE);
+        for (image, margin, wave_ms) in [("a", 2.4, 14_000), ("b", 2.6, 23_000)] {
+            let load = Load {
+                margin,
+                swing: 0.5,
+                wave_ms,
+            };
+            noisy.loads.insert(image.to_owned(), load);
+        }
+        for (image, pressure) in FILLERS {
+            noisy.pressures.insert(image.to_owned(), pressure);
+        }
+        sim.noisy = Some(noisy);
+        for image in ["a", "b"] {
+            let service = StepSpec {
+                long_running: true,
+                latency_target_ms: Some(200),
+                image: Some(image.to_owned()),
+                max_per_worker: Some(1),
+                ..step(WORKERS as u32, 6_400, 1_000)
+            };
+            sim.submit(image, vec![service]);
+        }
+        sim.run_for(1_000);
+        Self {
+            sim,
+            filler_ms,
+            flows: 0,
+        }
+    }
+
+    /// Keeps fillers queued for a time.
+    fn run_for(&mut self, span_ms: u64) {
+        let until_ms = self.sim.now_ms + span_ms;
+        while self.sim.now_ms < until_ms {
+            while self.sim.jobs.len() - self.sim.ended_ms.len() < 2 + OPEN_FLOWS {
+                let (image, _) = FILLERS[self.flows % FILLERS.len()];
+                let filler = StepSpec {
+                    filler: true,
+                    saves_progress: true,
+                    image: Some(image.to_owned()),
+                    ..step(10, 3_500, self.filler_ms)
+                };
+                self.sim
+                    .submit(&format!("f{:04}", self.flows), vec![filler]);
+                self.flows += 1;
+            }
+            self.sim.run_for(100);
+        }
+    }
+
+    /// Raises the load of one service at once, so that its fillers have to be slowed down.
+    fn step_load(&mut self) {
+        let noisy = self.sim.noisy.as_mut().unwrap();
+        noisy.loads.get_mut("a").unwrap().margin -= 0.7;
+    }
+}
+
+fn measure(is_damped: bool, filler_ms: u64, seed: u64, incident: Incident) -> Measured {
+    let mut pool = Pool::new(is_damped, filler_ms, seed);
+    pool.run_for(WARM_UP_MS);
+    let sim = &pool.sim;
+    let before = (sim.pace_orders, sim.over_target_ms, sim.filler_work);
+    pool.run_for(MEASURED_MS / 2);
+    let incident_ms = pool.sim.now_ms;
+    if incident != Incident::None {
+        pool.step_load();
+    }
+    if incident == Incident::StepWithLostReports {
+        let modes = |sim: &mut Sim, mode| {
+            sim.workers
+                .values_mut()
+                .for_each(|worker| worker.mode = mode);
+        };
+        modes(&mut pool.sim, Mode::Mute);
+        pool.run_for(500);
+        modes(&mut pool.sim, Mode::Healthy);
+    }
+    // The time over target after a step ends with the first second without any.
+    let limit_ms = incident_ms + MEASURED_MS / 2;
+    let mut recovery_ms = 0;
+    while pool.sim.now_ms < limit_ms {
+        pool.run_for(100);
+        let quiet_since_ms = pool.sim.last_over_target_ms.max(incident_ms);
+        if recovery_ms == 0 && pool.sim.now_ms >= quiet_since_ms + 1_000 {
+            recovery_ms = quiet_since_ms - incident_ms;
+        }
+    }
+    let sim = &pool.sim;
+    if std::env::var("TRACE").is_ok() { println!("   starts {} {:?}", sim.starts.values().sum::<u32>(), sim.pace_directions); }
+    Measured {
+        orders: u64::from(sim.pace_orders - before.0),
+        over_target_ms: sim.over_target_ms - before.1,
+        work: sim.filler_work - before.2,
+        recovery_ms,
+    }
+}
+
+/// Sums over all seeds without and with the policy.
+fn compare(filler_ms: u64, incident: Incident) -> (Measured, Measured) {
+    let sum = |is_damped: bool| {
+        let runs = SEEDS.map(|seed| {
+            std::thread::spawn(move || measure(is_damped, filler_ms, seed, incident))
+        });
+        let runs = runs.map(|run| run.join().unwrap());
+        runs.into_iter().fold(Measured::default(), Measured::plus)
+    };
+    let (plain, damped) = (sum(false), sum(true));
+    println!("{filler_ms} ms, {incident:?}\n  without {plain:?}\n  with    {damped:?}");
+    (plain, damped)
+}
+
+fn assert_bounds(plain: Measured, damped: Measured) {
+    let orders = damped.orders as f64 / plain.orders as f64;
+    let work = damped.work as f64 / plain.work as f64;
+    assert!(orders <= MAX_ORDERS, "orders: {orders:.2}");
+    assert!(work >= MIN_WORK, "work: {work:.3}");
+    assert!(
+        damped.over_target_ms <= plain.over_target_ms,
+        "over target: {} ms, without the policy {} ms",
+        damped.over_target_ms,
+        plain.over_target_ms
+    );
+}
+
+/// Guards against paces that follow the noise of the reports: at least half of the orders without the
+/// policy are such, and they cost neither time over target nor work to leave out.
+#[test]
+fn noise_causes_half_as_many_orders() {
+    let (plain, damped) = compare(2_700, Incident::None);
+    assert_bounds(plain, damped);
+}
+
+/// The same for fillers that run for long.
+#[test]
+fn noise_causes_half_as_many_orders_of_long_fillers() {
+    let (plain, damped) = compare(20_000, Incident::None);
+    assert_bounds(plain, damped);
+}
+
+/// Guards against a damping that also delays the reaction to a load that rises at once.
+#[test]
+fn time_over_target_after_a_step_of_load_ends_as_soon() {
+    let (plain, damped) = compare(2_700, Incident::Step);
+    assert_bounds(plain, damped);
+    assert!(damped.recovery_ms <= plain.recovery_ms);
+}
+
+/// The same while reports are lost.
+#[test]
+fn time_over_target_ends_as_soon_although_reports_are_lost() {
+    let (plain, damped) = compare(2_700, Incident::StepWithLostReports);
+    assert_bounds(plain, damped);
+    assert!(damped.recovery_ms <= plain.recovery_ms);
+}
--- a/components/interference/src/lib.rs
+++ b/components/interference/src/lib.rs
@@ -8,11 +8,13 @@
 
 mod image_names;
 mod margin_trend;
+mod pace_damping;
 mod pace_plan;
 mod pressure_model;
 mod stored_pairs;
 
 pub use image_names::ImageId;
 pub use margin_trend::MarginTrend;
+pub use pace_damping::{CurrentPace, KeepReason, PaceDamping, PaceDecision, PaceReason};
 pub use pace_plan::{PaceBudget, plan_paces};
 pub use pressure_model::{ActiveFiller, PressureChange, PressureModel};
