--- a/components/flow/src/pacing.rs
+++ b/components/flow/src/pacing.rs
@@ -21,6 +21,9 @@
 const SETTLE_MS: u64 = 300;
 /// Full pace, in percent.
 const FULL_PACE_PERCENT: u32 = 100;
+/// Part of the margin above the target that is kept free of fillers, which damped paces may use up: they
+/// deviate less from the plan for the present load, so that less is reserved for that.
+const DAMPED_GIVEN_BACK_MARGIN: f64 = 0.1;
 
 impl Scheduler {
     /// Sets the paces of a worker's fillers by the plan for the next moments. All are halted once a
@@ -61,11 +64,16 @@
         agent: &AgentId,
         fillers: &[PlacedFiller],
     ) -> Vec<PaceBudget> {
+        let given_back = if self.policies.damped_pacing {
+            DAMPED_GIVEN_BACK_MARGIN
+        } else {
+            0.0
+        };
         let bearable = self.bearable_losses(now_ms, PLAN_HORIZON_MS, agent);
         bearable
             .into_iter()
             .map(|bearable| PaceBudget {
-                slack: bearable.slack / bearable.deviation,
+                slack: (bearable.slack + given_back) / bearable.deviation,
                 pressures: self.losses(bearable.image, fillers),
             })
             .collect()
--- a/components/flow/tests/learned.rs
+++ b/components/flow/tests/learned.rs
@@ -14,6 +14,7 @@
     overload_order: false,
     duplicates: false,
     remote_factor: None,
+    damped_pacing: false,
 };
 
 /// Moves that one search begins at most.
--- a/components/flow_entry/src/effects.rs
+++ b/components/flow_entry/src/effects.rs
@@ -1,9 +1,10 @@
 //! Effects of the scheduler's decisions: orders to agents, ends of flows, and the log.
 
 use crate::coordinator::Coordinator;
-use crate::metrics::Metrics;
+use crate::metrics::{DirectionLabel, Metrics};
 use actix::Context;
-use flow::{Decision, DecisionKind, Effect, FlowEnd, FlowPhase};
+use flow::{Decision, DecisionKind, Effect, FlowEnd, FlowPhase, PaceDirection, RunRef};
+use interference::PaceReason;
 use model::{AgentId, JobId};
 use telemetry::{Event, log_event};
 use utils::{boot_ms, wall_ms};
@@ -21,6 +22,9 @@
                 Effect::Start(run, input) => self.send_start(run, input, context),
                 Effect::Stop(run) => self.send_stop(run, context),
                 Effect::Pace(run, percent) => self.send_pace(run, percent, context),
+                Effect::PaceOrdered(run, direction, reason) => {
+                    self.record_pace_order(&run, direction, reason);
+                }
                 Effect::Acknowledge(agent) => {
                     let is_awaiting_ack = self
                         .leadership
@@ -78,6 +82,23 @@
         leadership.uncollected.push_back((job, end));
     }
 
+    /// Counts the order of a pace, and logs it if paces are damped.
+    fn record_pace_order(
+        &self,
+        run: &RunRef,
+        direction: PaceDirection,
+        reason: Option<PaceReason>,
+    ) {
+        let label = DirectionLabel {
+            direction: direction.into(),
+        };
+        self.metrics.pace_orders.get_or_create(&label).inc();
+        if let Some(reason) = reason {
+            log_event!(info, Event::DampedPaceOrdered, agent = %run.agent, task = %run.task,
+                run = run.run, direction = %direction, reason = %reason);
+        }
+    }
+
     /// Counts and logs a decision of the scheduler.
     fn log_decision(&self, decision: &Decision) {
         Metrics::count(&self.metrics.decisions, &decision.kind);
--- a/components/flow_entry/src/leadership.rs
+++ b/components/flow_entry/src/leadership.rs
@@ -322,6 +322,7 @@
         overload_order: settings.overload_order,
         duplicates: settings.duplicates,
         remote_factor: settings.remote_factor,
+        damped_pacing: settings.damped_pacing,
     }
 }
 
--- a/components/flow_entry/src/metrics.rs
+++ b/components/flow_entry/src/metrics.rs
@@ -46,6 +46,13 @@
     pub kind: &'static str,
 }
 
+/// Label by which ordered paces are counted.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct DirectionLabel {
+    /// How the pace differs from the one that was ordered before.
+    pub direction: &'static str,
+}
+
 /// Label by which open flows are counted.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub(crate) struct OutlookLabel {
@@ -73,6 +80,8 @@
     pub(crate) decisions: Family<OutcomeLabel, Counter>,
     /// Duplicates of slow runs by outcome.
     pub(crate) duplicates: Family<OutcomeLabel, Counter>,
+    /// Ordered paces of fillers by direction.
+    pub(crate) pace_orders: Family<DirectionLabel, Counter>,
     /// Placed tasks that are faster near their data or their gang, by where they were placed.
     pub(crate) locality_waits: Family<OutcomeLabel, Counter>,
     /// Flows that ended, by state.
@@ -131,6 +140,7 @@
             backlog_seconds: Family::default(),
             decisions: Family::default(),
             duplicates: Family::default(),
+            pace_orders: Family::default(),
             locality_waits: Family::default(),
             ends: Family::default(),
             commits: Counter::default(),
@@ -263,6 +273,11 @@
             "Duplicates of slow runs by outcome",
             self.duplicates.clone(),
         );
+        registry.register(
+            "flow_pace_orders",
+            "Ordered paces of fillers by direction",
+            self.pace_orders.clone(),
+        );
         registry.register(
             "flow_locality_waits",
             "Placed tasks that are faster near their data or their gang, by outcome",
--- a/components/interference/src/pace_damping.rs
+++ b/components/interference/src/pace_damping.rs
@@ -3,20 +3,24 @@
 
 /// Full pace, in percent.
 const FULL_PERCENT: u32 = 100;
-/// Difference from which a changed pace is ordered, in percent of the full pace; the margin that is kept
+/// Difference from which a changed pace is ordered, in percent of the full pace. The margin that is kept
 /// free of fillers covers less. A halt and the full pace are ordered at any difference.
 const MIN_CHANGE_PERCENT: u32 = 10;
-/// Number of consecutive reports that have to allow a higher pace before it is raised.
-const RAISE_AFTER_REPORTS: u32 = 3;
+/// Difference from which a pace is lowered at the first report, in percent of the full pace. With 10 % noise
+/// of latencies the plan for an unchanged load swings by about as much.
+const MIN_PROMPT_CHANGE_PERCENT: u32 = 20;
+/// Number of consecutive reports that have to allow a higher pace before it is raised, or to ask for a
+/// slightly lower one before it is lowered.
+const CONSECUTIVE_REPORTS: usize = 3;
 /// Least time between two reports that are counted, in milliseconds. Latencies are measured over half a
 /// second, so that reports that follow each other sooner repeat a measurement.
 const REPORT_INTERVAL_MS: u64 = 350;
 /// Greatest raise at once, in percent of the full pace.
-const MAX_RAISE_PERCENT: u32 = 40;
+const MAX_RAISE_PERCENT: u32 = 50;
 /// Width of the band below a pace that was lowered, in percent of the full pace.
 const BAND_PERCENT: u32 = 10;
 /// Time for which the pace is not raised into such a band, in milliseconds.
-const BAND_HOLD_MS: u64 = 3_000;
+const BAND_HOLD_MS: u64 = 2_000;
 
 /// Pace at which a filler works.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -29,12 +33,15 @@
 }
 
 /// Why a pace is ordered.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, strum::Display)]
+#[strum(serialize_all = "kebab-case")]
 pub enum PaceReason {
     /// The filler may work at another pace than the last ordered one.
     Unknown,
-    /// The plan allows only a lower pace.
+    /// The plan allows only a much lower pace.
     PlanLower,
+    /// The plan has allowed only a slightly lower pace for several reports.
+    PlanSlightlyLower,
     /// The plan has allowed a higher pace for several reports.
     PlanHigher,
 }
@@ -42,11 +49,9 @@
 /// Why a pace stays as it is.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum KeepReason {
-    /// The plan allows the present pace.
+    /// The planned pace is the present one, or too close to it.
     AsPlanned,
-    /// The planned pace is too close to the present one.
-    SmallChange,
-    /// Too few consecutive reports have allowed a higher pace.
+    /// Too few consecutive reports ask for another pace.
     TooFewReports,
     /// The pace was lowered shortly before from little more than the present one.
     LoweredShortlyBefore,
@@ -61,17 +66,31 @@
     Keep(KeepReason),
 }
 
-/// Consecutive reports that allow a higher pace.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-struct Allowance {
-    /// Number of them.
-    reports: u32,
-    /// Least pace that they allow, in percent.
-    least_percent: u32,
-    /// When the last one was counted, in milliseconds.
+/// Latest consecutive reports that ask for a change in the same direction.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+struct Streak {
+    /// Paces that they allow, in percent, newest first; `None` for each that is missing.
+    percents: [Option<u32>; CONSECUTIVE_REPORTS],
+    /// When the newest one was counted, in milliseconds.
     counted_ms: u64,
 }
 
+impl Streak {
+    /// Adds the pace that the plan allows by a report. Returns the least of the last ones, in percent;
+    /// `None` if there are too few.
+    fn add(&mut self, now_ms: u64, planned_percent: u32) -> Option<u32> {
+        let is_new = self.percents[0].is_none();
+        if is_new || now_ms >= self.counted_ms + REPORT_INTERVAL_MS {
+            self.percents.rotate_right(1);
+            self.percents[0] = Some(planned_percent);
+            self.counted_ms = now_ms;
+        }
+        self.percents[0] = self.percents[0].map(|newest| newest.min(planned_percent));
+        // A missing one is the least.
+        self.percents.into_iter().min().flatten()
+    }
+}
+
 /// A pace that was lowered.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 struct Lowering {
@@ -94,8 +113,10 @@
 /// ```
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct PaceDamping {
-    /// Reports that allow a higher pace; `None` after one that does not.
-    allowance: Option<Allowance>,
+    /// Reports that allow a higher pace, since the last one that does not.
+    higher: Streak,
+    /// Reports that ask for a lower pace, since the last one that does not.
+    lower: Streak,
     /// Last time that the pace was lowered; `None` before the first.
     lowering: Option<Lowering>,
 }
@@ -119,54 +140,46 @@
             *self = Self::default();
             return PaceDecision::Order(planned_percent, PaceReason::Unknown);
         }
-        if planned_percent <= current.percent {
-            self.allowance = None;
-            return self.lower(now_ms, current.percent, planned_percent);
-        }
-        let allowed = self.count(now_ms, planned_percent);
-        if allowed.reports < RAISE_AFTER_REPORTS {
-            return PaceDecision::Keep(KeepReason::TooFewReports);
-        }
-        let raised = self.raised(now_ms, current.percent, allowed.least_percent);
-        if let PaceDecision::Order(..) = raised {
-            self.allowance = None;
+        if planned_percent > current.percent {
+            self.lower = Streak::default();
+            self.raise(now_ms, current.percent, planned_percent)
+        } else {
+            self.higher = Streak::default();
+            self.lower(now_ms, current.percent, planned_percent)
         }
-        raised
     }
 
-    /// Lowers the pace to the planned one, unless it is too close.
+    /// Lowers the pace to the planned one: at once if that is much lower, after several reports if it is
+    /// slightly lower.
     fn lower(&mut self, now_ms: u64, percent: u32, planned_percent: u32) -> PaceDecision {
-        if planned_percent == percent {
+        let difference = percent - planned_percent;
+        let is_halt = planned_percent == 0 && percent > 0;
+        if difference < MIN_CHANGE_PERCENT && !is_halt {
+            self.lower = Streak::default();
             return PaceDecision::Keep(KeepReason::AsPlanned);
         }
-        if planned_percent > 0 && percent - planned_percent < MIN_CHANGE_PERCENT {
-            return PaceDecision::Keep(KeepReason::SmallChange);
-        }
+        let is_lasting = self.lower.add(now_ms, planned_percent).is_some();
+        let reason = if is_halt || difference >= MIN_PROMPT_CHANGE_PERCENT {
+            PaceReason::PlanLower
+        } else if is_lasting {
+            PaceReason::PlanSlightlyLower
+        } else {
+            return PaceDecision::Keep(KeepReason::TooFewReports);
+        };
+        self.lower = Streak::default();
         self.lowering = Some(Lowering {
             from_percent: percent,
             at_ms: now_ms,
         });
-        PaceDecision::Order(planned_percent, PaceReason::PlanLower)
-    }
-
-    /// Counts a report that allows a higher pace.
-    fn count(&mut self, now_ms: u64, planned_percent: u32) -> Allowance {
-        let allowance = self.allowance.get_or_insert(Allowance {
-            reports: 1,
-            least_percent: planned_percent,
-            counted_ms: now_ms,
-        });
-        allowance.least_percent = allowance.least_percent.min(planned_percent);
-        if now_ms >= allowance.counted_ms + REPORT_INTERVAL_MS {
-            allowance.reports += 1;
-            allowance.counted_ms = now_ms;
-        }
-        *allowance
+        PaceDecision::Order(planned_percent, reason)
     }
 
-    /// Raises the pace by at most a step towards the allowed one and outside the band below a pace that
-    /// was lowered shortly before.
-    fn raised(&self, now_ms: u64, percent: u32, allowed_percent: u32) -> PaceDecision {
+    /// Raises the pace by at most a step towards what several reports allowed, and not into the band below
+    /// a pace that was lowered shortly before.
+    fn raise(&mut self, now_ms: u64, percent: u32, planned_percent: u32) -> PaceDecision {
+        let Some(allowed_percent) = self.higher.add(now_ms, planned_percent) else {
+            return PaceDecision::Keep(KeepReason::TooFewReports);
+        };
         let recent = self
             .lowering
             .filter(|lowering| now_ms < lowering.at_ms + BAND_HOLD_MS);
@@ -174,17 +187,18 @@
             lowering.from_percent.saturating_sub(BAND_PERCENT)
         });
         let target = allowed_percent.min(percent + MAX_RAISE_PERCENT);
-        let target_outside = target.min(below_band);
         let is_change = |target: u32| {
-            target == FULL_PERCENT && percent < FULL_PERCENT
-                || target >= percent + MIN_CHANGE_PERCENT
+            target >= percent + MIN_CHANGE_PERCENT
+                || target == FULL_PERCENT && percent < FULL_PERCENT
         };
-        if is_change(target_outside) {
-            PaceDecision::Order(target_outside, PaceReason::PlanHigher)
-        } else if is_change(target) {
-            PaceDecision::Keep(KeepReason::LoweredShortlyBefore)
-        } else {
-            PaceDecision::Keep(KeepReason::SmallChange)
+        if !is_change(target) {
+            return PaceDecision::Keep(KeepReason::AsPlanned);
+        }
+        let target = target.min(below_band);
+        if !is_change(target) {
+            return PaceDecision::Keep(KeepReason::LoweredShortlyBefore);
         }
+        self.higher = Streak::default();
+        PaceDecision::Order(target, PaceReason::PlanHigher)
     }
 }
--- a/components/settings/src/flow.rs
+++ b/components/settings/src/flow.rs
@@ -91,6 +91,9 @@
     /// wait for a near worker.
     #[garde(inner(range(min = 1.0, max = 100.0)))]
     pub remote_factor: Option<f64>,
+    /// Whether paces of fillers are raised late, in steps, and not to where they were lowered shortly before.
+    #[garde(skip)]
+    pub damped_pacing: bool,
 }
 
 /// Limits on what one flow may ask for; a flow beyond them is refused when it is submitted.
--- a/components/soak/src/fleet.rs
+++ b/components/soak/src/fleet.rs
@@ -258,7 +258,8 @@
 fn policies() -> serde_json::Value {
     json!({
         "evacuation_bound_ms": EVACUATION_BOUND.as_millis() as u64, "learned_run_times": true,
-        "overload_order": true, "duplicates": true, "remote_factor": REMOTE_FACTOR
+        "overload_order": true, "duplicates": true, "remote_factor": REMOTE_FACTOR,
+        "damped_pacing": true
     })
 }
 
--- a/components/telemetry/src/event.rs
+++ b/components/telemetry/src/event.rs
@@ -185,6 +185,8 @@
     DomainNotEmpty = 743,
     /// A placement was taken back before its start was sent, as its failure domain is evacuated.
     StartRevoked = 744,
+    /// The damping of paces ordered the pace of a filler.
+    DampedPaceOrdered = 755,
     /// A span ended.
     Span = 900,
 }
