--- a/components/flow/src/lib.rs
+++ b/components/flow/src/lib.rs
@@ -80,7 +80,9 @@
 pub use config::{FlowConfig, Pool, Queue};
 pub use contact::{LapsedWorker, LeaseOffer, PollPlan};
 pub use crashes::CrashCount;
-pub use effect::{Decision, DecisionKind, DuplicateOutcome, Effect, RunRef, StartInput};
+pub use effect::{
+    Decision, DecisionKind, DuplicateOutcome, Effect, PaceDirection, RunRef, StartInput,
+};
 pub use evacuation::EvacuationProgress;
 pub use evacuation_moves::{StayCause, StayingRuns};
 pub use exclusion::Exclusion;
--- a/components/flow/src/pacing.rs
+++ b/components/flow/src/pacing.rs
@@ -3,8 +3,8 @@
 use crate::placed_runs::run_ref;
 use crate::slack::PlacedFiller;
 use crate::view::WorkerView;
-use crate::{Effect, RunStage, Scheduler, TaskKey};
-use interference::{PaceBudget, plan_paces};
+use crate::{Effect, PaceDirection, RunStage, Scheduler, TaskKey};
+use interference::{CurrentPace, PaceBudget, PaceDecision, PaceReason, plan_paces};
 use model::AgentId;
 
 /// Time over a target after which the pace of all fillers is set to 0, in milliseconds. The model is
@@ -21,6 +21,9 @@
 const SETTLE_MS: u64 = 300;
 /// Full pace, in percent.
 const FULL_PACE_PERCENT: u32 = 100;
+/// Part of the margin above the target that is kept free of fillers, which damped paces may use up: they
+/// deviate less from the plan for the present load, so that less is reserved for that.
+const DAMPED_GIVEN_BACK_MARGIN: f64 = 0.1;
 
 impl Scheduler {
     /// Sets the paces of a worker's fillers by the plan for the next moments. All are halted once a
@@ -46,7 +49,11 @@
             } else {
                 percent
             };
-            self.adjust_pace(now_ms, &filler.key, percent, is_halted);
+            if self.policies.damped_pacing {
+                self.adjust_damped_pace(now_ms, agent, &filler.key, percent);
+            } else {
+                self.adjust_pace(now_ms, &filler.key, percent, is_halted);
+            }
         }
     }
 
@@ -57,11 +64,16 @@
         agent: &AgentId,
         fillers: &[PlacedFiller],
     ) -> Vec<PaceBudget> {
+        let given_back = if self.policies.damped_pacing {
+            DAMPED_GIVEN_BACK_MARGIN
+        } else {
+            0.0
+        };
         let bearable = self.bearable_losses(now_ms, PLAN_HORIZON_MS, agent);
         bearable
             .into_iter()
             .map(|bearable| PaceBudget {
-                slack: bearable.slack / bearable.deviation,
+                slack: (bearable.slack + given_back) / bearable.deviation,
                 pressures: self.losses(bearable.image, fillers),
             })
             .collect()
@@ -107,19 +119,44 @@
         let is_change = is_limit || difference >= MIN_PACE_CHANGE_PERCENT;
         let is_due = is_settled && (is_change || !placement.is_pace_known);
         if is_due || is_halt {
-            self.set_pace(now_ms, key, percent);
+            self.set_pace(now_ms, key, percent, None);
+        }
+    }
+
+    /// Orders a new pace of a running filler if the damping of its pace asks for it.
+    fn adjust_damped_pace(&mut self, now_ms: u64, agent: &AgentId, key: &TaskKey, percent: u32) {
+        let Some(placement) = self.placement(key) else {
+            return;
+        };
+        if !matches!(placement.stage, RunStage::Running { .. }) {
+            return;
+        }
+        let current = CurrentPace {
+            percent: placement.pace,
+            is_known: placement.is_pace_known,
+        };
+        let view = self.worker_mut(agent);
+        let damping = view.pace_dampings.entry(key.clone()).or_default();
+        match damping.decide(now_ms, current, percent) {
+            PaceDecision::Order(percent, reason) => {
+                self.set_pace(now_ms, key, percent, Some(reason));
+            }
+            PaceDecision::Keep(_) => {}
         }
     }
 
     /// Records a new pace for a placed run and orders it.
-    fn set_pace(&mut self, now_ms: u64, key: &TaskKey, pace: u32) {
+    fn set_pace(&mut self, now_ms: u64, key: &TaskKey, pace: u32, reason: Option<PaceReason>) {
         let task = self.task_mut(key);
         if let Some(placement) = task.and_then(|task| task.placement.as_mut()) {
+            let direction = PaceDirection::between(placement.pace, pace);
             placement.pace = pace;
             placement.is_pace_known = true;
             placement.pace_changed_ms = now_ms;
             let run = run_ref(key, placement.run, placement);
-            self.effects.push(Effect::Pace(run, pace));
+            self.effects.push(Effect::Pace(run.clone(), pace));
+            let ordered = Effect::PaceOrdered(run, direction, reason);
+            self.effects.push(ordered);
         }
     }
 }
--- a/components/flow/src/policies.rs
+++ b/components/flow/src/policies.rs
@@ -26,6 +26,8 @@
     pub fair_shares: Option<FairSharePolicy>,
     /// Whether urgent tasks may take the place of less urgent ones that save their progress.
     pub preemption: bool,
+    /// Whether paces of fillers are raised late and in steps.
+    pub damped_pacing: bool,
 }
 
 /// Shares of queues.
--- a/components/flow/tests/duplicates_on_slow_workers.rs
+++ b/components/flow/tests/duplicates_on_slow_workers.rs
@@ -22,6 +22,7 @@
     remote_factor: None,
     fair_shares: None,
     preemption: false,
+    damped_pacing: false,
 };
 
 /// A pool with these slow workers, on which runs of several jobs have shown their speeds; without the
--- a/components/flow/tests/learned.rs
+++ b/components/flow/tests/learned.rs
@@ -16,6 +16,7 @@
     remote_factor: None,
     fair_shares: None,
     preemption: false,
+    damped_pacing: false,
 };
 
 /// Moves that one search begins at most.
--- a/components/flow_entry/src/leadership.rs
+++ b/components/flow_entry/src/leadership.rs
@@ -327,6 +327,7 @@
             weights: shares.weights.clone(),
         }),
         preemption: settings.preemption,
+        damped_pacing: settings.damped_pacing,
     }
 }
 
--- a/components/flow_entry/src/metric_labels.rs
+++ b/components/flow_entry/src/metric_labels.rs
@@ -37,6 +37,13 @@
     pub kind: &'static str,
 }
 
+/// Label by which ordered paces are counted.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct DirectionLabel {
+    /// How the pace differs from the one that was ordered before.
+    pub direction: &'static str,
+}
+
 /// Label by which open flows are counted.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub(crate) struct OutlookLabel {
--- a/components/flow_entry/src/metrics.rs
+++ b/components/flow_entry/src/metrics.rs
@@ -2,7 +2,8 @@
 
 use crate::memory::MemoryShares;
 use crate::metric_labels::{
-    EstimateLabel, KindLabel, MemoryUse, OutcomeLabel, OutlookLabel, PriorityLabel, QueueLabel,
+    DirectionLabel, EstimateLabel, KindLabel, MemoryUse, OutcomeLabel, OutlookLabel, PriorityLabel,
+    QueueLabel,
 };
 use admission::Backlog;
 use flow::{LearnedView, Outlooks, QueueShare};
@@ -26,6 +27,8 @@
     pub(crate) decisions: Family<OutcomeLabel, Counter>,
     /// Duplicates of slow runs by outcome.
     pub(crate) duplicates: Family<OutcomeLabel, Counter>,
+    /// Ordered paces of fillers by direction.
+    pub(crate) pace_orders: Family<DirectionLabel, Counter>,
     /// Placed tasks that are faster near their data or their gang, by where they were placed.
     pub(crate) locality_waits: Family<OutcomeLabel, Counter>,
     /// Preemptions of runs by outcome.
@@ -93,6 +96,7 @@
             backlog_seconds: Family::default(),
             decisions: Family::default(),
             duplicates: Family::default(),
+            pace_orders: Family::default(),
             locality_waits: Family::default(),
             preemptions: Family::default(),
             ends: Family::default(),
@@ -250,6 +254,11 @@
             "Duplicates of slow runs by outcome",
             self.duplicates.clone(),
         );
+        registry.register(
+            "flow_pace_orders",
+            "Ordered paces of fillers by direction",
+            self.pace_orders.clone(),
+        );
         registry.register(
             "flow_locality_waits",
             "Placed tasks that are faster near their data or their gang, by outcome",
--- a/components/settings/src/flow.rs
+++ b/components/settings/src/flow.rs
@@ -98,6 +98,9 @@
     /// Whether urgent tasks may take the place of less urgent ones that save their progress.
     #[garde(skip)]
     pub preemption: bool,
+    /// Whether paces of fillers are raised late, in steps, and not to where they were lowered shortly before.
+    #[garde(skip)]
+    pub damped_pacing: bool,
 }
 
 /// Shares of queues.
--- a/components/telemetry/src/event.rs
+++ b/components/telemetry/src/event.rs
@@ -193,6 +193,8 @@
     RunPreempted = 753,
     /// A preempted run has not ended a while after its stop was ordered.
     PreemptionLate = 754,
+    /// The damping of paces ordered the pace of a filler.
+    DampedPaceOrdered = 755,
     /// A span ended.
     Span = 900,
 }
