--- a/components/flow/tests/damped_paces.rs
+++ b/components/flow/tests/damped_paces.rs
@@ -7,6 +7,7 @@
 use common::{Mode, Sim, step};
 use flow::{Policies, StepSpec};
 use model::{JobId, Resources};
+use std::ops::RangeInclusive;
 
 /// The policy under test.
 const DAMPED: Policies = Policies {
@@ -39,8 +40,13 @@
 const WARM_UP_MS: u64 = 10_000;
 /// Time that is measured, in milliseconds.
 const MEASURED_MS: u64 = 40_000;
-/// Seeds of the noise.
-const SEEDS: [u64; 8] = [1, 2, 3, 4, 5, 6, 7, 8];
+/// Seeds of the noise, on which the constants of the damping were chosen.
+const SEEDS: RangeInclusive<u64> = 1..=8;
+/// Further seeds where the first are too few: sums of 8 seeds differ by up to 6 % in work from those of 16
+/// others.
+const MORE_SEEDS: RangeInclusive<u64> = 11..=26;
+/// Number of runs of the simulation at a time.
+const THREADS: usize = 4;
 /// Fillers' images with their pressures.
 const FILLERS: [(&str, f64); 3] = [("light", 1.0), ("medium", 4.0), ("heavy", 12.0)];
 
@@ -198,19 +204,28 @@
     }
 }
 
-/// Sums over all seeds without and with the policy.
-fn compare(filler_ms: u64, incident: Incident) -> (Measured, Measured) {
+/// Sums over seeds without and with the policy.
+fn compare(filler_ms: u64, incident: Incident, seeds: &[u64]) -> (Measured, Measured) {
     let sum = |is_damped: bool| {
-        let runs = SEEDS
-            .map(|seed| std::thread::spawn(move || measure(is_damped, filler_ms, seed, incident)));
-        let runs = runs.map(|run| run.join().unwrap());
-        runs.into_iter().fold(Measured::default(), Measured::plus)
+        let runs = seeds.chunks(THREADS).flat_map(|seeds| {
+            let run = |seed: &u64| {
+                let seed = *seed;
+                std::thread::spawn(move || measure(is_damped, filler_ms, seed, incident))
+            };
+            let runs: Vec<_> = seeds.iter().map(run).collect();
+            runs.into_iter().map(|run| run.join().unwrap())
+        });
+        runs.fold(Measured::default(), Measured::plus)
     };
     let (plain, damped) = (sum(false), sum(true));
     println!("{filler_ms} ms, {incident:?}\n  without {plain:?}\n  with    {damped:?}");
     (plain, damped)
 }
 
+fn first_seeds() -> Vec<u64> {
+    SEEDS.collect()
+}
+
 fn assert_bounds(plain: Measured, damped: Measured) {
     let orders = damped.orders as f64 / plain.orders as f64;
     let work = damped.work as f64 / plain.work as f64;
@@ -228,21 +243,21 @@
 /// policy are such, and they cost neither time over target nor work to leave out.
 #[test]
 fn noise_causes_half_as_many_orders() {
-    let (plain, damped) = compare(2_700, Incident::None);
+    let (plain, damped) = compare(2_700, Incident::None, &first_seeds());
     assert_bounds(plain, damped);
 }
 
 /// The same for fillers that run for long.
 #[test]
 fn noise_causes_half_as_many_orders_of_long_fillers() {
-    let (plain, damped) = compare(20_000, Incident::None);
+    let (plain, damped) = compare(20_000, Incident::None, &first_seeds());
     assert_bounds(plain, damped);
 }
 
 /// Guards against a damping that also delays the reaction to a load that rises at once.
 #[test]
 fn time_over_target_after_a_step_of_load_ends_as_soon() {
-    let (plain, damped) = compare(2_700, Incident::Step);
+    let (plain, damped) = compare(2_700, Incident::Step, &first_seeds());
     assert_bounds(plain, damped);
     assert!(damped.recovery_ms <= plain.recovery_ms);
 }
@@ -250,7 +265,8 @@
 /// The same while reports are lost.
 #[test]
 fn time_over_target_ends_as_soon_although_reports_are_lost() {
-    let (plain, damped) = compare(2_700, Incident::StepWithLostReports);
+    let seeds: Vec<u64> = SEEDS.chain(MORE_SEEDS).collect();
+    let (plain, damped) = compare(2_700, Incident::StepWithLostReports, &seeds);
     assert_bounds(plain, damped);
     assert!(damped.recovery_ms <= plain.recovery_ms);
 }
@@ -287,6 +303,9 @@
     sim.lose_paces = 3;
     sim.run_for(10_000);
     assert_eq!(sim.lose_paces, 0, "orders were lost");
+    let directions: u32 = sim.pace_directions.values().sum();
+    assert_eq!(directions, sim.pace_orders, "{:?}", sim.pace_directions);
+    assert!(sim.pace_directions["halted"] > 0);
     assert_eq!(sim.paced_in_halts, 0, "the filler was let go in a halt");
     assert!(
         sim.longest_interference_ms < MAX_HARM_MS,
@@ -315,13 +334,16 @@
 #[test]
 fn damping_is_kept_for_placed_fillers_only() {
     let (mut sim, filler) = disturbed_service();
-    sim.run_for(1_000);
     let count = |sim: &Sim| {
         let views = sim.scheduler.workers();
         views
             .map(|(_, view)| view.pace_dampings.len())
             .sum::<usize>()
     };
+    let until_ms = sim.now_ms + 3_000;
+    while count(&sim) == 0 && sim.now_ms < until_ms {
+        sim.step();
+    }
     assert_eq!(count(&sim), 1);
     sim.cancel(&filler);
     sim.run_for(1_000);
--- a/components/interference/tests/pace_damping.rs
+++ b/components/interference/tests/pace_damping.rs
@@ -71,6 +71,9 @@
     let mut filler = Filler::at(60);
     assert_eq!(filler.report(45), keep(KeepReason::TooFewReports));
     assert_eq!(filler.report(45), keep(KeepReason::TooFewReports));
+    assert_eq!(filler.report(75), keep(KeepReason::TooFewReports));
+    assert_eq!(filler.report(45), keep(KeepReason::TooFewReports));
+    assert_eq!(filler.report(45), keep(KeepReason::TooFewReports));
     assert_eq!(filler.report(55), keep(KeepReason::AsPlanned));
     assert_eq!(filler.report(45), keep(KeepReason::TooFewReports));
     assert_eq!(filler.report(46), keep(KeepReason::TooFewReports));
@@ -105,7 +108,7 @@
 #[test]
 fn decisions_that_follow_each_other_sooner_count_as_one_report() {
     let mut filler = Filler::at(40);
-    for _ in 0..7 {
+    for _ in 0..8 {
         filler.now_ms += 100;
         assert_eq!(filler.decide(80), keep(KeepReason::TooFewReports));
     }
