Test: no damping is kept without the policy

A trial that damped paces without the policy passed all tests, as the filler of the test was never placed. The test now uses a pool of its own, in which the filler runs, and fails under that trial.

--- a/components/flow/tests/damped_paces.rs
+++ b/components/flow/tests/damped_paces.rs
@@ -348,14 +348,14 @@
     sim.cancel(&filler);
     sim.run_for(1_000);
     assert_eq!(count(&sim), 0);
-    sim.set_policies(Policies::default());
-    sim.submit(
-        "another",
-        vec![StepSpec {
-            filler: true,
-            ..step(1, 4_000, 5_000)
-        }],
-    );
+
+    let mut sim = Sim::new(1);
+    let filler = StepSpec {
+        filler: true,
+        ..step(1, 4_000, 60_000)
+    };
+    let filler = sim.submit("filler", vec![filler]);
     sim.run_for(1_000);
-    assert_eq!(count(&sim), 0);
+    assert_eq!(sim.running(&filler), 1);
+    assert_eq!(count(&sim), 0, "without the policy");
 }
