Test: platform field names stay in the stand-in

The two new tests with processes wrote a job in the platform's form, which platform/tests/boundary.rs refuses outside of platform/. The stand-in builds the job. boundary, status and return_to_service pass.

--- a/tests/return_to_service.rs
+++ b/tests/return_to_service.rs
@@ -5,7 +5,7 @@
 
 use common::flow_fleet::{Fleet, ids};
 use common::{sleep_ms, wait_until};
-use serde_json::json;
+use platform_standin::sized_job;
 use std::time::{Duration, Instant};
 
 /// Time after the request from which nothing may start in the domain, in milliseconds.
@@ -34,8 +34,7 @@
     let returned = Instant::now();
     fleet.store.end_evacuation("d1");
     wait_until("its end is read", async || is_evacuated(0).await).await;
-    let step = json!({ "count": 3 * WORKER_TASKS, "cpu": 1_000, "requestedMemoryMb": 64, "estimatedMs": 30_000 });
-    let job = json!({ "taskSpec": "30000", "steps": [step] });
+    let job = sized_job(3 * WORKER_TASKS, 1_000, 30_000);
     assert_eq!(fleet.submit(0, &ids(1)[0], &job).await, 200);
     wait_until("the warm worker is full", async || {
         warm.executions().len() == WORKER_TASKS
--- a/tests/status.rs
+++ b/tests/status.rs
@@ -4,6 +4,7 @@
 
 use common::flow_fleet::{Fleet, ids};
 use common::wait_until;
+use platform_standin::sized_job;
 use serde_json::{Value, json};
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener};
@@ -58,8 +59,7 @@
     let fleet = Fleet::start_in_zones(2, 2, &["d1", "d2"], BOUND_MS).await;
     let id = &ids(1)[0];
     // One worker has no room for all tasks, so that both get some.
-    let step = json!({ "count": 12, "cpu": 2_000, "requestedMemoryMb": 64, "estimatedMs": 25_000 });
-    let job = json!({ "taskSpec": "25000", "steps": [step] });
+    let job = sized_job(12, 2_000, 25_000);
     assert_eq!(fleet.submit(0, id, &job).await, 200);
     wait_until("all tasks run", async || fleet.executions().len() == 12).await;
     assert_eq!(json_of(&fleet, 0)["evacuations"], json!([]));
