review: tasks that were done start again when a worker returns under its id

The case shows a worker that is dark for 0.25 s and returns under its id: it runs tasks before its agent knows of the new incarnation, and their ends are acknowledged by numbers of the former one; then these tasks start again (TWICE).

--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -5,7 +5,7 @@
 [ -x target/release/parsleythread ] && [ -x target/review-2/stand-2 ] || exit 2
 REVIEW_PROCESSES=$(mktemp) || exit 2
 export REVIEW_PROCESSES
-timeout 110 target/review-2/stand-2 failed-by-crashes review/6/record.txt
+timeout 110 target/review-2/stand-2 returned-under-its-id review/6/record.txt
 status=$?
 if [ "$status" -gt 1 ]; then
     # The stand-ins ended before they could end the processes that they had started.
--- a/review/standins-2/cases.rs
+++ b/review/standins-2/cases.rs
@@ -56,40 +56,6 @@
     last
 }
 
-/// LOST: a job whose workers crash three times is shown as failed, though no run of it has failed.
-pub fn failed_by_crashes(has_trouble: bool, record: &Record) -> Verdict {
-    let fleet = Fleet::start(3, &workers("a"), &config(1, &["/q/"]), record.clone());
-    let path = format!("/q/{JOB}");
-    if !submit(&fleet, &path, &job(1, 1, 1_000, "")) {
-        return Verdict::NotRun("the job was not accepted".to_owned());
-    }
-    for known in 0..3 {
-        if !has_trouble {
-            break;
-        }
-        let Some(run) = fleet.next_run(JOB, known, Duration::from_secs(10)) else {
-            break;
-        };
-        let age = run.began.elapsed();
-        std::thread::sleep(Duration::from_millis(120).saturating_sub(age));
-        let worker = fleet.worker(&run.worker);
-        worker.crash();
-        pause_ms(150);
-        worker.start();
-    }
-    let shown = last_state(&fleet, &path, Duration::from_secs(30));
-    let runs = fleet.runs_of(JOB);
-    let failed = runs.iter().filter(|run| run.how == "failed").count();
-    match shown.as_str() {
-        "completed" => Verdict::Held,
-        "failed" if failed == 0 => Verdict::Broken(format!(
-            "the job is shown as failed; of its {} runs none has ended `failed`, and nobody cancelled it",
-            runs.len()
-        )),
-        other => Verdict::NotRun(format!("the job is shown as {other:?}")),
-    }
-}
-
 /// Waits for the first run of a job; the rule is broken if there is none although its worker is idle.
 fn first_run(fleet: &Fleet, limit_s: u64, what: &str) -> Verdict {
     match fleet.next_run(JOB, 0, Duration::from_secs(limit_s)) {
@@ -372,3 +338,46 @@
         )),
     }
 }
+
+/// TWICE: a worker is dark for a moment and returns under its id; tasks that it has done since start again.
+pub fn returned_under_its_id(has_trouble: bool, record: &Record) -> Verdict {
+    let fleet = Fleet::start(3, &workers("a"), &config(1, &["/q/"]), record.clone());
+    // Some ends of each worker are acknowledged.
+    if !submit(&fleet, "/q/5c0e7a21d94b36e0", &job(1, 12, 200, "")) {
+        return Verdict::NotRun("a job was not accepted".to_owned());
+    }
+    pause_ms(3_000);
+    for (number, count) in [36, 96, 168, 264].into_iter().enumerate() {
+        let (worker, proxy) = (&fleet.workers[number], &fleet.proxies[number]);
+        if has_trouble {
+            proxy.set_dark(true);
+            worker.crash();
+            pause_ms(250);
+            worker.start_before_heartbeat();
+            proxy.set_dark(false);
+        }
+        pause_ms(50);
+        let path = format!("/q/5c0e7a21d94b36f{number}");
+        if !submit(&fleet, &path, &job(1, count, 200, "")) {
+            return Verdict::NotRun("a job was not accepted".to_owned());
+        }
+        pause_ms(5_000);
+    }
+    let executions = fleet.executions.lock().unwrap();
+    let again = executions.iter().filter_map(|done| {
+        let noted = done.noted.filter(|_| done.how == "done")?;
+        let later = executions
+            .iter()
+            .find(|later| later.task == done.task && done.ended.is_some_and(|ended| later.began > ended))?;
+        let after_ms = later.began.saturating_duration_since(noted).as_millis();
+        Some(format!(
+            "{} run {} on {} was done and taken note of, and run {} began on {} {after_ms} ms after that",
+            done.task, done.run, done.worker, later.run, later.worker
+        ))
+    });
+    let again: Vec<String> = again.collect();
+    match again.first() {
+        None => Verdict::Held,
+        Some(first) => Verdict::Broken(format!("{} tasks; {first}", again.len())),
+    }
+}
--- a/review/standins-2/fleet.rs
+++ b/review/standins-2/fleet.rs
@@ -290,12 +290,6 @@
         None
     }
 
-    /// Worker of this name.
-    pub fn worker(&self, name: &str) -> &Worker {
-        let found = self.workers.iter().find(|worker| worker.name == name);
-        found.expect("the worker exists")
-    }
-
     /// Ends all processes and stand-ins. The logs go into the folder that REVIEW_LOGS names, if it is set.
     pub fn stop(&mut self) {
         for entry in &mut self.entries {
--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -35,13 +35,13 @@
     };
     record.note(&format!("case {name}, trouble: {has_trouble}"));
     let verdict = match name.as_str() {
-        "failed-by-crashes" => cases::failed_by_crashes(has_trouble, &record),
         "earlier-born" => cases::earlier_born(has_trouble, &record),
         "route-removed" => cases::route_removed(has_trouble, &record),
         "other-writer" => cases::other_writer(has_trouble, &record),
         "gang-failed-once" => cases::gang_failed_once(has_trouble, &record),
         "hot-rack" => cases::hot_rack(has_trouble, &record),
         "silent-connections" => cases::silent_connections(has_trouble, &record),
+        "returned-under-its-id" => cases::returned_under_its_id(has_trouble, &record),
         "waiting-after-takeover" => cases::waiting_after_takeover(has_trouble, &record),
         _ => Verdict::NotRun("there is no such case".to_owned()),
     };
--- a/review/standins-2/proxy.rs
+++ b/review/standins-2/proxy.rs
@@ -3,7 +3,7 @@
 use std::io::{Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::Duration;
 
 /// A proxy; it runs until the process ends.
@@ -13,6 +13,8 @@
     silences: Arc<AtomicU64>,
     /// Number of connections so far.
     opened: Arc<AtomicU64>,
+    /// Whether new connections hang.
+    is_dark: Arc<AtomicBool>,
 }
 
 impl Proxy {
@@ -22,13 +24,19 @@
         let proxy = Proxy {
             silences: Arc::default(),
             opened: Arc::default(),
+            is_dark: Arc::default(),
         };
         let shared = proxy.clone();
         std::thread::spawn(move || {
+            let mut hung = Vec::new();
             for stream in listener.incoming() {
                 let Ok(stream) = stream else {
                     continue;
                 };
+                if shared.is_dark.load(Ordering::SeqCst) {
+                    hung.push(stream);
+                    continue;
+                }
                 let Ok(other) = TcpStream::connect(target) else {
                     // Nothing listens there: the connection is reset.
                     continue;
@@ -45,6 +53,14 @@
         self.silences.fetch_add(1, Ordering::SeqCst);
     }
 
+    /// Lets the target be dark: open connections go silent, and new ones hang. Or ends that.
+    pub fn set_dark(&self, is_dark: bool) {
+        self.is_dark.store(is_dark, Ordering::SeqCst);
+        if is_dark {
+            self.silence();
+        }
+    }
+
     /// Number of connections so far.
     pub fn opened(&self) -> u64 {
         self.opened.load(Ordering::SeqCst)
--- a/review/standins-2/worker.rs
+++ b/review/standins-2/worker.rs
@@ -25,6 +25,8 @@
     pub ended: Option<Instant>,
     /// How it ended, in the words of the pages; `lost` if its worker crashed.
     pub how: &'static str,
+    /// When its end was taken note of: acknowledged, and the worker's lease had not lapsed since.
+    pub noted: Option<Instant>,
 }
 
 struct Run {
@@ -66,6 +68,10 @@
     is_unhealthy: bool,
     /// Starts tasks, each of which fails at once.
     is_failing: bool,
+    /// When its lease was last seen to have lapsed.
+    lapsed: Option<Instant>,
+    /// No heartbeat is sent before.
+    silent_until: Instant,
     is_over: bool,
 }
 
@@ -110,6 +116,8 @@
             server: None,
             is_unhealthy: false,
             is_failing: false,
+            lapsed: None,
+            silent_until: Instant::now(),
             is_over: false,
         };
         let worker = Worker {
@@ -135,8 +143,20 @@
         self.state.lock().unwrap()
     }
 
-    /// Starts an incarnation, under the same id.
+    /// Starts an incarnation, under the same id, and sends its first heartbeat.
     pub fn start(&self) {
+        self.listen();
+        self.beat();
+    }
+
+    /// Starts an incarnation, under the same id, which sends its first heartbeat an interval later.
+    pub fn start_before_heartbeat(&self) {
+        self.lock().silent_until = Instant::now() + HEARTBEAT_INTERVAL;
+        self.listen();
+    }
+
+    /// Starts an incarnation.
+    fn listen(&self) {
         let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
         let born_ms = now.as_millis() as u64 + *self.ahead_ms.lock().unwrap();
         {
@@ -155,7 +175,6 @@
         self.lock().server = Some(server.expect("the worker's address is free"));
         self.record
             .note(&format!("worker {} starts, born {born_ms}", self.name));
-        self.beat();
     }
 
     /// Crashes: all that runs ends, and connections are refused.
@@ -267,7 +286,8 @@
         loop {
             let (is_up, is_over) = {
                 let state = self.lock();
-                (state.server.is_some(), state.is_over)
+                let is_up = state.server.is_some() && Instant::now() >= state.silent_until;
+                (is_up, state.is_over)
             };
             if is_over {
                 return;
@@ -287,6 +307,9 @@
             std::thread::sleep(Duration::from_millis(5));
             let mut state = self.lock();
             let has_lapsed = state.clock_ms() >= state.lease_until_ms;
+            if has_lapsed {
+                state.lapsed = Some(Instant::now());
+            }
             let runs = state.running.iter();
             let over: Vec<(String, &'static str)> = runs
                 .filter_map(|(task, run)| match self.own_end(run) {
@@ -425,6 +448,7 @@
             began,
             ended: None,
             how: "running",
+            noted: None,
         });
         self.record
             .note(&format!("worker {} starts {task} run {run}", self.name));
@@ -444,6 +468,27 @@
         (200, state.clock_body())
     }
 
+    /// Forgets the ends up to this number.
+    fn note_acknowledged(&self, state: &mut State, acknowledged: u64) {
+        let (forgotten, left) = state.ended.drain(..).partition(|end| end.0 <= acknowledged);
+        state.ended = left;
+        let forgotten: Vec<(u64, String, u64, &'static str)> = forgotten;
+        let mut executions = self.executions.lock().unwrap();
+        for (number, task, run, how) in forgotten {
+            self.record.note(&format!(
+                "worker {} forgets its end {number}, {task} run {run}: {how}",
+                self.name
+            ));
+            let is_it = |execution: &&mut Execution| {
+                execution.task == task && execution.run == run && execution.worker == self.name
+            };
+            if let Some(execution) = executions.iter_mut().rfind(is_it) {
+                let has_lapsed = state.lapsed.is_some_and(|lapsed| execution.ended < Some(lapsed));
+                execution.noted = (!has_lapsed).then(Instant::now);
+            }
+        }
+    }
+
     /// Extends the lease and answers with both lists, once there is an end or the wait is over.
     fn hold(&self, body: &Json) -> (u16, String) {
         let wait = Duration::from_millis(body.get("waitMs").number().min(2_000));
@@ -451,7 +496,7 @@
         {
             let mut state = self.lock();
             let acknowledged = body.get("acknowledged").number();
-            state.ended.retain(|end| end.0 > acknowledged);
+            self.note_acknowledged(&mut state, acknowledged);
             let until_ms = body.get("deadlineMs").number();
             state.extend_lease(until_ms);
         }
