--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,4 +3,4 @@
 set -e
 cd "$(dirname "$0")/.."
 mkdir -p target/review-2
-rustc --edition 2024 -O -o target/review-2/stand-2 review/standins-2/main.rs
+rustc --edition 2024 -O -o target/review-2/stand-2 review/standins-2.rs
--- a/review/standins-2/main.rs
+++ b/review/standins-2.rs
@@ -1,13 +1,21 @@
 //! Runs one case of the review: `stand-2 CASE RECORD`. Ends with status 1 if the rule was broken, 0 if it
 //! held, and 2 if the case could not run. With TROUBLE=0 in the environment, nothing is disrupted.
 
+#[path = "standins-2-cases.rs"]
 mod cases;
+#[path = "standins-2-fleet.rs"]
 mod fleet;
+#[path = "standins-2-http.rs"]
 mod http;
+#[path = "standins-2-json.rs"]
 mod json;
+#[path = "standins-2-proxy.rs"]
 mod proxy;
+#[path = "standins-2-record.rs"]
 mod record;
+#[path = "standins-2-store.rs"]
 mod store;
+#[path = "standins-2-worker.rs"]
 mod worker;
 
 use record::Record;
