flow_agent: a call reaches the worker's incarnation that it is meant for, or nobody

Cause: orders and polls named the worker by its id, which an incarnation that returns under it shares, and the agent compared them with the incarnation that it had last heard of. Until the next heartbeat the new incarnation got starts for the former one, and an acknowledgement of the former one's last end made it forget its own. Stops and paces were not compared at all.

Ruled out: the scheduler's own table of ends; the forgotten end was in no report.

Change: a connection ends with the incarnation that accepted it. The agent keeps its own pool of connections, learns the incarnation behind each by a first poll that changes nothing, and makes a call only over a connection to the incarnation that the call names. Nothing can change the receiver after that check. After a silent connection, idle ones that have not answered since are dropped. Events 229 and 230 and two metrics show what was withheld.

--- a/components/client/src/lib.rs
+++ b/components/client/src/lib.rs
@@ -4,7 +4,9 @@
 mod build;
 mod connector;
 mod never_sent;
+mod single;
 mod stream;
 
 pub use build::{ClientLimits, build};
 pub use never_sent::is_never_sent;
+pub use single::connect;
--- a/components/flow_agent/src/lib.rs
+++ b/components/flow_agent/src/lib.rs
@@ -2,8 +2,10 @@
 //! the worker and refuses stale ones. It stores nothing: after a restart, it gets its state from
 //! the worker again.
 
+mod connections;
 mod heartbeat_order;
 mod metrics;
+mod pool;
 mod registration;
 mod relay;
 mod rpc;
@@ -12,4 +14,4 @@
 
 pub use metrics::Metrics;
 pub use run::{AgentHandle, start};
-pub use worker_client::{WorkerClient, WorkerError, WorkerPoll};
+pub use worker_client::{WorkerClient, WorkerConnection, WorkerError, WorkerPoll};
--- a/components/flow_agent/src/relay.rs
+++ b/components/flow_agent/src/relay.rs
@@ -1,5 +1,6 @@
 //! The agent's control thread: it forwards polls and orders to the worker and refuses stale ones.
 
+use crate::connections::Connections;
 use crate::heartbeat_order::HeartbeatOrder;
 use crate::metrics::Metrics;
 use crate::worker_client::{WorkerClient, WorkerError, WorkerPoll};
@@ -16,16 +17,14 @@
 pub(crate) struct Relay {
     /// Name of the agent, for the log.
     agent: AgentId,
-    /// Client of the worker on this VM.
-    worker: Rc<dyn WorkerClient>,
+    /// Connections to the worker on this VM.
+    worker: Rc<Connections>,
     /// Content of the worker's newest heartbeat; absent before the first one.
     info: Option<WorkerInfo>,
     /// Until when the worker is slow after its start, in milliseconds.
     cold_until_ms: u64,
     /// Decides which heartbeat is the newest.
     order: HeartbeatOrder,
-    /// Start time of the newest incarnation that a report of the worker showed.
-    reported_born_ms: Option<u64>,
     /// Highest fencing token that any call carried.
     fence: u64,
     /// Whether the last poll reached an open port of the worker; a change is logged.
@@ -35,14 +34,14 @@
 }
 
 impl Relay {
-    pub fn new(agent: AgentId, worker: Rc<dyn WorkerClient>, metrics: Metrics) -> Self {
+    pub fn new(agent: AgentId, client: Rc<dyn WorkerClient>, metrics: Metrics) -> Self {
+        let worker = Connections::new(agent.clone(), client, metrics.clone());
         Self {
             agent,
-            worker,
+            worker: Rc::new(worker),
             info: None,
             cold_until_ms: 0,
             order: HeartbeatOrder::default(),
-            reported_born_ms: None,
             fence: 0,
             is_up: true,
             metrics,
@@ -60,13 +59,6 @@
         fence < self.fence
     }
 
-    /// Start time of the worker's newest incarnation, by its heartbeats and its reports.
-    fn born_ms(&self) -> Option<u64> {
-        let info = self.info.as_ref();
-        let heartbeat_born_ms = info.map(|info| info.incarnation.born_ms);
-        heartbeat_born_ms.max(self.reported_born_ms)
-    }
-
     /// Whether the worker's newest heartbeat or its leave call says that it is draining.
     fn is_draining(&self) -> bool {
         self.info.as_ref().is_some_and(|info| info.draining)
@@ -149,8 +141,6 @@
 struct WorkerSeen {
     /// Whether the worker did not refuse the connection.
     is_up: bool,
-    /// Start time of the incarnation in its report; absent without a report.
-    born_ms: Option<u64>,
     /// Incarnation that the poll was meant for, if the answer shows that the worker is another or
     /// started earlier.
     disproved: Option<Incarnation>,
@@ -160,7 +150,6 @@
     type Result = ();
 
     fn handle(&mut self, seen: WorkerSeen, _: &mut Self::Context) {
-        self.reported_born_ms = self.reported_born_ms.max(seen.born_ms);
         if let Some(incarnation) = &seen.disproved {
             self.order.disprove(incarnation);
         }
@@ -184,17 +173,10 @@
             return Box::pin(async { PollReply::Fenced });
         }
         let info = self.info.clone();
-        // Each incarnation numbers its ends from the start, so that an acknowledgement for one must
-        // not reach another.
-        let is_same_incarnation = request.born_ms.is_some() && request.born_ms == self.born_ms();
-        let call = WorkerPoll {
+        let poll = WorkerPoll {
             fence: request.fence,
-            lease_until_clock_ms: request.lease_until_clock_ms.filter(|_| is_same_incarnation),
-            acknowledged: if is_same_incarnation {
-                request.acknowledged
-            } else {
-                0
-            },
+            lease_until_clock_ms: request.lease_until_clock_ms,
+            acknowledged: request.acknowledged,
             wait_ms: request.wait_ms,
             worker: info.as_ref().map(|info| info.incarnation.worker.clone()),
         };
@@ -203,11 +185,10 @@
         let relay = actix::AsyncContext::address(context);
         Box::pin(async move {
             let started_ms = boot_ms();
-            let result = worker.poll(&call).await;
+            let result = worker.poll(&poll, request.born_ms).await;
             let spent_ms = boot_ms().saturating_sub(started_ms);
             metrics.poll_seconds.observe(spent_ms as f64 / 1_000.0);
             let refused = matches!(result, Err(WorkerError::Refused));
-            let born_ms = result.as_ref().ok().map(|report| report.born_ms);
             let expected = info.as_ref().map(|info| &info.incarnation);
             let is_disproved = |expected: &&Incarnation| match &result {
                 Ok(report) => report.born_ms < expected.born_ms,
@@ -215,13 +196,12 @@
             };
             relay.do_send(WorkerSeen {
                 is_up: !refused,
-                born_ms,
                 disproved: expected.filter(is_disproved).cloned(),
             });
             match result {
                 Ok(report) => PollReply::Alive { info, report },
                 Err(WorkerError::Refused) => PollReply::Absent,
-                Err(WorkerError::NoAnswer(_)) => PollReply::Silent,
+                Err(WorkerError::NoAnswer(_) | WorkerError::Disconnected) => PollReply::Silent,
                 Err(WorkerError::Fenced) => PollReply::Fenced,
                 Err(WorkerError::OtherIncarnation) => PollReply::OtherLife,
             }
@@ -243,13 +223,10 @@
         }
         let target = &order.incarnation;
         let has_other_name = |info: &WorkerInfo| info.incarnation.worker != target.worker;
-        let was_restarted = self
-            .born_ms()
-            .is_some_and(|born_ms| born_ms != target.born_ms);
-        let is_other_incarnation = was_restarted || self.info.as_ref().is_some_and(has_other_name);
-        if self.is_draining() || is_other_incarnation {
+        let is_other_worker = self.info.as_ref().is_some_and(has_other_name);
+        if self.is_draining() || is_other_worker {
             log_event!(info, Event::OrderRefused, agent = %self.agent, task = %order.task,
-                run = order.run, draining = self.is_draining(), other_life = is_other_incarnation);
+                run = order.run, draining = self.is_draining(), other_life = is_other_worker);
             return Box::pin(async { StartOutcome::Unavailable });
         }
         let worker = self.worker.clone();
--- a/components/telemetry/src/event.rs
+++ b/components/telemetry/src/event.rs
@@ -93,6 +93,10 @@
     WorkerLapsed = 227,
     /// A worker was paused because of its failures.
     WorkerPaused = 228,
+    /// Another incarnation of a worker answers its agent.
+    WorkerIdentified = 229,
+    /// An agent did not pass on a call that was meant for another incarnation of its worker.
+    CallWithheld = 230,
     /// A process checked its settings file again.
     SettingsSeen = 104,
     /// A row of the table, a row of a worker's report or a heartbeat can't be read; it is left out.
--- a/tests/common/flow_fleet.rs
+++ b/tests/common/flow_fleet.rs
@@ -4,8 +4,9 @@
 use platform_standin::caller::Caller;
 use platform_standin::store::StoreStandIn;
 use platform_standin::worker::{Execution, WorkerStandIn};
-use platform_standin::{AgentAddresses, EntryAddresses};
+use platform_standin::{AgentAddresses, EntryAddresses, free_address};
 use serde_json::Value;
+use standin::Relay;
 use std::collections::BTreeMap;
 use std::path::PathBuf;
 use std::time::{Duration, Instant};
@@ -58,6 +59,8 @@
     pub agents: Vec<(AgentAddresses, Node)>,
     /// Stand-in workers, in the order of their agents.
     pub workers: Vec<WorkerStandIn>,
+    /// Relays between agents and workers, in the same order; empty if there are none.
+    pub relays: Vec<Relay>,
     /// HTTP client of the entries.
     pub caller: Caller,
     /// Folder of the settings files, deleted on drop.
@@ -120,11 +123,45 @@
         Self::start_with_zones(entries, agents, &["d1"], change).await
     }
 
+    /// As [`Fleet::start`], with a relay between each agent and its worker.
+    pub async fn start_behind_relays(entries: usize, agents: usize) -> Self {
+        let mut relayed = Vec::new();
+        let mut relays = Vec::new();
+        for _ in 0..agents {
+            let worker = AgentAddresses::free();
+            let relay = Relay::start(free_address(), worker.worker).await;
+            let relay = relay.expect("the address is free");
+            let agent = AgentAddresses {
+                worker: relay.address,
+                ..worker
+            };
+            relayed.push((agent, worker));
+            relays.push(relay);
+        }
+        let mut fleet = Self::start_at(entries, &relayed, &["d1"], |_| {}).await;
+        fleet.relays = relays;
+        fleet
+    }
+
     async fn start_with_zones(
         entries: usize,
         agents: usize,
         zones: &[&str],
         change: impl Fn(&mut Value),
+    ) -> Self {
+        let addresses: Vec<(AgentAddresses, AgentAddresses)> = (0..agents)
+            .map(|_| AgentAddresses::free())
+            .map(|addresses| (addresses, addresses))
+            .collect();
+        Self::start_at(entries, &addresses, zones, change).await
+    }
+
+    /// Starts agents and workers at these addresses: as the agent knows them, and as the worker does.
+    async fn start_at(
+        entries: usize,
+        agents: &[(AgentAddresses, AgentAddresses)],
+        zones: &[&str],
+        change: impl Fn(&mut Value),
     ) -> Self {
         let folder = TempDir::new().unwrap();
         let store = StoreStandIn::start();
@@ -137,26 +174,27 @@
             (addresses, Node::start("entry", &id, &settings, &folder))
         });
         let entries = entries.collect();
-        let agents: Vec<(AgentAddresses, Node)> = (0..agents)
-            .map(|number| {
-                let addresses = AgentAddresses::free();
-                let id = format!("a{number}");
-                let settings = addresses.settings(&id, store.address);
-                (addresses, Node::start("agent", &id, &settings, &folder))
-            })
-            .collect();
         let numbered = agents.iter().enumerate();
         let workers = numbered
-            .map(|(number, (addresses, _))| {
+            .clone()
+            .map(|(number, (_, addresses))| {
                 let zone = zones[number % zones.len()];
                 WorkerStandIn::start_in(zone, &format!("w{number}"), *addresses)
             })
             .collect();
+        let agents = numbered
+            .map(|(number, (addresses, _))| {
+                let id = format!("a{number}");
+                let settings = addresses.settings(&id, store.address);
+                (*addresses, Node::start("agent", &id, &settings, &folder))
+            })
+            .collect();
         let fleet = Self {
             store,
             entries,
             agents,
             workers,
+            relays: Vec::new(),
             caller: Caller::new(CALL_TIMEOUT),
             _folder: folder,
         };
