flow_agent: a late leave of a worker's former incarnation changes nothing

The agent now compares the start that the announcement states, if it states one.

platform: incarnations, a_late_leave_of_a_former_incarnation_changes_nothing: failed before the change (Unavailable for Started).

--- a/components/flow_agent/src/relay.rs
+++ b/components/flow_agent/src/relay.rs
@@ -116,14 +116,21 @@
 pub(crate) struct Leave {
     /// Name of the worker; ignored unless it is that of the newest heartbeat.
     pub worker: String,
+    /// Start of the incarnation that leaves, in milliseconds since the Unix epoch, if it states it;
+    /// ignored unless it is that of the newest heartbeat, as the announcement may arrive late.
+    pub born_ms: Option<u64>,
 }
 
 impl Handler<Leave> for Relay {
     type Result = ();
 
     fn handle(&mut self, leave: Leave, _: &mut Self::Context) {
-        log_event!(info, Event::WorkerLeft, agent = %self.agent, worker = %leave.worker);
-        let is_leaving = |info: &&mut WorkerInfo| info.incarnation.worker == leave.worker;
+        log_event!(info, Event::WorkerLeft, agent = %self.agent, worker = %leave.worker,
+            born_ms = leave.born_ms);
+        let is_leaving = |info: &&mut WorkerInfo| {
+            let Incarnation { worker, born_ms } = &info.incarnation;
+            *worker == leave.worker && leave.born_ms.is_none_or(|own_ms| own_ms == *born_ms)
+        };
         if let Some(info) = self.info.as_mut().filter(is_leaving) {
             info.draining = true;
         }
--- a/components/flow_agent/src/run.rs
+++ b/components/flow_agent/src/run.rs
@@ -37,9 +37,10 @@
         });
     }
 
-    /// Records that the worker is shutting down, so that no more runs are started there.
-    pub fn on_leave(&self, worker: String) {
-        self.relay.do_send(Leave { worker });
+    /// Records that the worker is shutting down, so that no more runs are started there. `born_ms` is the
+    /// start of the incarnation that does, in milliseconds since the Unix epoch, if it states it.
+    pub fn on_leave(&self, worker: String, born_ms: Option<u64>) {
+        self.relay.do_send(Leave { worker, born_ms });
     }
 
     /// The metrics in the text format of Prometheus.
