--- a/components/soak/src/fault.rs
+++ b/components/soak/src/fault.rs
@@ -52,7 +52,8 @@
     DropHistory,
     /// The operator writes a configuration with a higher version.
     ChangeConfig,
-    /// A worker crashes: it loses its runs and its state, and starts a new incarnation.
+    /// A worker crashes: it loses its runs and its state, and starts a new incarnation under its name, in
+    /// half of the cases without a heartbeat until the fault ends.
     CrashWorker,
     /// A worker carries out its next start but the scheduler gets no answer in time.
     LoseStart,
--- a/components/soak/src/fleet.rs
+++ b/components/soak/src/fleet.rs
@@ -46,6 +46,12 @@
     store_faults: RefCell<Vec<StoreMode>>,
 }
 
+/// Whether a worker that crashes sends no heartbeat until the fault ends, so that only its connections and
+/// its reports tell its new incarnation from the former one. Half of them do.
+fn returns_unannounced(fault: &Fault) -> bool {
+    fault.length_ms.is_multiple_of(2)
+}
+
 impl Fleet {
     /// Starts the store, all processes and the workers.
     ///
@@ -120,7 +126,10 @@
             FaultKind::Store(kind) => self.store_faults.borrow_mut().push(kind),
             FaultKind::DropHistory => self.store.compact(),
             FaultKind::ChangeConfig => self.change_config(),
-            FaultKind::CrashWorker => worker.crash(),
+            FaultKind::CrashWorker => {
+                worker.set_muted(returns_unannounced(fault));
+                worker.crash();
+            }
             FaultKind::LoseStart => worker.lose_next_start(),
             FaultKind::OddAgentRow(kind) => self.store.leave_odd_row("agents", "all", kind),
             FaultKind::KillAll => self.for_each_node(Node::kill)?,
@@ -148,10 +157,12 @@
             }
             FaultKind::KillAll => self.for_each_node(Node::restart)?,
             FaultKind::Evacuate => self.end_evacuation(domain_of(fault.target)),
+            FaultKind::CrashWorker => {
+                self.workers[fault.target % self.workers.len()].set_muted(false);
+            }
             FaultKind::HangUp
             | FaultKind::DropHistory
             | FaultKind::ChangeConfig
-            | FaultKind::CrashWorker
             | FaultKind::OddAgentRow(_)
             | FaultKind::LoseAgent(_)
             | FaultKind::LoseStart => {}
