flow: a failed run of a gang counts once, however many members fail in it

Cause: the failed runs of a gang were summed over its members. The record of such a job shows nine members with one failure each, all in run 1, and the flow failed.

Change: a flow counts the failed runs of its gangs by their numbers, which all members share, and records them (field g; earlier versions ignore it). From a record without the field, the most failures of one member are taken.

Ruled out: one more field in each step's state. It cost 8 bytes for each step of a waiting job, over the bound of FlowJob::footprint's example; the counts are in the flow's state now, for gangs that have failed only.

--- a/components/flow/src/ends.rs
+++ b/components/flow/src/ends.rs
@@ -76,7 +76,13 @@
             }
             RunEnd::Done | RunEnd::Stopped | RunEnd::Lapsed | RunEnd::Broken | RunEnd::Alone => {}
         }
-        let failures = task.failures;
+        let failures = match (is_gang, end.outcome) {
+            (true, RunEnd::Failed) => {
+                state.count_gang_failure(key, end.run);
+                state.failed_gang_runs(key)
+            }
+            _ => task.failures,
+        };
         self.log_decision(
             DecisionKind::Ended,
             key,
@@ -92,11 +98,6 @@
         if is_gang && end.outcome == RunEnd::Done {
             self.complete_gang(key);
         }
-        let failures = if is_gang {
-            self.gang_failures(key)
-        } else {
-            failures
-        };
         if end.outcome == RunEnd::Failed && !is_long_running && failures >= limit {
             self.fail_flow(now_ms, key, agent, format!("{failures} runs failed"));
         }
@@ -145,15 +146,6 @@
         }
     }
 
-    /// Number of failed runs of all members of a gang.
-    fn gang_failures(&self, key: &TaskKey) -> u32 {
-        let state = self.flows.get(&key.job);
-        let step = state
-            .and_then(|state| state.occurrences.get(key.occurrence as usize))
-            .and_then(|occurrence| occurrence.steps.get(key.step as usize));
-        step.map_or(0, crate::StepState::failures)
-    }
-
     /// Fails a flow of which a queued task, or a gang, has failed as often as its queue allows. Ends that
     /// were applied while the queue was not known have failed nothing.
     pub(crate) fn fail_exhausted(&mut self, now_ms: u64, job: &JobId) {
@@ -178,7 +170,7 @@
         failed.find_map(|(key, task)| {
             let spec = state.step_spec(key.step)?;
             let failures = match spec.gang {
-                true => self.gang_failures(&key),
+                true => state.failed_gang_runs(&key),
                 false => task.failures,
             };
             (!spec.long_running && failures >= limit).then_some((key, failures))
--- a/components/flow/src/record.rs
+++ b/components/flow/src/record.rs
@@ -7,8 +7,8 @@
 use crate::ranges::Ranges;
 use crate::record_former::FormerTasks;
 use crate::{
-    CrashCount, FlowState, Incarnation, OccurrenceState, Placement, RunStage, StepState, TaskKey,
-    TaskState,
+    CrashCount, FlowState, GangFailures, Incarnation, OccurrenceState, Placement, RunStage,
+    StepState, TaskKey, TaskState,
 };
 use model::AgentId;
 use serde::{Deserialize, Serialize};
@@ -45,6 +45,9 @@
     /// Tasks that were preempted and are not done. Versions without preemption don't read them.
     #[serde(rename = "v", default, skip_serializing_if = "Vec::is_empty")]
     preemptions: Vec<PreemptionRecord>,
+    /// Gangs of which a run has failed. Former versions don't read them.
+    #[serde(rename = "g", default, skip_serializing_if = "Vec::is_empty")]
+    gangs: Vec<GangRecord>,
     /// Tasks as former versions recorded them; read, and never written.
     #[serde(rename = "o", default, skip_serializing)]
     former: FormerTasks,
@@ -97,6 +100,19 @@
     Option<(u32, u32)>,
 );
 
+/// Failed runs of a gang.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+struct GangRecord(
+    /// Occurrence of the gang's step.
+    u32,
+    /// Number of the step.
+    u32,
+    /// Number of failed runs.
+    u32,
+    /// Number of the newest of them.
+    u32,
+);
+
 /// Crashes of workers under one task.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 struct CrashRecord(
@@ -131,6 +147,7 @@
             activated: state.occurrences.len() as u32,
             finished: state.occurrences.iter().map(is_finished).collect(),
             crashes: crash_records(state),
+            gangs: gang_records(state),
             ..Self::default()
         };
         let numbered = state.occurrences.iter().enumerate();
@@ -240,6 +257,7 @@
         }
         self.restore_former(state, now_ms);
         self.restore_duplicates(state, now_ms);
+        self.restore_gangs(state);
         state.release_done_steps();
         self.restore_crashes(state);
     }
@@ -308,6 +326,16 @@
         }
     }
 
+    /// Applies the failed runs of gangs.
+    fn restore_gangs(&self, state: &mut FlowState) {
+        state.restore_gang_failures();
+        for GangRecord(occurrence, step, runs, last_run) in &self.gangs {
+            let (runs, last_run) = (*runs, *last_run);
+            let failures = GangFailures { runs, last_run };
+            state.gang_failures.insert((*occurrence, *step), failures);
+        }
+    }
+
     /// Applies the crashes under tasks.
     fn restore_crashes(&self, state: &mut FlowState) {
         for CrashRecord(occurrence, step, index, soon, alone, total) in &self.crashes {
@@ -378,6 +406,16 @@
     occurrence.steps.iter().all(is_settled_step)
 }
 
+/// Records of the gangs of which a run has failed.
+fn gang_records(state: &FlowState) -> Vec<GangRecord> {
+    let failures = state.gang_failures.iter();
+    failures
+        .map(|((occurrence, step), GangFailures { runs, last_run })| {
+            GangRecord(*occurrence, *step, *runs, *last_run)
+        })
+        .collect()
+}
+
 /// Records of the tasks under which workers have crashed.
 fn crash_records(state: &FlowState) -> Vec<CrashRecord> {
     let crashed = state
--- a/components/flow/src/state.rs
+++ b/components/flow/src/state.rs
@@ -1,7 +1,8 @@
 //! State of a flow and of its placements in the scheduler.
 
 use crate::{
-    FlowJob, FlowPhase, Incarnation, OccurrenceState, StepSpec, StepState, TaskKey, TaskState,
+    FlowJob, FlowPhase, GangsFailures, Incarnation, OccurrenceState, StepSpec, StepState, TaskKey,
+    TaskState,
 };
 use model::AgentId;
 
@@ -86,6 +87,8 @@
     pub started: bool,
     /// Whether the record that a former scheduler wrote holds the flow's end.
     pub is_end_restored: bool,
+    /// Failed runs of its gangs that are not done.
+    pub gang_failures: GangsFailures,
 }
 
 impl FlowState {
@@ -102,6 +105,7 @@
             first_seen_ms: now_ms,
             started: false,
             is_end_restored: false,
+            gang_failures: GangsFailures::default(),
         }
     }
 
@@ -133,6 +137,7 @@
         for occurrence in &mut self.occurrences {
             occurrence.release_if_done();
         }
+        self.drop_gang_failures();
     }
 
     /// State of a task, or `None` if its occurrence is not activated, its step is released, or there
--- a/components/flow/tests/common/takeover.rs
+++ b/components/flow/tests/common/takeover.rs
@@ -16,6 +16,14 @@
         self.policies.duplicates = true;
     }
 
+    /// Replaces the scheduler by a new one, after one of a version that did not record the failed runs of
+    /// gangs.
+    pub fn take_over_from_version_without_gangs(&mut self) {
+        self.take_over_reading(|record| {
+            record.as_object_mut().unwrap().remove("g");
+        });
+    }
+
     /// Replaces the scheduler by a new one that restores its state from the durable records.
     pub fn take_over(&mut self) {
         self.take_over_reading(|_| ());
