flow_agent: incarnations are ordered by their connections, not by the starts that they state

The agent took the latest start that it had ever heard of for the present incarnation.

This one settles the heartbeats: one of an incarnation that the agent has seen replaced, on a connection made later, never counts again, and one with an earlier start counts as soon as the former incarnation is known to be replaced. The scheduler, its records and the feed compare starts for equality only.

--- a/components/flow_agent/src/connections.rs
+++ b/components/flow_agent/src/connections.rs
@@ -86,6 +86,11 @@
         Ok(report)
     }
 
+    /// Whether the incarnation that started at `born_ms` is known to have been replaced.
+    pub fn is_former(&self, born_ms: u64) -> bool {
+        self.pool.borrow().is_former(born_ms)
+    }
+
     /// Whether a poll for the incarnation that started at `born_ms` is meant for the one that a
     /// connection reaches. It is counted if it was meant for another one.
     fn is_meant(&self, born_ms: Option<u64>, identified: &Identified) -> bool {
--- a/components/flow_agent/src/heartbeat_order.rs
+++ b/components/flow_agent/src/heartbeat_order.rs
@@ -1,7 +1,9 @@
 //! Order of the heartbeats that an agent gets: which one is newer than the newest so far.
 //!
 //! Heartbeats may be late, and one may come from another writer with an absurd start or number. The
-//! worker itself, which answers polls, and its later heartbeats correct that.
+//! worker itself, which answers polls, and its later heartbeats correct that. Start times don't order
+//! incarnations, as the time of day may be set back: one that the agent has seen replaced never counts
+//! again, and only among others does the later start count as the newer one.
 
 use flow::Incarnation;
 
@@ -36,9 +38,20 @@
 }
 
 impl HeartbeatOrder {
-    /// Whether a heartbeat is newer than the newest so far, which it then is itself.
-    pub fn admit(&mut self, now_ms: u64, incarnation: &Incarnation, sequence: u64) -> bool {
-        if let Some(newest) = &mut self.newest {
+    /// Whether a heartbeat is newer than the newest so far, which it then is itself. `is_former` tells by
+    /// its start whether an incarnation is known to have been replaced.
+    pub fn admit(
+        &mut self,
+        now_ms: u64,
+        incarnation: &Incarnation,
+        sequence: u64,
+        is_former: impl Fn(u64) -> bool,
+    ) -> bool {
+        if is_former(incarnation.born_ms) {
+            return false;
+        }
+        let newest = self.newest.as_mut();
+        if let Some(newest) = newest.filter(|newest| !is_former(newest.incarnation.born_ms)) {
             let order = (incarnation.born_ms, sequence);
             let is_late = order <= (newest.incarnation.born_ms, newest.sequence);
             if is_late && !newest.is_corrected_by(now_ms, incarnation, sequence) {
--- a/components/flow_agent/src/pool.rs
+++ b/components/flow_agent/src/pool.rs
@@ -1,9 +1,12 @@
 //! Idle connections to the worker, each with the incarnation that it reaches.
 
 use crate::worker_client::WorkerConnection;
+use std::collections::VecDeque;
 
 /// Time after which an idle connection is dropped, in milliseconds.
 const KEEP_IDLE_MS: u64 = 30_000;
+/// Most former incarnations that are known. Late heartbeats are of the last few.
+const MAX_FORMER: usize = 32;
 
 /// Which incarnations of the worker a call may reach.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -48,6 +51,8 @@
     newest: Option<(u64, u64)>,
     /// Number of connections so far.
     made: u64,
+    /// Starts of the incarnations that were replaced, oldest first, in milliseconds since the Unix epoch.
+    former: VecDeque<u64>,
 }
 
 impl Pool {
@@ -63,10 +68,22 @@
         if self.newest.is_some_and(|(newest, _)| newest > number) {
             return false;
         }
-        let is_new = self.newest.is_none_or(|(_, known_ms)| known_ms != born_ms);
-        self.newest = Some((number, born_ms));
+        let before = self.newest.replace((number, born_ms));
+        let replaced = before.filter(|(_, known_ms)| *known_ms != born_ms);
+        if let Some((_, former_ms)) = replaced {
+            self.former.retain(|known_ms| *known_ms != born_ms);
+            self.former.push_back(former_ms);
+            if self.former.len() > MAX_FORMER {
+                self.former.pop_front();
+            }
+        }
         self.idle.retain(|idle| idle.born_ms == born_ms);
-        is_new
+        before.is_none() || replaced.is_some()
+    }
+
+    /// Whether the incarnation that started at `born_ms` is known to have been replaced.
+    pub fn is_former(&self, born_ms: u64) -> bool {
+        self.former.contains(&born_ms)
     }
 
     /// Takes the connection that answered last; `None` if there is none to an incarnation that
--- a/components/flow_agent/src/relay.rs
+++ b/components/flow_agent/src/relay.rs
@@ -92,7 +92,12 @@
         self.metrics.heartbeats.inc();
         let born_ms = heartbeat.info.incarnation.born_ms;
         let incarnation = &heartbeat.info.incarnation;
-        if !self.order.admit(boot_ms(), incarnation, heartbeat.sequence) {
+        let is_former = |born_ms| self.worker.is_former(born_ms);
+        let sequence = heartbeat.sequence;
+        if !self
+            .order
+            .admit(boot_ms(), incarnation, sequence, is_former)
+        {
             return;
         }
         let changed = self.info.as_ref().is_none_or(|known| {
