--- a/components/flow_entry/src/lib.rs
+++ b/components/flow_entry/src/lib.rs
@@ -26,6 +26,7 @@
 mod messages;
 mod metric_labels;
 mod metrics;
+mod orders;
 mod overlapping_reads;
 mod overload;
 mod reads;
