flow_agent: a report of another incarnation over a known connection counts as newest

Only where a worker breaks the rule that a connection ends with its incarnation; such a connection was kept if a later one had been identified before.

--- a/components/flow_agent/src/connections.rs
+++ b/components/flow_agent/src/connections.rs
@@ -30,7 +30,7 @@
     metrics: Metrics,
 }
 
-/// What identifies a new connection for an order.
+/// Who makes a call, as the first poll on a new connection states it.
 #[derive(Debug, Clone, Copy)]
 struct Caller<'a> {
     /// Fencing token of the scheduler.
@@ -72,7 +72,11 @@
                 &report_only
             };
             let report = identified.connection.poll(poll).await?;
-            self.note_incarnation(identified.number, report.born_ms);
+            if report.born_ms != identified.born_ms {
+                // The worker breaks the rule that a connection ends with its incarnation.
+                let number = self.pool.borrow_mut().number_connection();
+                self.note_incarnation(number, report.born_ms);
+            }
             Ok(report)
         };
         if let Some(result) = self.call_over_idle(Target::Any, &call).await {
@@ -219,7 +223,6 @@
         let identified = Identified {
             connection,
             born_ms: report.born_ms,
-            number,
             answered_ms: boot_ms(),
         };
         Ok((identified, report))
--- a/components/flow_agent/src/pool.rs
+++ b/components/flow_agent/src/pool.rs
@@ -33,8 +33,6 @@
     pub connection: Box<dyn WorkerConnection>,
     /// Start of the incarnation, in milliseconds since the Unix epoch.
     pub born_ms: u64,
-    /// Number of the connection, in the order in which connections were made.
-    pub number: u64,
     /// When the last answer on it arrived, in milliseconds.
     pub answered_ms: u64,
 }
@@ -56,7 +54,7 @@
 }
 
 impl Pool {
-    /// Number of a new connection.
+    /// Number of a new connection, in the order in which connections are made.
     pub fn number_connection(&mut self) -> u64 {
         self.made += 1;
         self.made
